Set up the project skeleton, core types and design page

The repository was empty. This adds the design page, the closed list of error kinds, identities, call context, the ports for calls, bodies and the platform, the Thrift frames between nodes, and the build, format, lint and test scripts.

--- /dev/null
+++ b/src/nutmegrock/core/Incarnation.cpp
@@ -0,0 +1,13 @@
+#include "core/Incarnation.h"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace nutmegrock::core {
+
+std::string
+Incarnation::Text() const
+{
+  return fmt::format("{:016x}", mBits);
+}
+
+} // namespace nutmegrock::core
--- /dev/null
+++ b/src/nutmegrock/core/Level.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/Importance.h"
+#include "core/RequestId.h"
+
+#include <compare>
+
+namespace nutmegrock::core {
+
+/// Admission level of a service, after Zhou et al., "Overload Control for
+/// Scaling WeChat Microservices", SoCC 2018: calls whose (importance, cohort)
+/// is at or above it are admitted. The default admits all.
+struct Level
+{
+  Importance mImportance = Importance::Background;
+  Cohort mCohort = 0;
+
+  /// Whether a call of this importance and cohort is admitted.
+  bool Admits(Importance aImportance, Cohort aCohort) const
+  {
+    return *this <= Level{ aImportance, aCohort };
+  }
+
+  auto operator<=>(const Level&) const = default;
+};
+
+/// What a serving node tells its caller with every answer.
+struct CallFeedback
+{
+  /// Level of the service that answered.
+  Level mLevel;
+  /// Highest level among the services below it for this request.
+  Level mLevelBelow;
+  /// Calls in flight and waiting, per 1000 of the concurrency limit.
+  std::uint32_t mLoadPermille = 0;
+  /// Unused part of the retry budget granted with the call.
+  std::uint32_t mBudgetReturned = 0;
+
+  bool operator==(const CallFeedback&) const = default;
+};
+
+} // namespace nutmegrock::core
--- /dev/null
+++ b/src/nutmegrock/platform/ObjectStore.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "core/Error.h"
+
+#include <optional>
+#include <string>
+
+namespace nutmegrock::platform {
+
+/// Port to the platform's object store. Calls block, as those of TableService.
+/// Every error is StoreUnavailable; a failed write may have taken effect.
+class ObjectStore
+{
+public:
+  ObjectStore() = default;
+  ObjectStore(const ObjectStore&) = delete;
+  ObjectStore& operator=(const ObjectStore&) = delete;
+  virtual ~ObjectStore() = default;
+
+  /// The object, or nothing when there is none.
+  virtual core::Expected<std::optional<std::string>> Get(
+    const std::string& aName) = 0;
+  /// Writes the whole object.
+  virtual core::Expected<bool> Put(const std::string& aName,
+                                   const std::string& aBytes) = 0;
+};
+
+} // namespace nutmegrock::platform
--- /dev/null
+++ b/src/nutmegrock/transport/Body.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "core/Error.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace nutmegrock::transport {
+
+/// Part of a body. Only a chunk with mLast set ends a body; a body that ends
+/// otherwise is incomplete.
+struct BodyChunk
+{
+  std::string mBytes;
+  bool mLast = false;
+};
+
+using ChunkHandler = std::function<void(core::Expected<BodyChunk>)>;
+
+/// A body that is pulled chunk by chunk, so that a slow receiver slows the
+/// sender and no body is held whole. At most one Next() is outstanding. After
+/// the last chunk or an error Next() is not called again. The handler may run
+/// on any thread, also before Next() returns.
+class BodyReader
+{
+public:
+  BodyReader() = default;
+  BodyReader(const BodyReader&) = delete;
+  BodyReader& operator=(const BodyReader&) = delete;
+  virtual ~BodyReader() = default;
+
+  virtual void Next(ChunkHandler aHandler) = 0;
+};
+
+using BodyReaderPtr = std::shared_ptr<BodyReader>;
+
+/// A body whose bytes are at hand.
+BodyReaderPtr
+WholeBody(std::string aBytes);
+
+/// Reads a whole body of at most aMaxBytes. Fails with BodyTooLarge beyond it,
+/// and with the reader's error.
+void
+ReadWhole(const BodyReaderPtr& aBody,
+          std::size_t aMaxBytes,
+          std::function<void(core::Expected<std::string>)> aHandler);
+
+} // namespace nutmegrock::transport
