--- /dev/null
+++ b/src/nutmegrock/settings/SettingsFile.cpp
@@ -0,0 +1,186 @@
+#include "settings/SettingsFile.h"
+
+#include "settings/YamlReader.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <iterator>
+#include <spdlog/fmt/fmt.h>
+
+namespace nutmegrock::settings {
+
+namespace {
+
+constexpr std::size_t kMaxFileBytes = 1024 * 1024;
+constexpr std::uint64_t kMaxSlots = 100'000;
+constexpr std::uint64_t kMaxConnections = 100'000;
+constexpr std::uint64_t kMaxThreads = 64;
+constexpr std::uint64_t kMaxUnboundedRetries = 10;
+constexpr std::size_t kMaxNameLength = 64;
+
+core::Address
+ReadAddress(YamlReader& aReader, const std::string& aKey)
+{
+  const std::string text = aReader.Text(aKey);
+  if (text.empty()) {
+    return {};
+  }
+  auto address = core::Address::Parse(text);
+  if (!address) {
+    aReader.Reject(aKey, address.error().mMessage);
+    return {};
+  }
+  return *address;
+}
+
+std::string
+ReadName(YamlReader& aReader, const std::string& aKey)
+{
+  std::string text = aReader.Text(aKey);
+  if (text.size() > kMaxNameLength || text.find('/') != std::string::npos) {
+    aReader.Reject(aKey,
+                   fmt::format("must have at most {} characters and no '/'",
+                               kMaxNameLength));
+  }
+  return text;
+}
+
+std::string
+ReadUrl(YamlReader& aReader, const std::string& aKey)
+{
+  std::string text = aReader.Text(aKey);
+  if (!text.empty() && text.rfind("http://", 0) != 0) {
+    aReader.Reject(aKey, "must be an http:// URL");
+  }
+  return text;
+}
+
+void
+ReadNodePart(YamlReader aReader, NodeSettings& aSettings)
+{
+  aSettings.mService = ReadName(aReader, "service");
+  aSettings.mRegion = ReadName(aReader, "region");
+  aSettings.mAvailabilityZone = ReadName(aReader, "availability_zone");
+  aSettings.mBackendServer = ReadAddress(aReader, "backend_server");
+  aSettings.mSlots =
+    static_cast<std::uint32_t>(aReader.Number("slots", 1, kMaxSlots));
+  aSettings.mConnections = static_cast<std::uint32_t>(
+    aReader.Number("connections", 1, kMaxConnections));
+  aSettings.mThreads =
+    static_cast<std::uint32_t>(aReader.Number("threads", 1, kMaxThreads, 2));
+  aReader.Finish();
+}
+
+void
+ReadListenPart(YamlReader aReader, ListenSettings& aSettings)
+{
+  aSettings.mCaller = ReadAddress(aReader, "caller");
+  aSettings.mBackend = ReadAddress(aReader, "backend");
+  aSettings.mPeer = ReadAddress(aReader, "peer");
+  aSettings.mAdmin = ReadAddress(aReader, "admin");
+  aReader.Finish();
+}
+
+void
+ReadPlatformPart(YamlReader aReader, PlatformSettings& aSettings)
+{
+  aSettings.mTableService = ReadUrl(aReader, "table_service");
+  aSettings.mObjectStore = ReadUrl(aReader, "object_store");
+  aReader.Finish();
+}
+
+void
+ReadLogPart(YamlReader aReader, NodeSettings& aSettings)
+{
+  aSettings.mLogLevel = aReader.Text("level", "info");
+  static const std::set<std::string> sLevels = {
+    "debug", "info", "warning", "error", "off"
+  };
+  if (sLevels.count(aSettings.mLogLevel) == 0) {
+    aReader.Reject("level", "must be debug, info, warning, error or off");
+  }
+  aReader.Finish();
+}
+
+void
+ReadOverloadPart(YamlReader aReader, OverloadSettings& aSettings)
+{
+  aSettings.mEnabled = aReader.Flag("enabled", true);
+  aSettings.mUnboundedRetries = static_cast<std::uint32_t>(
+    aReader.Number("unbounded_retries", 0, kMaxUnboundedRetries, 0));
+  if (aSettings.mEnabled && aSettings.mUnboundedRetries > 0) {
+    aReader.Reject("unbounded_retries", "needs overload.enabled: false");
+  }
+  aReader.Finish();
+}
+
+void
+ReadSeeds(YamlReader& aReader, NodeSettings& aSettings)
+{
+  for (const std::string& text : aReader.TextList("seeds")) {
+    auto address = core::Address::Parse(text);
+    if (address) {
+      aSettings.mSeeds.push_back(*address);
+    } else {
+      aReader.Reject("seeds", address.error().mMessage);
+    }
+  }
+}
+
+} // namespace
+
+core::Expected<NodeSettings>
+ParseNodeSettings(const std::string& aYaml, const std::string& aName)
+{
+  FaultList faults;
+  NodeSettings settings;
+  try {
+    YamlReader reader(YAML::Load(aYaml), "", faults);
+    ReadNodePart(reader.Map("node", true), settings);
+    ReadListenPart(reader.Map("listen", true), settings.mListen);
+    ReadPlatformPart(reader.Map("platform", true), settings.mPlatform);
+    ReadSeeds(reader, settings);
+    settings.mSecretFile = reader.Text("secret_file", "");
+    ReadLogPart(reader.Map("log", false), settings);
+    ReadOverloadPart(reader.Map("overload", false), settings.mOverload);
+    reader.Finish();
+  } catch (const YAML::Exception& error) {
+    faults.Add(error.mark.line + 1, "", error.msg);
+  }
+  if (faults.IsEmpty()) {
+    return settings;
+  }
+  std::string text;
+  for (const std::string& line : faults.Lines()) {
+    text += (text.empty() ? "" : "\n") + aName + ": " + line;
+  }
+  return core::Fail(core::ErrorKind::InvalidSettings, text);
+}
+
+core::Expected<std::string>
+ReadTextFile(const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    return core::Fail(
+      core::ErrorKind::InvalidSettings,
+      fmt::format("{}: cannot be read: {}", aPath, std::strerror(errno)));
+  }
+  std::string text(std::istreambuf_iterator<char>(file), {});
+  if (text.size() > kMaxFileBytes) {
+    return core::Fail(core::ErrorKind::InvalidSettings,
+                      fmt::format("{}: is larger than 1 MiB", aPath));
+  }
+  return text;
+}
+
+core::Expected<NodeSettings>
+LoadNodeSettings(const std::string& aPath)
+{
+  return ReadTextFile(aPath).and_then([&aPath](const std::string& aText) {
+    return ParseNodeSettings(aText, aPath);
+  });
+}
+
+} // namespace nutmegrock::settings
--- /dev/null
+++ b/src/nutmegrock/settings/YamlReader.cpp
@@ -0,0 +1,208 @@
+#include "settings/YamlReader.h"
+
+#include <charconv>
+#include <map>
+#include <spdlog/fmt/fmt.h>
+#include <utility>
+
+namespace nutmegrock::settings {
+
+namespace {
+
+int
+LineOf(const YAML::Node& aNode)
+{
+  return aNode.IsDefined() ? aNode.Mark().line + 1 : 0;
+}
+
+} // namespace
+
+void
+FaultList::Add(int aLine, std::string_view aKey, std::string_view aText)
+{
+  const std::string line = aLine > 0 ? fmt::format("line {}: ", aLine) : "";
+  const std::string key = aKey.empty() ? "" : fmt::format("{}: ", aKey);
+  mLines.push_back(fmt::format("{}{}{}", line, key, aText));
+}
+
+std::string
+FaultList::Text() const
+{
+  return fmt::format("{}", fmt::join(mLines, "\n"));
+}
+
+YamlReader::YamlReader(YAML::Node aNode, std::string aPath, FaultList& aFaults)
+  : mNode(std::move(aNode))
+  , mPath(std::move(aPath))
+  , mFaults(aFaults)
+{
+  if (!mNode.IsMap()) {
+    mFaults.Add(LineOf(mNode), mPath, "must be a map of keys");
+    mNode = YAML::Node(YAML::NodeType::Map);
+    return;
+  }
+  std::map<std::string, int> lines;
+  for (const auto& entry : mNode) {
+    const auto key = entry.first.as<std::string>("");
+    const int line = LineOf(entry.first);
+    if (!lines.emplace(key, line).second) {
+      mFaults.Add(line, PathOf(key), "stands twice");
+    }
+  }
+}
+
+std::string
+YamlReader::PathOf(const std::string& aKey) const
+{
+  return mPath.empty() ? aKey : mPath + "." + aKey;
+}
+
+YAML::Node
+YamlReader::Take(const std::string& aKey, bool aRequired)
+{
+  mTaken.insert(aKey);
+  const YAML::Node& map = mNode;
+  YAML::Node value = map[aKey];
+  if (aRequired && (!value.IsDefined() || value.IsNull())) {
+    mFaults.Add(LineOf(mNode), PathOf(aKey), "is missing");
+  }
+  return value;
+}
+
+std::string
+YamlReader::Text(const std::string& aKey)
+{
+  const YAML::Node value = Take(aKey, true);
+  if (!value.IsDefined() || value.IsNull()) {
+    return {};
+  }
+  if (!value.IsScalar() || value.Scalar().empty()) {
+    mFaults.Add(LineOf(value), PathOf(aKey), "must be a text");
+    return {};
+  }
+  return value.Scalar();
+}
+
+std::string
+YamlReader::Text(const std::string& aKey, std::string_view aDefault)
+{
+  const YAML::Node& map = mNode;
+  if (!map[aKey].IsDefined()) {
+    return std::string(aDefault);
+  }
+  return Text(aKey);
+}
+
+std::uint64_t
+YamlReader::ToNumber(const YAML::Node& aValue,
+                     const std::string& aKey,
+                     std::uint64_t aLeast,
+                     std::uint64_t aMost)
+{
+  const std::string text = aValue.IsScalar() ? aValue.Scalar() : "";
+  std::uint64_t number = 0;
+  const auto [end, status] =
+    std::from_chars(text.data(), text.data() + text.size(), number);
+  if (text.empty() || status != std::errc{} ||
+      end != text.data() + text.size()) {
+    mFaults.Add(LineOf(aValue), PathOf(aKey), "must be a whole number");
+    return aLeast;
+  }
+  if (number < aLeast || number > aMost) {
+    mFaults.Add(
+      LineOf(aValue),
+      PathOf(aKey),
+      fmt::format("must be from {} to {}, not {}", aLeast, aMost, number));
+    return aLeast;
+  }
+  return number;
+}
+
+std::uint64_t
+YamlReader::Number(const std::string& aKey,
+                   std::uint64_t aLeast,
+                   std::uint64_t aMost)
+{
+  const YAML::Node value = Take(aKey, true);
+  if (!value.IsDefined() || value.IsNull()) {
+    return aLeast;
+  }
+  return ToNumber(value, aKey, aLeast, aMost);
+}
+
+std::uint64_t
+YamlReader::Number(const std::string& aKey,
+                   std::uint64_t aLeast,
+                   std::uint64_t aMost,
+                   std::uint64_t aDefault)
+{
+  const YAML::Node value = Take(aKey, false);
+  return value.IsDefined() ? ToNumber(value, aKey, aLeast, aMost) : aDefault;
+}
+
+bool
+YamlReader::Flag(const std::string& aKey, bool aDefault)
+{
+  const YAML::Node value = Take(aKey, false);
+  if (!value.IsDefined()) {
+    return aDefault;
+  }
+  const std::string text = value.IsScalar() ? value.Scalar() : "";
+  if (text != "true" && text != "false") {
+    mFaults.Add(LineOf(value), PathOf(aKey), "must be true or false");
+    return aDefault;
+  }
+  return text == "true";
+}
+
+std::vector<std::string>
+YamlReader::TextList(const std::string& aKey)
+{
+  const YAML::Node value = Take(aKey, false);
+  std::vector<std::string> texts;
+  if (!value.IsDefined()) {
+    return texts;
+  }
+  if (!value.IsSequence()) {
+    mFaults.Add(LineOf(value), PathOf(aKey), "must be a list");
+    return texts;
+  }
+  for (const auto& item : value) {
+    if (item.IsScalar()) {
+      texts.push_back(item.Scalar());
+    } else {
+      mFaults.Add(LineOf(item), PathOf(aKey), "must hold only texts");
+    }
+  }
+  return texts;
+}
+
+YamlReader
+YamlReader::Map(const std::string& aKey, bool aRequired)
+{
+  const YAML::Node value = Take(aKey, aRequired);
+  if (!value.IsDefined() || value.IsNull()) {
+    return { YAML::Node(YAML::NodeType::Map), PathOf(aKey), mFaults };
+  }
+  return { value, PathOf(aKey), mFaults };
+}
+
+void
+YamlReader::Reject(const std::string& aKey, std::string_view aText)
+{
+  const YAML::Node& map = mNode;
+  mFaults.Add(LineOf(map[aKey]), PathOf(aKey), aText);
+}
+
+void
+YamlReader::Finish()
+{
+  for (const auto& entry : mNode) {
+    const auto key = entry.first.as<std::string>("");
+    if (mTaken.count(key) == 0) {
+      mFaults.Add(LineOf(entry.first), PathOf(key), "is not a known key");
+    }
+  }
+}
+
+} // namespace nutmegrock::settings
