--- /dev/null
+++ b/src/nutmegrock/node/CallerHeaders.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "core/Error.h"
+#include "core/RequestId.h"
+#include "transport/Call.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace nutmegrock::node {
+
+// Names of the project's own headers.
+constexpr std::string_view kRequestHeader = "Nutmegrock-Request";
+constexpr std::string_view kDeadlineHeader = "Nutmegrock-Deadline-Ms";
+constexpr std::string_view kProfileHeader = "Nutmegrock-Profile";
+constexpr std::string_view kKeyHeader = "Nutmegrock-Key";
+constexpr std::string_view kCallHeader = "Nutmegrock-Call";
+constexpr std::string_view kStepHeader = "Nutmegrock-Step";
+constexpr std::string_view kRunHeader = "Nutmegrock-Run";
+
+/// What a caller says about its call. Each field is absent unless sent.
+struct CallerHeaders
+{
+  std::optional<core::RequestId> mRequest;
+  std::optional<std::chrono::milliseconds> mTimeout;
+  std::string mProfile;
+  std::string mKey;
+  /// Token of the call that a nested call belongs to.
+  std::string mCall;
+  /// Names a nested call within its parent, so that a repetition by the backend
+  /// server is recognised.
+  std::string mStep;
+
+  /// Reads the headers. Fails with BadRequest when a value makes no sense, such
+  /// as a negative timeout.
+  static core::Expected<CallerHeaders> Parse(
+    const transport::Headers& aHeaders);
+};
+
+/// The headers without those of this project and without hop-by-hop headers
+/// (RFC 9110, section 7.6.1).
+transport::Headers
+EndToEndHeaders(const transport::Headers& aHeaders);
+
+} // namespace nutmegrock::node
