--- a/src/nutmegrock/core/Error.h
+++ b/src/nutmegrock/core/Error.h
@@ -16,6 +16,9 @@
   RunCertainty mRun = RunCertainty::Unknown;
   /// Pause after which sending again may help; zero when not known.
   std::chrono::milliseconds mRetryAfter{ 0 };
+  /// Set once the hop next to the failure has decided about retries; hops above
+  /// pass the error on.
+  bool mRetryDecided = false;
 
   bool operator==(const Error&) const = default;
 };
--- /dev/null
+++ b/src/nutmegrock/limits/AdmissionQueue.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "core/Error.h"
+#include "core/Time.h"
+#include "limits/Ticket.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegrock::limits {
+
+struct AdmissionQueueSettings
+{
+  /// Waiting calls over all importances.
+  std::uint32_t mMaxWaiting = 1024;
+
+  bool operator==(const AdmissionQueueSettings&) const = default;
+};
+
+/// Bounded queue of calls waiting for a slot: by importance, then deeper calls
+/// first, then in the order of arrival or, while overloaded, newest first. Not
+/// synchronized.
+class AdmissionQueue
+{
+public:
+  /// A call that left the queue, and when it came.
+  struct Waiting
+  {
+    Ticket mTicket;
+    core::TimePoint mArrived;
+  };
+
+  /// Fails with InvalidSettings.
+  static core::Expected<AdmissionQueue> Create(
+    const AdmissionQueueSettings& aSettings);
+
+  /// Adds a call. When the queue is full the least important call, among equals
+  /// the one of the lowest cohort, is returned as evicted; it may be the new
+  /// one.
+  std::optional<Ticket> Push(core::TimePoint aNow, const Ticket& aTicket);
+  /// Takes the next call to run.
+  std::optional<Waiting> Pop();
+  /// Removes a call by id.
+  std::optional<Ticket> Remove(std::uint64_t aId);
+  /// Removes the calls that have waited their max wait (QueueTimeout) or cannot
+  /// meet their deadline when the service takes aServiceTime
+  /// (DeadlineExceeded).
+  std::vector<std::pair<Ticket, core::ErrorKind>> Expire(
+    core::TimePoint aNow,
+    core::Duration aServiceTime);
+  /// When the next call expires; TimePoint::max() when none waits.
+  core::TimePoint NextExpiry(core::Duration aServiceTime) const;
+  /// Arrival of the call that has waited longest.
+  std::optional<core::TimePoint> OldestArrival() const;
+
+  std::uint32_t Size() const
+  {
+    return static_cast<std::uint32_t>(mCalls.size());
+  }
+  /// Newest first among equals while set, oldest first otherwise.
+  void SetNewestFirst(bool aNewestFirst) { mNewestFirst = aNewestFirst; }
+
+private:
+  /// Position in the order of running; the sequence number grows with arrival.
+  struct RunKey
+  {
+    core::Importance mImportance;
+    std::uint32_t mDepth;
+    std::uint64_t mSequence;
+    auto operator<=>(const RunKey&) const = default;
+  };
+  /// Position in the order of eviction.
+  struct EvictKey
+  {
+    core::Importance mImportance;
+    core::Cohort mCohort;
+    std::uint64_t mSequence;
+    auto operator<=>(const EvictKey&) const = default;
+  };
+  struct Entry
+  {
+    Waiting mWaiting;
+    std::uint64_t mSequence = 0;
+  };
+
+  explicit AdmissionQueue(const AdmissionQueueSettings& aSettings);
+  Waiting Take(std::uint64_t aId);
+
+  AdmissionQueueSettings mSettings;
+  bool mNewestFirst = false;
+  std::uint64_t mSequence = 0;
+  std::unordered_map<std::uint64_t, Entry> mCalls;
+  std::map<RunKey, std::uint64_t> mRunOrder;
+  std::map<EvictKey, std::uint64_t> mEvictOrder;
+  /// (arrival, id), (arrival + max wait, id) and (deadline, id).
+  std::set<std::pair<core::TimePoint, std::uint64_t>> mByArrival;
+  std::set<std::pair<core::TimePoint, std::uint64_t>> mByMaxWait;
+  std::set<std::pair<core::TimePoint, std::uint64_t>> mByDeadline;
+};
+
+} // namespace nutmegrock::limits
