Declare the transport adapters

The node wiring needs the interfaces of CallListener, HttpBackendClient, PeerClient and PeerServer before their implementations are complete.

--- /dev/null
+++ b/src/nutmegrock/transport/http/CallListener.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "transport/Call.h"
+#include "transport/http/CallListenerSettings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <memory>
+
+namespace nutmegrock::transport::http {
+
+class ListenerState;
+
+/// Accepts HTTP/1.1 calls and gives each to a handler. The handler runs on a
+/// thread of the io_context; its AnswerHandler may be called from any thread. A
+/// caller that closes its connection, or its sending side, cancels the call.
+///
+/// An answer is written only when the first chunk of its body is at hand, so
+/// that a body which fails at once still becomes an error answer.
+///
+/// The io_context must outlive the listener.
+class CallListener
+{
+public:
+  /// Listens at once. Fails with InvalidSettings if the address cannot be
+  /// bound.
+  static core::Expected<std::unique_ptr<CallListener>> Create(
+    boost::asio::io_context& aIo,
+    const CallListenerSettings& aSettings,
+    CallHandler aHandler);
+
+  CallListener(const CallListener&) = delete;
+  CallListener& operator=(const CallListener&) = delete;
+  /// Closes the listener and all connections, and cancels calls in flight.
+  ~CallListener();
+
+  /// The bound address, with the port that the system chose.
+  const core::Address& LocalAddress() const;
+  /// Calls given to the handler whose answer is not yet written or dropped.
+  std::size_t InFlight() const;
+  /// Open connections.
+  std::size_t Connections() const;
+  /// Connections refused with too_many_connections so far.
+  std::uint64_t Refused() const;
+  /// Closes the listening socket and idle connections. Calls in flight finish,
+  /// with "Connection: close" in their answers.
+  void StopAccepting();
+
+private:
+  explicit CallListener(std::shared_ptr<ListenerState> aState);
+
+  std::shared_ptr<ListenerState> mState;
+};
+
+} // namespace nutmegrock::transport::http
--- /dev/null
+++ b/src/nutmegrock/transport/http/HttpBackendClient.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "transport/Call.h"
+#include "transport/http/HttpBackendClientSettings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <memory>
+
+namespace nutmegrock::transport::http {
+
+class ConnectionPool;
+
+/// Sends calls over pooled keep-alive connections to one backend server.
+///
+/// Errors before a byte of the call was handed to a connection are NotRun:
+/// BackendUnreachable (connect failed), DeadlineExceeded (no connection became
+/// free in time). Afterwards they are Unknown: BackendTimeout,
+/// BackendProtocol, Cancelled, and the error of the call's own body. After the
+/// head of the answer was given they come from its body reader. The deadline
+/// bounds the whole exchange with both bodies. Nothing is sent twice, also not
+/// when a pooled connection turns out to be stale.
+///
+/// The io_context must outlive the client.
+class HttpBackendClient final : public BackendClient
+{
+public:
+  /// Fails with InvalidSettings for an address that is not an IP number, or
+  /// for no connections.
+  static core::Expected<std::unique_ptr<HttpBackendClient>> Create(
+    boost::asio::io_context& aIo,
+    const HttpBackendClientSettings& aSettings);
+
+  /// Closes idle connections; calls in flight finish.
+  ~HttpBackendClient() override;
+
+  void Send(Call aCall,
+            core::TimePoint aDeadline,
+            AnswerHandler aHandler) override;
+
+  /// Open connections, in use or idle.
+  std::size_t Connections() const;
+  /// Idle connections ready for reuse.
+  std::size_t Idle() const;
+
+private:
+  explicit HttpBackendClient(std::shared_ptr<ConnectionPool> aPool);
+
+  std::shared_ptr<ConnectionPool> mPool;
+};
+
+} // namespace nutmegrock::transport::http
--- /dev/null
+++ b/src/nutmegrock/transport/peer/PeerClient.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/Address.h"
+#include "transport/Call.h"
+#include "transport/peer/PeerClientSettings.h"
+#include "transport/peer/PeerCounts.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace nutmegrock::transport::peer {
+
+class PeerClientState;
+
+/// Receives the result of a control request.
+using ControlAnswerHandler = std::function<void(core::Expected<std::string>)>;
+
+/// Sends calls and control requests to other nodes. All calls to one address
+/// share one connection, which is opened when needed and closed when idle.
+///
+/// Before a call's frame was handed to the socket its errors are NotRun:
+/// PeerUnreachable (no connection, or the pause after a failed one) and
+/// DeadlineExceeded. Afterwards they are Unknown: PeerLost (connection lost),
+/// DeadlineExceeded, Cancelled and ProtocolError, unless the serving node said
+/// otherwise. An answer that comes after its call ended is dropped. Handlers
+/// are called once, on a thread of the io_context.
+///
+/// The io_context must outlive the client.
+class PeerClient
+{
+public:
+  static std::unique_ptr<PeerClient> Create(boost::asio::io_context& aIo,
+                                            PeerClientSettings aSettings);
+
+  PeerClient(const PeerClient&) = delete;
+  PeerClient& operator=(const PeerClient&) = delete;
+  /// Same as Close().
+  ~PeerClient();
+
+  /// The deadline is that of the call's context.
+  void Send(const core::Address& aAddress,
+            PeerCall aCall,
+            PeerResultHandler aHandler);
+  /// Argument and result must fit into one frame of 1 MiB.
+  void Control(const core::Address& aAddress,
+               core::Incarnation aTarget,
+               std::string aMethod,
+               std::string aArgument,
+               core::TimePoint aDeadline,
+               ControlAnswerHandler aHandler);
+  /// Closes all connections. Calls in flight end with PeerLost, later ones
+  /// with PeerUnreachable.
+  void Close();
+
+  const PeerCounts& Counts() const;
+
+private:
+  explicit PeerClient(std::shared_ptr<PeerClientState> aState);
+
+  std::shared_ptr<PeerClientState> mState;
+};
+
+} // namespace nutmegrock::transport::peer
--- /dev/null
+++ b/src/nutmegrock/transport/peer/PeerServer.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "transport/Call.h"
+#include "transport/peer/PeerCounts.h"
+#include "transport/peer/PeerServerSettings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace nutmegrock::transport::peer {
+
+class PeerServerState;
+
+/// Handles a control request: run of the sender, method, argument, and what
+/// to call with the result, once, from any thread.
+using ControlHandler =
+  std::function<void(core::Incarnation aFrom,
+                     std::string aMethod,
+                     std::string aArgument,
+                     std::function<void(core::Expected<std::string>)> aAnswer)>;
+
+/// Accepts calls and control requests of other nodes. Handlers run on threads
+/// of the io_context and may answer from any thread, in any order. Cancel and
+/// the loss of the connection cancel a call. A call or control request for
+/// another incarnation is refused with WrongIncarnation.
+///
+/// The io_context must outlive the server.
+class PeerServer
+{
+public:
+  /// Listens at once. Fails with InvalidSettings if the address cannot be
+  /// bound.
+  static core::Expected<std::unique_ptr<PeerServer>> Create(
+    boost::asio::io_context& aIo,
+    PeerServerSettings aSettings,
+    PeerCallHandler aCallHandler,
+    ControlHandler aControlHandler);
+
+  PeerServer(const PeerServer&) = delete;
+  PeerServer& operator=(const PeerServer&) = delete;
+  /// Closes the server and all connections, and cancels calls in flight.
+  ~PeerServer();
+
+  /// The bound address, with the port that the system chose.
+  const core::Address& LocalAddress() const;
+  /// Calls given to the handler whose answer is not yet written or dropped.
+  std::size_t InFlight() const;
+  /// Open connections.
+  std::size_t Connections() const;
+  /// Closes the listening socket. Open connections stay, since their callers
+  /// need the answers; what new calls on them get is up to the handler.
+  void StopAccepting();
+
+  const PeerCounts& Counts() const;
+
+private:
+  explicit PeerServer(std::shared_ptr<PeerServerState> aState);
+
+  std::shared_ptr<PeerServerState> mState;
+};
+
+} // namespace nutmegrock::transport::peer
