Add the serving and calling halves of a node

ServingSide admits calls and passes them to the backend server; CallingSide turns external and nested calls into outgoing calls, which choose a backend server, carry the retry budget and follow RetryPolicy. Not wired yet.

--- /dev/null
+++ b/src/nutmegrock/node/CallingSide.cpp
@@ -0,0 +1,320 @@
+#include "node/CallingSide.h"
+
+#include "node/ContextRules.h"
+
+#include <optional>
+#include <spdlog/fmt/fmt.h>
+#include <utility>
+
+namespace nutmegrock::node {
+
+namespace {
+
+constexpr std::size_t kMaxNoticeBytes = 4096;
+
+constexpr unsigned kServerError = 500;
+
+bool
+IsFailure(const OutgoingResult& aResult)
+{
+  return !aResult.mAnswer || aResult.mAnswer->mHead.mStatus >= kServerError;
+}
+
+/// A refusal of the whole request at its entry, before anything was sent.
+std::optional<core::Error>
+CheckLevel(const OutgoingServices& aServices,
+           core::TimePoint aNow,
+           const std::string& aService,
+           const core::CallContext& aContext)
+{
+  if (!aServices.mOverloadEnabled) {
+    return std::nullopt;
+  }
+  const auto refusal = aServices.mLevels.Check(aNow,
+                                               aService,
+                                               aContext.mProfile,
+                                               aContext.mImportance,
+                                               aContext.mRequest.CohortOf());
+  if (!refusal) {
+    return std::nullopt;
+  }
+  core::Error error = core::MakeError(
+    *refusal,
+    fmt::format(
+      "profile \"{}\" is shed at \"{}\" now", aContext.mProfile, aService));
+  error.mRetryAfter = std::chrono::seconds(1);
+  return error;
+}
+
+} // namespace
+
+CallingSide::CallingSide(std::shared_ptr<const OutgoingServices> aServices,
+                         ProfilesInForce aProfiles,
+                         ActiveCalls& aCalls,
+                         retry::ResendLedger& aResends,
+                         NoticeHandler aNotice)
+  : mServices(std::move(aServices))
+  , mProfiles(std::move(aProfiles))
+  , mCalls(aCalls)
+  , mResends(aResends)
+  , mNotice(std::move(aNotice))
+{
+}
+
+core::RequestId
+CallingSide::NewRequest() const
+{
+  const auto& random = mServices->mEnvironment.mRandom;
+  return core::RequestId::FromBits(random(), random());
+}
+
+void
+CallingSide::RefuseEarly(const std::string& aService,
+                         const core::Error& aError,
+                         const transport::AnswerHandler& aHandler)
+{
+  mServices->mRegistry
+    .CounterOf("nutmegrock_entry_refused_total",
+               { { "service", aService },
+                 { "reason", std::string(core::RowOf(aError.mKind).mName) } })
+    .Add();
+  aHandler(tl::make_unexpected(aError));
+}
+
+void
+CallingSide::HandleCaller(transport::Call aCall,
+                          transport::AnswerHandler aHandler)
+{
+  const auto target = CallTarget::Parse(aCall.mHead.mTarget);
+  if (!target || target->mKind == TargetKind::Notice) {
+    RefuseEarly("",
+                target ? core::MakeError(core::ErrorKind::NotFound,
+                                         "notices are for the backend listener")
+                       : target.error(),
+                aHandler);
+    return;
+  }
+  const auto headers = CallerHeaders::Parse(aCall.mHead.mHeaders);
+  if (!headers) {
+    RefuseEarly(target->mName, headers.error(), aHandler);
+    return;
+  }
+  const Profiles profiles = mProfiles();
+  if (profiles == nullptr) {
+    RefuseEarly(target->mName,
+                core::MakeError(core::ErrorKind::NoProfiles,
+                                "no profiles are in force at this node yet"),
+                aHandler);
+    return;
+  }
+  Enter(*target, *headers, profiles, std::move(aCall), std::move(aHandler));
+}
+
+void
+CallingSide::Enter(const CallTarget& aTarget,
+                   const CallerHeaders& aHeaders,
+                   const Profiles& aProfiles,
+                   transport::Call aCall,
+                   transport::AnswerHandler aHandler)
+{
+  const core::TimePoint now = mServices->mEnvironment.mNow();
+  auto context =
+    EntryContext(now, *aProfiles, aTarget.mName, aHeaders, NewRequest());
+  if (!context) {
+    RefuseEarly(aTarget.mName, context.error(), aHandler);
+    return;
+  }
+  mServices->mRegistry
+    .CounterOf(
+      "nutmegrock_requests_total",
+      { { "service", aTarget.mName }, { "profile", context->mProfile } })
+    .Add();
+  auto handler = Finishing(aTarget.mName, *context, std::move(aHandler));
+  if (const auto refusal =
+        CheckLevel(*mServices, now, aTarget.mName, *context)) {
+    handler(tl::make_unexpected(*refusal));
+    return;
+  }
+  const auto left =
+    mResends.Arrive(now, context->mRequest, context->mRetryBudget);
+  if (!left && mServices->mOverloadEnabled) {
+    handler(tl::make_unexpected(left.error()));
+    return;
+  }
+  context->mRetryBudget = left.value_or(0);
+  aCall.mHead.mTarget = aTarget.mPath;
+  const core::RequestId request = context->mRequest;
+  OutgoingCall::Create(
+    mServices,
+    aTarget.mName,
+    std::move(*context),
+    std::move(aCall),
+    [this, request, handler = std::move(handler)](OutgoingResult aResult) {
+      if (aResult.mSent) {
+        mResends.End(request, aResult.mUnused);
+      } else {
+        mResends.Withdraw(request, aResult.mUnused);
+      }
+      handler(std::move(aResult.mAnswer));
+    })
+    ->Start();
+}
+
+transport::AnswerHandler
+CallingSide::Finishing(const std::string& aService,
+                       const core::CallContext& aContext,
+                       transport::AnswerHandler aHandler)
+{
+  return
+    [this,
+     service = aService,
+     profile = aContext.mProfile,
+     request = aContext.mRequest,
+     started = mServices->mEnvironment.mNow(),
+     handler = std::move(aHandler)](core::Expected<transport::Answer> aAnswer) {
+      metrics::Registry& registry = mServices->mRegistry;
+      const metrics::Labels labels = { { "service", service },
+                                       { "profile", profile } };
+      if (aAnswer) {
+        registry.CounterOf("nutmegrock_answered_total", labels).Add();
+        const auto latency =
+          core::ToMicros(mServices->mEnvironment.mNow() - started);
+        registry.SummaryOf("nutmegrock_request_latency_us", labels)
+          .Add(static_cast<double>(latency));
+        aAnswer->mHead.mHeaders.push_back(
+          { std::string(kRequestHeader), request.Text() });
+        aAnswer->mHead.mHeaders.push_back(
+          { std::string(kRunHeader),
+            std::string(core::NameOf(core::RunCertainty::Ran)) });
+      } else {
+        metrics::Labels with_reason = labels;
+        with_reason.emplace_back("reason",
+                                 core::RowOf(aAnswer.error().mKind).mName);
+        registry.CounterOf("nutmegrock_entry_refused_total", with_reason).Add();
+      }
+      handler(std::move(aAnswer));
+    };
+}
+
+void
+CallingSide::HandleBackend(transport::Call aCall,
+                           transport::AnswerHandler aHandler)
+{
+  const auto target = CallTarget::Parse(aCall.mHead.mTarget);
+  if (!target) {
+    RefuseEarly("", target.error(), aHandler);
+    return;
+  }
+  if (target->mKind == TargetKind::Notice) {
+    Notify(*target, aCall, std::move(aHandler));
+    return;
+  }
+  const auto headers = CallerHeaders::Parse(aCall.mHead.mHeaders);
+  if (!headers) {
+    RefuseEarly(target->mName, headers.error(), aHandler);
+    return;
+  }
+  const Profiles profiles = mProfiles();
+  if (profiles == nullptr) {
+    RefuseEarly(target->mName,
+                core::MakeError(core::ErrorKind::NoProfiles,
+                                "no profiles are in force at this node yet"),
+                aHandler);
+    return;
+  }
+  Nest(*target, *headers, profiles, std::move(aCall), std::move(aHandler));
+}
+
+void
+CallingSide::Nest(const CallTarget& aTarget,
+                  const CallerHeaders& aHeaders,
+                  const Profiles& aProfiles,
+                  transport::Call aCall,
+                  transport::AnswerHandler aHandler)
+{
+  const auto parent = mCalls.Find(aHeaders.mCall);
+  if (parent == nullptr) {
+    NestUntied(aTarget, aProfiles, std::move(aCall), std::move(aHandler));
+    return;
+  }
+  const retry::RetryGrant grant = parent->GrantRetries();
+  auto context =
+    NestedContext(parent->Context(), *aProfiles, aHeaders, grant.mAmount);
+  if (!context) {
+    parent->OnNestedEnd(grant.mId, grant.mAmount, {}, false);
+    RefuseEarly(aTarget.mName, context.error(), aHandler);
+    return;
+  }
+  aCall.mHead.mTarget = aTarget.mPath;
+  if (parent->Cancel() != nullptr && aCall.mCancellation != nullptr) {
+    // A caller that gave up stops the calls nested in its request.
+    parent->Cancel()->OnCancel([weak = std::weak_ptr(aCall.mCancellation)] {
+      if (const auto cancellation = weak.lock()) {
+        cancellation->Cancel();
+      }
+    });
+  }
+  OutgoingCall::Create(
+    mServices,
+    aTarget.mName,
+    std::move(*context),
+    std::move(aCall),
+    [parent, grant, handler = std::move(aHandler)](OutgoingResult aResult) {
+      parent->OnNestedEnd(
+        grant.mId, aResult.mUnused, aResult.mLevel, IsFailure(aResult));
+      handler(std::move(aResult.mAnswer));
+    })
+    ->Start();
+}
+
+void
+CallingSide::NestUntied(const CallTarget& aTarget,
+                        const Profiles& aProfiles,
+                        transport::Call aCall,
+                        transport::AnswerHandler aHandler)
+{
+  mServices->mRegistry.CounterOf("nutmegrock_untied_call_total").Add();
+  const core::TimePoint now = mServices->mEnvironment.mNow();
+  auto context = UntiedContext(
+    now, *aProfiles, aTarget.mName, mCalls.LatestDeadline(now), NewRequest());
+  if (!context) {
+    RefuseEarly(aTarget.mName, context.error(), aHandler);
+    return;
+  }
+  aCall.mHead.mTarget = aTarget.mPath;
+  OutgoingCall::Create(mServices,
+                       aTarget.mName,
+                       std::move(*context),
+                       std::move(aCall),
+                       [handler = std::move(aHandler)](OutgoingResult aResult) {
+                         handler(std::move(aResult.mAnswer));
+                       })
+    ->Start();
+}
+
+void
+CallingSide::Notify(const CallTarget& aTarget,
+                    const transport::Call& aCall,
+                    transport::AnswerHandler aHandler)
+{
+  transport::ReadWhole(
+    aCall.mBody,
+    kMaxNoticeBytes,
+    [this, name = aTarget.mName, handler = std::move(aHandler)](
+      core::Expected<std::string> aBody) {
+      const auto done = aBody.and_then([this, &name](const std::string& aText) {
+        return mNotice(name, aText);
+      });
+      if (!done) {
+        handler(tl::make_unexpected(done.error()));
+        return;
+      }
+      transport::Answer answer;
+      answer.mHead.mHeaders.push_back({ "Content-Type", "application/json" });
+      answer.mHead.mBodySize = 2;
+      answer.mBody = transport::WholeBody("{}");
+      handler(std::move(answer));
+    });
+}
+
+} // namespace nutmegrock::node
--- /dev/null
+++ b/src/nutmegrock/node/CallingSide.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "metrics/Registry.h"
+#include "node/ActiveCalls.h"
+#include "node/CallTarget.h"
+#include "node/CallerHeaders.h"
+#include "node/OutgoingCall.h"
+#include "profiles/ProfileSet.h"
+#include "retry/ResendLedger.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace nutmegrock::node {
+
+/// The set of profiles in force, or null when there is none yet.
+using ProfilesInForce =
+  std::function<std::shared_ptr<const profiles::ProfileSet>()>;
+
+/// What a backend server tells its node: name of the notice and JSON body.
+using NoticeHandler =
+  std::function<core::Expected<bool>(const std::string&, const std::string&)>;
+
+/// The calling half of a node: turns calls of external callers and of the
+/// backend server beside it into outgoing calls. Safe from any thread. The
+/// referenced parts must outlive the object and its calls.
+class CallingSide
+{
+public:
+  CallingSide(std::shared_ptr<const OutgoingServices> aServices,
+              ProfilesInForce aProfiles,
+              ActiveCalls& aCalls,
+              retry::ResendLedger& aResends,
+              NoticeHandler aNotice);
+
+  /// A call of an external caller.
+  void HandleCaller(transport::Call aCall, transport::AnswerHandler aHandler);
+  /// A call or notice of the backend server beside this node.
+  void HandleBackend(transport::Call aCall, transport::AnswerHandler aHandler);
+
+private:
+  using Profiles = std::shared_ptr<const profiles::ProfileSet>;
+
+  void Enter(const CallTarget& aTarget,
+             const CallerHeaders& aHeaders,
+             const Profiles& aProfiles,
+             transport::Call aCall,
+             transport::AnswerHandler aHandler);
+  void Nest(const CallTarget& aTarget,
+            const CallerHeaders& aHeaders,
+            const Profiles& aProfiles,
+            transport::Call aCall,
+            transport::AnswerHandler aHandler);
+  void NestUntied(const CallTarget& aTarget,
+                  const Profiles& aProfiles,
+                  transport::Call aCall,
+                  transport::AnswerHandler aHandler);
+  void Notify(const CallTarget& aTarget,
+              const transport::Call& aCall,
+              transport::AnswerHandler aHandler);
+  /// Wraps the handler: headers of the answer, counters and latency.
+  transport::AnswerHandler Finishing(const std::string& aService,
+                                     const core::CallContext& aContext,
+                                     transport::AnswerHandler aHandler);
+  void RefuseEarly(const std::string& aService,
+                   const core::Error& aError,
+                   const transport::AnswerHandler& aHandler);
+  core::RequestId NewRequest() const;
+
+  const std::shared_ptr<const OutgoingServices> mServices;
+  const ProfilesInForce mProfiles;
+  ActiveCalls& mCalls;
+  retry::ResendLedger& mResends;
+  const NoticeHandler mNotice;
+};
+
+} // namespace nutmegrock::node
--- /dev/null
+++ b/src/nutmegrock/node/OutgoingCall.cpp
@@ -0,0 +1,366 @@
+#include "node/OutgoingCall.h"
+
+#include "transport/BodyTap.h"
+
+#include <algorithm>
+#include <limits>
+#include <spdlog/fmt/fmt.h>
+#include <utility>
+
+namespace nutmegrock::node {
+
+namespace {
+
+constexpr unsigned kServerError = 500;
+constexpr std::string_view kRetryHeader = "Nutmegrock-Retry";
+
+/// Whether the result came from the serving node, so that its feedback counts.
+bool
+CameFromServingNode(const transport::PeerResult& aResult)
+{
+  if (aResult.mAnswer) {
+    return true;
+  }
+  switch (aResult.mAnswer.error().mKind) {
+    case core::ErrorKind::PeerUnreachable:
+    case core::ErrorKind::PeerLost:
+    case core::ErrorKind::ProtocolError:
+    case core::ErrorKind::Cancelled:
+    case core::ErrorKind::DeadlineExceeded:
+      return false;
+    default:
+      return true;
+  }
+}
+
+routing::AttemptOutcome
+OutcomeOf(const core::Error& aError)
+{
+  using enum core::ErrorKind;
+  switch (aError.mKind) {
+    case QueueFull:
+    case LevelTooLow:
+    case QueueTimeout:
+    case BackendShed:
+    case TooManyConnections:
+      return routing::AttemptOutcome::Refused;
+    case Draining:
+    case NotReady:
+    case WrongIncarnation:
+      return routing::AttemptOutcome::Gone;
+    case Cancelled:
+    case BodyIncomplete:
+    case BodyTooLarge:
+      return routing::AttemptOutcome::Cancelled;
+    case BackendTimeout:
+    case DeadlineExceeded:
+      // A refusal because the deadline had passed says nothing about health.
+      return aError.mRun == core::RunCertainty::NotRun
+               ? routing::AttemptOutcome::Refused
+               : routing::AttemptOutcome::TimedOut;
+    default:
+      return routing::AttemptOutcome::Failed;
+  }
+}
+
+routing::AttemptOutcome
+OutcomeOf(const transport::PeerResult& aResult)
+{
+  if (!aResult.mAnswer) {
+    return OutcomeOf(aResult.mAnswer.error());
+  }
+  return aResult.mAnswer->mHead.mStatus >= kServerError
+           ? routing::AttemptOutcome::Failed
+           : routing::AttemptOutcome::Ok;
+}
+
+/// The failure an answer stands for, if it is one that a retry may mend.
+core::Error
+ErrorOfAnswer(const transport::Answer& aAnswer)
+{
+  core::Error error =
+    core::MakeError(core::ErrorKind::BackendFailed,
+                    fmt::format("status {}", aAnswer.mHead.mStatus));
+  error.mRetryDecided =
+    transport::FindHeader(aAnswer.mHead.mHeaders, kRetryHeader) != nullptr;
+  return error;
+}
+
+} // namespace
+
+std::shared_ptr<OutgoingCall>
+OutgoingCall::Create(std::shared_ptr<const OutgoingServices> aServices,
+                     std::string aService,
+                     core::CallContext aContext,
+                     transport::Call aCall,
+                     OutgoingHandler aHandler)
+{
+  return std::shared_ptr<OutgoingCall>(new OutgoingCall(std::move(aServices),
+                                                        std::move(aService),
+                                                        std::move(aContext),
+                                                        std::move(aCall),
+                                                        std::move(aHandler)));
+}
+
+OutgoingCall::OutgoingCall(std::shared_ptr<const OutgoingServices> aServices,
+                           std::string aService,
+                           core::CallContext aContext,
+                           transport::Call aCall,
+                           OutgoingHandler aHandler)
+  : mServices(std::move(aServices))
+  , mService(std::move(aService))
+  , mContext(std::move(aContext))
+  , mCall(std::move(aCall))
+  , mHandler(std::move(aHandler))
+  , mBudget(mContext.mRetryBudget)
+{
+}
+
+void
+OutgoingCall::Start()
+{
+  if (mCall.mCancellation != nullptr) {
+    mCall.mCancellation->OnCancel([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->OnCancel();
+      }
+    });
+  }
+  if (mCall.mBody == nullptr) {
+    OnFirstChunk(transport::BodyChunk{ {}, true });
+    return;
+  }
+  mCall.mBody->Next(
+    [self = shared_from_this()](core::Expected<transport::BodyChunk> aChunk) {
+      self->OnFirstChunk(std::move(aChunk));
+    });
+}
+
+void
+OutgoingCall::OnFirstChunk(core::Expected<transport::BodyChunk> aChunk)
+{
+  if (!aChunk) {
+    core::Error error = std::move(aChunk.error());
+    // The body broke off before any attempt was sent.
+    error.mRun = core::RunCertainty::NotRun;
+    Finish(tl::make_unexpected(std::move(error)));
+    return;
+  }
+  mFirst = std::move(*aChunk);
+  SendAttempt();
+}
+
+void
+OutgoingCall::OnCancel()
+{
+  transport::CancellationPtr current;
+  {
+    const std::lock_guard lock(mMutex);
+    mCancelled = true;
+    current = mCurrent;
+  }
+  if (current != nullptr) {
+    current->Cancel();
+  }
+}
+
+transport::BodyReaderPtr
+OutgoingCall::BodyOfAttempt()
+{
+  if (mFirst.mLast) {
+    return transport::WholeBody(mFirst.mBytes);
+  }
+  return transport::PrefixedBody(std::move(mFirst), mCall.mBody);
+}
+
+void
+OutgoingCall::SendAttempt()
+{
+  const core::TimePoint now = mServices->mEnvironment.mNow();
+  if (now >= mContext.mDeadline) {
+    core::Error error = core::MakeError(core::ErrorKind::DeadlineExceeded,
+                                        "the deadline passed before sending");
+    error.mRetryDecided = true;
+    Finish(tl::make_unexpected(std::move(error)));
+    return;
+  }
+  const auto choice = mServices->mRouter.Choose(
+    now, mService, mContext.mRequest.Hash(), mServices->mZone, mTried);
+  if (!choice) {
+    core::Error error = choice.error();
+    error.mRetryDecided = true;
+    Finish(tl::make_unexpected(std::move(error)));
+    return;
+  }
+  const Attempt attempt{
+    *choice, mBudget.Grant(), now, std::make_shared<transport::Cancellation>()
+  };
+  {
+    const std::lock_guard lock(mMutex);
+    mCurrent = attempt.mCancellation;
+    if (mCancelled) {
+      attempt.mCancellation->Cancel();
+    }
+  }
+  ++mAttempts;
+  Count("nutmegrock_attempts_total", "");
+  core::CallContext context = mContext;
+  context.mRetryBudget = attempt.mGrant.mAmount;
+  transport::PeerCall call{
+    choice->mIncarnation,
+    mService,
+    std::move(context),
+    { mCall.mHead, BodyOfAttempt(), attempt.mCancellation }
+  };
+  mServices->mRouter.OnStart(now, choice->mIncarnation);
+  mServices->mSend(
+    *choice,
+    std::move(call),
+    [self = shared_from_this(), attempt](transport::PeerResult aResult) {
+      self->OnResult(attempt, std::move(aResult));
+    });
+}
+
+void
+OutgoingCall::Observe(core::TimePoint aNow,
+                      const Attempt& aAttempt,
+                      const transport::PeerResult& aResult)
+{
+  const bool answered = CameFromServingNode(aResult);
+  mServices->mRouter.OnEnd(aNow,
+                           aAttempt.mChoice.mIncarnation,
+                           OutcomeOf(aResult),
+                           aNow - aAttempt.mStarted,
+                           answered ? &aResult.mFeedback : nullptr);
+  if (!answered) {
+    return;
+  }
+  mServices->mLevels.Learn(
+    aNow, mService, mContext.mProfile, aResult.mFeedback);
+  mBudget.Return(aAttempt.mGrant.mId, aResult.mFeedback.mBudgetReturned);
+  mLevel = std::max(
+    { mLevel, aResult.mFeedback.mLevel, aResult.mFeedback.mLevelBelow });
+}
+
+void
+OutgoingCall::OnResult(const Attempt& aAttempt, transport::PeerResult aResult)
+{
+  const core::TimePoint now = mServices->mEnvironment.mNow();
+  {
+    const std::lock_guard lock(mMutex);
+    mCurrent.reset();
+  }
+  mPossiblyRun = mPossiblyRun || aResult.mAnswer.has_value() ||
+                 aResult.mAnswer.error().mRun != core::RunCertainty::NotRun;
+  Observe(now, aAttempt, aResult);
+  if (!aResult.mAnswer) {
+    const core::Error error = aResult.mAnswer.error();
+    OnFailure(now, aAttempt, error, std::move(aResult.mAnswer));
+    return;
+  }
+  if (aResult.mAnswer->mHead.mStatus >= kServerError) {
+    const core::Error error = ErrorOfAnswer(*aResult.mAnswer);
+    OnFailure(now, aAttempt, error, std::move(aResult.mAnswer));
+    return;
+  }
+  if (mAttempts == 1) {
+    mServices->mRatio.OnSuccess(now, mService);
+  }
+  Finish(std::move(aResult.mAnswer));
+}
+
+retry::RetryDecision
+OutgoingCall::Decide(core::TimePoint aNow,
+                     const Attempt& aAttempt,
+                     const core::Error& aError)
+{
+  if (!mServices->mOverloadEnabled) {
+    const bool safe =
+      mContext.mIdempotent || aError.mRun == core::RunCertainty::NotRun;
+    const bool more = mAttempts <= mServices->mUnboundedRetries && safe;
+    return { more ? retry::RetryAction::AfterDelay : retry::RetryAction::Stop,
+             more ? retry::RetryReason::AfterDelay : retry::RetryReason::NoUse,
+             core::Duration::zero() };
+  }
+  std::vector<core::Incarnation> excluded = mTried;
+  excluded.push_back(aAttempt.mChoice.mIncarnation);
+  const retry::RetryCall call{ mService,
+                               mContext.mDeadline,
+                               mContext.mIdempotent,
+                               mAttempts,
+                               mFree,
+                               mServices->mRouter.Available(
+                                 aNow, mService, excluded),
+                               mServices->mRouter.UsualLatency(mService) };
+  const auto random = [this] {
+    return static_cast<double>(mServices->mEnvironment.mRandom()) /
+           static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  };
+  return mServices->mPolicy.Decide(
+    aNow, aError, call, mBudget, mServices->mRatio, random);
+}
+
+void
+OutgoingCall::OnFailure(core::TimePoint aNow,
+                        const Attempt& aAttempt,
+                        const core::Error& aError,
+                        core::Expected<transport::Answer> aLast)
+{
+  bool cancelled = false;
+  {
+    const std::lock_guard lock(mMutex);
+    cancelled = mCancelled;
+  }
+  retry::RetryDecision decision;
+  // A body that did not fit into its first chunk has been passed on already.
+  if (mFirst.mLast && !cancelled) {
+    decision = Decide(aNow, aAttempt, aError);
+  }
+  Count("nutmegrock_retry_decisions_total", retry::NameOf(decision.mReason));
+  if (decision.mAction == retry::RetryAction::Stop) {
+    if (!aLast) {
+      aLast.error().mRetryDecided = true;
+    }
+    Finish(std::move(aLast));
+    return;
+  }
+  if (decision.mReason == retry::RetryReason::FreeElsewhere) {
+    ++mFree;
+  }
+  if (decision.mAction == retry::RetryAction::Elsewhere) {
+    mTried.push_back(aAttempt.mChoice.mIncarnation);
+    SendAttempt();
+    return;
+  }
+  mServices->mEnvironment.mAt(
+    aNow + decision.mDelay,
+    [self = shared_from_this()] { self->SendAttempt(); });
+}
+
+void
+OutgoingCall::Finish(core::Expected<transport::Answer> aAnswer)
+{
+  if (!aAnswer && mPossiblyRun) {
+    aAnswer =
+      tl::make_unexpected(core::PossiblyRun(std::move(aAnswer.error())));
+  }
+  OutgoingResult result{
+    std::move(aAnswer), mLevel, mBudget.Close(), mAttempts > 0
+  };
+  auto handler = std::move(mHandler);
+  mHandler = nullptr;
+  handler(std::move(result));
+}
+
+void
+OutgoingCall::Count(std::string_view aName, std::string_view aReason)
+{
+  metrics::Labels labels = { { "service", mService },
+                             { "profile", mContext.mProfile } };
+  if (!aReason.empty()) {
+    labels.emplace_back("reason", aReason);
+  }
+  mServices->mRegistry.CounterOf(aName, labels).Add();
+}
+
+} // namespace nutmegrock::node
--- /dev/null
+++ b/src/nutmegrock/node/OutgoingCall.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "core/CallContext.h"
+#include "core/Incarnation.h"
+#include "limits/LevelCache.h"
+#include "metrics/Registry.h"
+#include "node/Environment.h"
+#include "retry/RetryBudget.h"
+#include "retry/RetryPolicy.h"
+#include "retry/RetryRatio.h"
+#include "routing/Router.h"
+#include "transport/Call.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace nutmegrock::node {
+
+/// Sends one attempt to the chosen node, which may be this one.
+using AttemptSender = std::function<void(const routing::Choice&,
+                                         transport::PeerCall,
+                                         transport::PeerResultHandler)>;
+
+/// What all outgoing calls of a node share. The parts must outlive the calls.
+struct OutgoingServices
+{
+  Environment mEnvironment;
+  std::string mZone;
+  routing::Router& mRouter;
+  retry::RetryRatio& mRatio;
+  const retry::RetryPolicy& mPolicy;
+  limits::LevelCache& mLevels;
+  metrics::Registry& mRegistry;
+  AttemptSender mSend;
+  /// Further attempts at once after any failure of an idempotent call, without
+  /// budget; for comparisons only, used while overload control is off.
+  std::uint32_t mUnboundedRetries = 0;
+  bool mOverloadEnabled = true;
+};
+
+/// How an outgoing call ended.
+struct OutgoingResult
+{
+  core::Expected<transport::Answer> mAnswer;
+  /// Highest level met by the attempts and below them.
+  core::Level mLevel;
+  /// Part of the call's retry budget that was not used.
+  std::uint32_t mUnused = 0;
+  /// Whether any attempt was sent.
+  bool mSent = false;
+};
+
+using OutgoingHandler = std::function<void(OutgoingResult)>;
+
+/// One call from this node to a service: chooses a backend server, sends the
+/// attempt, and decides with RetryPolicy what follows a failure. Keeps itself
+/// alive until its handler was called, exactly once.
+class OutgoingCall : public std::enable_shared_from_this<OutgoingCall>
+{
+public:
+  static std::shared_ptr<OutgoingCall> Create(
+    std::shared_ptr<const OutgoingServices> aServices,
+    std::string aService,
+    core::CallContext aContext,
+    transport::Call aCall,
+    OutgoingHandler aHandler);
+
+  void Start();
+
+private:
+  struct Attempt
+  {
+    routing::Choice mChoice;
+    retry::RetryGrant mGrant;
+    core::TimePoint mStarted;
+    transport::CancellationPtr mCancellation;
+  };
+
+  OutgoingCall(std::shared_ptr<const OutgoingServices> aServices,
+               std::string aService,
+               core::CallContext aContext,
+               transport::Call aCall,
+               OutgoingHandler aHandler);
+
+  void OnFirstChunk(core::Expected<transport::BodyChunk> aChunk);
+  void OnCancel();
+  void SendAttempt();
+  transport::BodyReaderPtr BodyOfAttempt();
+  void OnResult(const Attempt& aAttempt, transport::PeerResult aResult);
+  void Observe(core::TimePoint aNow,
+               const Attempt& aAttempt,
+               const transport::PeerResult& aResult);
+  void OnFailure(core::TimePoint aNow,
+                 const Attempt& aAttempt,
+                 const core::Error& aError,
+                 core::Expected<transport::Answer> aLast);
+  retry::RetryDecision Decide(core::TimePoint aNow,
+                              const Attempt& aAttempt,
+                              const core::Error& aError);
+  void Finish(core::Expected<transport::Answer> aAnswer);
+  void Count(std::string_view aName, std::string_view aReason);
+
+  const std::shared_ptr<const OutgoingServices> mServices;
+  const std::string mService;
+  const core::CallContext mContext;
+  transport::Call mCall;
+  OutgoingHandler mHandler;
+  retry::RetryBudget mBudget;
+  transport::BodyChunk mFirst;
+  std::vector<core::Incarnation> mTried;
+  std::uint32_t mAttempts = 0;
+  std::uint32_t mFree = 0;
+  core::Level mLevel;
+  /// Whether some attempt may have run, so that no later refusal of the call
+  /// may say "not run".
+  bool mPossiblyRun = false;
+  std::mutex mMutex;
+  bool mCancelled = false;
+  transport::CancellationPtr mCurrent;
+};
+
+} // namespace nutmegrock::node
--- /dev/null
+++ b/src/nutmegrock/node/ServingSide.cpp
@@ -0,0 +1,402 @@
+#include "node/ServingSide.h"
+
+#include "node/CallerHeaders.h"
+#include "transport/BodyTap.h"
+
+#include <spdlog/fmt/fmt.h>
+#include <utility>
+
+namespace nutmegrock::node {
+
+namespace {
+
+/// Header between nodes: the hop next to a failure has decided about retries.
+constexpr std::string_view kRetryHeader = "Nutmegrock-Retry";
+constexpr unsigned kServerError = 500;
+constexpr unsigned kUnavailable = 503;
+
+limits::CallEnd
+EndOf(const core::Error& aError)
+{
+  switch (aError.mKind) {
+    case core::ErrorKind::Cancelled:
+      return limits::CallEnd::Cancelled;
+    case core::ErrorKind::BackendTimeout:
+    case core::ErrorKind::DeadlineExceeded:
+      return limits::CallEnd::TimedOut;
+    case core::ErrorKind::BackendShed:
+      return limits::CallEnd::Shed;
+    default:
+      return limits::CallEnd::Failed;
+  }
+}
+
+bool
+IsShed(const transport::AnswerHead& aHead)
+{
+  const std::string* run = transport::FindHeader(aHead.mHeaders, kRunHeader);
+  return aHead.mStatus == kUnavailable && run != nullptr &&
+         *run == core::NameOf(core::RunCertainty::NotRun);
+}
+
+void
+AddCallHeaders(transport::CallHead& aHead,
+               const ActiveCall& aCall,
+               core::TimePoint aNow)
+{
+  const core::CallContext& context = aCall.Context();
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+    context.mDeadline - aNow);
+  aHead.mHeaders.push_back({ std::string(kCallHeader), aCall.Token() });
+  aHead.mHeaders.push_back(
+    { std::string(kRequestHeader), context.mRequest.Text() });
+  aHead.mHeaders.push_back(
+    { std::string(kDeadlineHeader), std::to_string(left.count()) });
+  aHead.mHeaders.push_back({ std::string(kProfileHeader), context.mProfile });
+}
+
+} // namespace
+
+core::Expected<std::shared_ptr<ServingSide>>
+ServingSide::Create(ServingSettings aSettings,
+                    Environment aEnvironment,
+                    ActiveCalls& aCalls,
+                    transport::BackendClient& aBackend,
+                    metrics::Registry& aRegistry)
+{
+  auto admission = limits::Admission::Create(aSettings.mAdmission);
+  if (!admission) {
+    return tl::make_unexpected(admission.error());
+  }
+  return std::shared_ptr<ServingSide>(new ServingSide(std::move(aSettings),
+                                                      std::move(aEnvironment),
+                                                      aCalls,
+                                                      aBackend,
+                                                      aRegistry,
+                                                      std::move(*admission)));
+}
+
+ServingSide::ServingSide(ServingSettings aSettings,
+                         Environment aEnvironment,
+                         ActiveCalls& aCalls,
+                         transport::BackendClient& aBackend,
+                         metrics::Registry& aRegistry,
+                         limits::Admission aAdmission)
+  : mSettings(std::move(aSettings))
+  , mEnvironment(std::move(aEnvironment))
+  , mCalls(aCalls)
+  , mBackend(aBackend)
+  , mRegistry(aRegistry)
+  , mAdmission(std::move(aAdmission))
+{
+}
+
+core::Expected<bool>
+ServingSide::CheckAcceptable(const transport::PeerCall& aCall) const
+{
+  if (aCall.mService != mSettings.mService) {
+    return core::Fail(core::ErrorKind::WrongIncarnation,
+                      fmt::format("this node serves \"{}\", not \"{}\"",
+                                  mSettings.mService,
+                                  aCall.mService));
+  }
+  switch (mState.load()) {
+    case ServerState::Starting:
+      return core::Fail(core::ErrorKind::NotReady,
+                        "the backend server has not announced itself");
+    case ServerState::Draining:
+      return core::Fail(core::ErrorKind::Draining,
+                        "the backend server is leaving");
+    case ServerState::Serving:
+      break;
+  }
+  if (aCall.mContext.mDeadline <= mEnvironment.mNow()) {
+    return core::Fail(core::ErrorKind::DeadlineExceeded,
+                      "the deadline passed before admission");
+  }
+  return true;
+}
+
+void
+ServingSide::Handle(transport::PeerCall aCall,
+                    transport::PeerResultHandler aHandler)
+{
+  auto call = std::make_shared<ServingCall>(std::move(aCall));
+  call->mId = mNextId++;
+  call->mArrived = mEnvironment.mNow();
+  call->mActive = std::make_shared<ActiveCall>(
+    call->mCall.mContext,
+    fmt::format("{:x}-{:016x}", call->mId, mEnvironment.mRandom()),
+    call->mCall.mCall.mCancellation);
+  call->mHandler = std::move(aHandler);
+  const auto acceptable = CheckAcceptable(call->mCall);
+  if (!acceptable) {
+    Refuse(call, acceptable.error());
+    return;
+  }
+  if (!mSettings.mAdmissionEnabled) {
+    {
+      const std::lock_guard lock(mMutex);
+      mPending.emplace(call->mId, call);
+    }
+    Start(call);
+    return;
+  }
+  Admit(call);
+}
+
+void
+ServingSide::Admit(const ServingCallPtr& aCall)
+{
+  const core::CallContext& context = aCall->mCall.mContext;
+  limits::AdmissionResult result;
+  {
+    const std::lock_guard lock(mMutex);
+    mPending.emplace(aCall->mId, aCall);
+    result = mAdmission.Offer(aCall->mArrived,
+                              { aCall->mId,
+                                context.mImportance,
+                                context.mRequest.CohortOf(),
+                                context.mDepth,
+                                context.mDeadline,
+                                context.mMaxWait });
+  }
+  Apply(result);
+  if (aCall->mCall.mCall.mCancellation != nullptr) {
+    aCall->mCall.mCall.mCancellation->OnCancel(
+      [weak = weak_from_this(), id = aCall->mId] {
+        if (const auto self = weak.lock()) {
+          self->OnCancel(id);
+        }
+      });
+  }
+  ScheduleTick();
+}
+
+void
+ServingSide::OnCancel(std::uint64_t aId)
+{
+  limits::AdmissionResult result;
+  {
+    const std::lock_guard lock(mMutex);
+    result = mAdmission.Cancel(mEnvironment.mNow(), aId);
+  }
+  Apply(result);
+}
+
+void
+ServingSide::Apply(const limits::AdmissionResult& aResult)
+{
+  for (const limits::Refusal& refusal : aResult.mRefused) {
+    if (const ServingCallPtr call = Take(refusal.mId)) {
+      core::Error error = core::MakeError(
+        refusal.mKind,
+        fmt::format("refused by a node of \"{}\"", mSettings.mService));
+      // A call that waits in the queue has not reached the backend server.
+      error.mRun = core::RunCertainty::NotRun;
+      error.mRetryAfter = refusal.mRetryAfter;
+      Refuse(call, std::move(error));
+    }
+  }
+  for (const std::uint64_t id : aResult.mStart) {
+    if (const ServingCallPtr call = Find(id)) {
+      Start(call);
+    }
+  }
+}
+
+void
+ServingSide::Tick()
+{
+  limits::AdmissionResult result;
+  {
+    const std::lock_guard lock(mMutex);
+    mTickAt = core::TimePoint::max();
+    result = mAdmission.Tick(mEnvironment.mNow());
+  }
+  Apply(result);
+  ScheduleTick();
+}
+
+void
+ServingSide::ScheduleTick()
+{
+  core::TimePoint due;
+  {
+    const std::lock_guard lock(mMutex);
+    due = mAdmission.NextTick(mEnvironment.mNow());
+    if (due == core::TimePoint::max() || due >= mTickAt) {
+      return;
+    }
+    mTickAt = due;
+  }
+  mEnvironment.mAt(due, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->Tick();
+    }
+  });
+}
+
+void
+ServingSide::Start(const ServingCallPtr& aCall)
+{
+  aCall->mStarted = mEnvironment.mNow();
+  mCalls.Add(aCall->mActive);
+  const auto waited = core::ToMicros(aCall->mStarted - aCall->mArrived);
+  mRegistry
+    .SummaryOf("nutmegrock_queue_time_us",
+               { { "profile", aCall->mCall.mContext.mProfile } })
+    .Add(static_cast<double>(waited));
+  Count("nutmegrock_started_total", *aCall, "");
+  transport::Call call = std::move(aCall->mCall.mCall);
+  call.mHead.mHeaders = EndToEndHeaders(call.mHead.mHeaders);
+  AddCallHeaders(call.mHead, *aCall->mActive, aCall->mStarted);
+  mBackend.Send(std::move(call),
+                aCall->mCall.mContext.mDeadline,
+                [self = shared_from_this(),
+                 aCall](core::Expected<transport::Answer> aAnswer) {
+                  self->OnAnswer(aCall, std::move(aAnswer));
+                });
+}
+
+void
+ServingSide::OnAnswer(const ServingCallPtr& aCall,
+                      core::Expected<transport::Answer> aAnswer)
+{
+  if (aAnswer && IsShed(aAnswer->mHead)) {
+    aAnswer = core::Fail(core::ErrorKind::BackendShed,
+                         "the backend server shed the call");
+  }
+  if (!aAnswer) {
+    const limits::CallEnd end = EndOf(aAnswer.error());
+    mCalls.Remove(aCall->mActive->Token());
+    Refuse(aCall, std::move(aAnswer.error()));
+    Release(aCall, end);
+    return;
+  }
+  OnAnswerHead(aCall, std::move(*aAnswer));
+}
+
+void
+ServingSide::OnAnswerHead(const ServingCallPtr& aCall,
+                          transport::Answer aAnswer)
+{
+  aAnswer.mHead.mHeaders = EndToEndHeaders(aAnswer.mHead.mHeaders);
+  if (aAnswer.mHead.mStatus >= kServerError && aCall->mActive->NestedFailed()) {
+    aAnswer.mHead.mHeaders.push_back({ std::string(kRetryHeader), "no" });
+  }
+  aAnswer.mBody = transport::TapBody(
+    std::move(aAnswer.mBody), [weak = weak_from_this(), aCall](bool aComplete) {
+      if (const auto self = weak.lock()) {
+        self->mCalls.Remove(aCall->mActive->Token());
+        self->Release(
+          aCall, aComplete ? limits::CallEnd::Ok : limits::CallEnd::Failed);
+      }
+    });
+  transport::PeerResult result{ std::move(aAnswer), FeedbackOf(*aCall) };
+  auto handler = std::move(aCall->mHandler);
+  handler(std::move(result));
+}
+
+void
+ServingSide::Release(const ServingCallPtr& aCall, limits::CallEnd aEnd)
+{
+  const core::TimePoint now = mEnvironment.mNow();
+  const core::Duration latency = now - aCall->mStarted;
+  mRegistry
+    .SummaryOf("nutmegrock_backend_latency_us",
+               { { "profile", aCall->mCall.mContext.mProfile } })
+    .Add(static_cast<double>(core::ToMicros(latency)));
+  limits::AdmissionResult result;
+  {
+    const std::lock_guard lock(mMutex);
+    mPending.erase(aCall->mId);
+    if (mSettings.mAdmissionEnabled) {
+      result = mAdmission.Finish(now, aCall->mId, { latency, aEnd });
+    }
+  }
+  Apply(result);
+}
+
+void
+ServingSide::Refuse(const ServingCallPtr& aCall, core::Error aError)
+{
+  Count("nutmegrock_refused_total", *aCall, core::RowOf(aError.mKind).mName);
+  transport::PeerResult result{ tl::make_unexpected(std::move(aError)),
+                                FeedbackOf(*aCall) };
+  auto handler = std::move(aCall->mHandler);
+  handler(std::move(result));
+}
+
+void
+ServingSide::Count(std::string_view aName,
+                   const ServingCall& aCall,
+                   std::string_view aReason)
+{
+  metrics::Labels labels = { { "profile", aCall.mCall.mContext.mProfile } };
+  if (!aReason.empty()) {
+    labels.emplace_back("reason", aReason);
+  }
+  mRegistry.CounterOf(aName, labels).Add();
+}
+
+core::CallFeedback
+ServingSide::FeedbackOf(const ServingCall& aCall) const
+{
+  core::CallFeedback feedback;
+  feedback.mLevelBelow = aCall.mActive->LevelBelow();
+  feedback.mBudgetReturned = aCall.mActive->Close();
+  if (mSettings.mAdmissionEnabled) {
+    const std::lock_guard lock(mMutex);
+    feedback.mLevel = mAdmission.CurrentLevel();
+    feedback.mLoadPermille = mAdmission.LoadPermille();
+  }
+  return feedback;
+}
+
+ServingSide::ServingCallPtr
+ServingSide::Take(std::uint64_t aId)
+{
+  const std::lock_guard lock(mMutex);
+  auto node = mPending.extract(aId);
+  return node.empty() ? nullptr : std::move(node.mapped());
+}
+
+ServingSide::ServingCallPtr
+ServingSide::Find(std::uint64_t aId) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto found = mPending.find(aId);
+  return found == mPending.end() ? nullptr : found->second;
+}
+
+void
+ServingSide::SetSlots(std::uint32_t aSlots)
+{
+  limits::AdmissionResult result;
+  {
+    const std::lock_guard lock(mMutex);
+    result = mAdmission.SetSlots(mEnvironment.mNow(), aSlots);
+  }
+  Apply(result);
+}
+
+ServingStatus
+ServingSide::Status() const
+{
+  const std::lock_guard lock(mMutex);
+  return { mState,
+           mAdmission.Limit(),
+           mAdmission.InFlight(),
+           mAdmission.Waiting(),
+           mAdmission.CurrentLevel() };
+}
+
+std::size_t
+ServingSide::Pending() const
+{
+  const std::lock_guard lock(mMutex);
+  return mPending.size();
+}
+
+} // namespace nutmegrock::node
--- /dev/null
+++ b/src/nutmegrock/node/ServingSide.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "limits/Admission.h"
+#include "metrics/Registry.h"
+#include "node/ActiveCalls.h"
+#include "node/Environment.h"
+#include "transport/Call.h"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+namespace nutmegrock::node {
+
+/// Readiness of the backend server beside the node.
+enum class ServerState : std::uint8_t
+{
+  /// Not announced yet.
+  Starting,
+  Serving,
+  /// Leaving: new work is refused, accepted work finishes.
+  Draining
+};
+
+struct ServingSettings
+{
+  std::string mService;
+  limits::AdmissionSettings mAdmission;
+  /// False: every call goes straight to the backend server.
+  bool mAdmissionEnabled = true;
+};
+
+/// Numbers of one moment, for status.
+struct ServingStatus
+{
+  ServerState mState = ServerState::Starting;
+  std::uint32_t mLimit = 0;
+  std::uint32_t mInFlight = 0;
+  std::uint32_t mWaiting = 0;
+  core::Level mLevel;
+};
+
+/// The serving half of a node: takes calls for the backend server beside it,
+/// lets them in by the admission decision, and passes them on. Handle() is safe
+/// from any thread.
+class ServingSide : public std::enable_shared_from_this<ServingSide>
+{
+public:
+  /// Fails with InvalidSettings. The backend client, calls in flight and
+  /// registry must outlive the object.
+  static core::Expected<std::shared_ptr<ServingSide>> Create(
+    ServingSettings aSettings,
+    Environment aEnvironment,
+    ActiveCalls& aCalls,
+    transport::BackendClient& aBackend,
+    metrics::Registry& aRegistry);
+
+  /// Answers exactly once, from any thread.
+  void Handle(transport::PeerCall aCall, transport::PeerResultHandler aHandler);
+
+  void SetState(ServerState aState) { mState = aState; }
+  ServerState State() const { return mState; }
+  /// The backend server announced another number of slots.
+  void SetSlots(std::uint32_t aSlots);
+  ServingStatus Status() const;
+  /// Calls waiting or in flight.
+  std::size_t Pending() const;
+
+private:
+  struct ServingCall
+  {
+    explicit ServingCall(transport::PeerCall aCall)
+      : mCall(std::move(aCall))
+    {
+    }
+
+    std::uint64_t mId = 0;
+    transport::PeerCall mCall;
+    transport::PeerResultHandler mHandler;
+    std::shared_ptr<ActiveCall> mActive;
+    core::TimePoint mArrived;
+    core::TimePoint mStarted;
+  };
+  using ServingCallPtr = std::shared_ptr<ServingCall>;
+
+  ServingSide(ServingSettings aSettings,
+              Environment aEnvironment,
+              ActiveCalls& aCalls,
+              transport::BackendClient& aBackend,
+              metrics::Registry& aRegistry,
+              limits::Admission aAdmission);
+
+  core::Expected<bool> CheckAcceptable(const transport::PeerCall& aCall) const;
+  void Admit(const ServingCallPtr& aCall);
+  void OnCancel(std::uint64_t aId);
+  void Apply(const limits::AdmissionResult& aResult);
+  void Tick();
+  void ScheduleTick();
+  void Start(const ServingCallPtr& aCall);
+  void OnAnswer(const ServingCallPtr& aCall,
+                core::Expected<transport::Answer> aAnswer);
+  void OnAnswerHead(const ServingCallPtr& aCall, transport::Answer aAnswer);
+  /// Releases the slot of a call that has ended at the backend server.
+  void Release(const ServingCallPtr& aCall, limits::CallEnd aEnd);
+  void Refuse(const ServingCallPtr& aCall, core::Error aError);
+  void Count(std::string_view aName,
+             const ServingCall& aCall,
+             std::string_view aReason);
+  core::CallFeedback FeedbackOf(const ServingCall& aCall) const;
+  ServingCallPtr Take(std::uint64_t aId);
+  ServingCallPtr Find(std::uint64_t aId) const;
+
+  const ServingSettings mSettings;
+  const Environment mEnvironment;
+  ActiveCalls& mCalls;
+  transport::BackendClient& mBackend;
+  metrics::Registry& mRegistry;
+  std::atomic<ServerState> mState{ ServerState::Starting };
+  std::atomic<std::uint64_t> mNextId{ 1 };
+  mutable std::mutex mMutex;
+  limits::Admission mAdmission;
+  std::unordered_map<std::uint64_t, ServingCallPtr> mPending;
+  core::TimePoint mTickAt = core::TimePoint::max();
+};
+
+} // namespace nutmegrock::node
--- /dev/null
+++ b/src/nutmegrock/retry/ResendLedger.cpp
@@ -0,0 +1,101 @@
+#include "retry/ResendLedger.h"
+
+#include <algorithm>
+
+namespace nutmegrock::retry {
+
+core::Expected<std::unique_ptr<ResendLedger>>
+ResendLedger::Create(const ResendLedgerSettings& aSettings)
+{
+  if (aSettings.mWindow <= core::Duration::zero() ||
+      aSettings.mMaxEntries < kShards) {
+    return core::Fail(core::ErrorKind::InvalidSettings,
+                      "resend ledger needs a positive window and at least one "
+                      "entry per shard");
+  }
+  return std::unique_ptr<ResendLedger>(new ResendLedger(aSettings));
+}
+
+ResendLedger::ResendLedger(const ResendLedgerSettings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void
+ResendLedger::Forget(Shard& aShard, core::TimePoint aNow) const
+{
+  const std::size_t most = mSettings.mMaxEntries / kShards;
+  while (!aShard.mOrder.empty() &&
+         (aShard.mOrder.front().first + mSettings.mWindow <= aNow ||
+          aShard.mEntries.size() >= most)) {
+    aShard.mEntries.erase(aShard.mOrder.front().second);
+    aShard.mOrder.pop_front();
+  }
+}
+
+core::Expected<std::uint32_t>
+ResendLedger::Arrive(core::TimePoint aNow,
+                     const core::RequestId& aRequest,
+                     std::uint32_t aBudget)
+{
+  Shard& shard = mShards.at(aRequest.Hash() % kShards);
+  const std::lock_guard lock(shard.mMutex);
+  auto found = shard.mEntries.find(aRequest.Hash());
+  if (found != shard.mEntries.end() &&
+      found->second.mFirst + mSettings.mWindow > aNow) {
+    Entry& entry = found->second;
+    const std::uint32_t cost = entry.mStarted ? 1 : 0;
+    if (entry.mLeft < cost) {
+      core::Error error = core::MakeError(
+        core::ErrorKind::RetryBudgetSpent,
+        "the request has used its retries; it may be sent again later");
+      error.mRetryAfter = std::chrono::ceil<std::chrono::milliseconds>(
+        entry.mFirst + mSettings.mWindow - aNow);
+      return tl::make_unexpected(std::move(error));
+    }
+    entry.mStarted = true;
+    const std::uint32_t left = entry.mLeft - cost;
+    entry.mLeft = 0;
+    return left;
+  }
+  Forget(shard, aNow);
+  shard.mEntries[aRequest.Hash()] = Entry{ aNow, 0, true };
+  shard.mOrder.emplace_back(aNow, aRequest.Hash());
+  return aBudget;
+}
+
+void
+ResendLedger::End(const core::RequestId& aRequest, std::uint32_t aUnused)
+{
+  Shard& shard = mShards.at(aRequest.Hash() % kShards);
+  const std::lock_guard lock(shard.mMutex);
+  const auto found = shard.mEntries.find(aRequest.Hash());
+  if (found != shard.mEntries.end()) {
+    found->second.mLeft += aUnused;
+  }
+}
+
+void
+ResendLedger::Withdraw(const core::RequestId& aRequest, std::uint32_t aUnused)
+{
+  Shard& shard = mShards.at(aRequest.Hash() % kShards);
+  const std::lock_guard lock(shard.mMutex);
+  const auto found = shard.mEntries.find(aRequest.Hash());
+  if (found != shard.mEntries.end()) {
+    found->second.mLeft += aUnused;
+    found->second.mStarted = false;
+  }
+}
+
+std::size_t
+ResendLedger::Size() const
+{
+  std::size_t size = 0;
+  for (const Shard& shard : mShards) {
+    const std::lock_guard lock(shard.mMutex);
+    size += shard.mEntries.size();
+  }
+  return size;
+}
+
+} // namespace nutmegrock::retry
