--- /dev/null
+++ b/src/nutmegrock/limits/Admission.cpp
@@ -0,0 +1,232 @@
+#include "limits/Admission.h"
+
+#include <algorithm>
+
+namespace nutmegrock::limits {
+
+namespace {
+
+/// Bounds of the pause named to refused callers. The level needs some windows
+/// to fall, and a longer pause would outlast the overload.
+constexpr std::chrono::milliseconds kShortestPause{ 100 };
+constexpr std::chrono::milliseconds kLongestPause{ 1000 };
+/// Time between ticks while the level waits for the end of a measurement.
+constexpr std::chrono::milliseconds kProbingTick{ 10 };
+
+} // namespace
+
+Admission::Admission(const AdmissionSettings& /*aSettings*/,
+                     ConcurrencyLimit aLimit,
+                     AdmissionQueue aQueue,
+                     AdmissionLevel aLevel)
+  : mLimit(std::move(aLimit))
+  , mQueue(std::move(aQueue))
+  , mLevel(std::move(aLevel))
+{
+}
+
+core::Expected<Admission>
+Admission::Create(const AdmissionSettings& aSettings)
+{
+  auto limit = ConcurrencyLimit::Create(aSettings.mLimit);
+  if (!limit) {
+    return tl::unexpected(limit.error());
+  }
+  auto queue = AdmissionQueue::Create(aSettings.mQueue);
+  if (!queue) {
+    return tl::unexpected(queue.error());
+  }
+  auto level = AdmissionLevel::Create(aSettings.mLevel);
+  if (!level) {
+    return tl::unexpected(level.error());
+  }
+  return Admission(
+    aSettings, std::move(*limit), std::move(*queue), std::move(*level));
+}
+
+AdmissionQueue::ServiceTimes
+Admission::ServiceTimesAt(core::TimePoint aNow) const
+{
+  AdmissionQueue::ServiceTimes times;
+  for (std::size_t i = 0; i < times.size(); ++i) {
+    times.at(i) = mServiceTimes.at(i).Estimate(aNow);
+  }
+  return times;
+}
+
+AdmissionResult
+Admission::Offer(core::TimePoint aNow, const Ticket& aTicket)
+{
+  AdmissionResult result;
+  Adapt(aNow);
+  // Calls past their time must not push live ones out of a full queue.
+  Pump(aNow, result);
+  const auto index = static_cast<std::size_t>(aTicket.mImportance);
+  if (!mLevel.Arrive(aNow, aTicket.mImportance, aTicket.mCohort)) {
+    Refuse(aTicket, core::ErrorKind::LevelTooLow, result);
+  } else if (aNow + mServiceTimes.at(index).Estimate(aNow) >
+             aTicket.mDeadline) {
+    Refuse(aTicket, core::ErrorKind::DeadlineExceeded, result);
+  } else if (mQueue.Size() == 0 && InFlight() < Limit()) {
+    Start(aNow, aTicket, result);
+    mLevel.OnStart(core::Duration{ 0 });
+  } else if (aTicket.mMaxWait <= core::Duration{ 0 }) {
+    mLevel.OnQueueRefusal();
+    Refuse(aTicket, core::ErrorKind::QueueTimeout, result);
+  } else if (const auto evicted = mQueue.Push(aNow, aTicket)) {
+    mLevel.OnQueueRefusal();
+    Refuse(*evicted, core::ErrorKind::QueueFull, result);
+  }
+  Pump(aNow, result);
+  return result;
+}
+
+AdmissionResult
+Admission::Finish(core::TimePoint aNow,
+                  std::uint64_t aId,
+                  const CallOutcome& aOutcome)
+{
+  AdmissionResult result;
+  const auto found = mRunning.find(aId);
+  if (found == mRunning.end()) {
+    return result;
+  }
+  const Running running = found->second;
+  mRunning.erase(found);
+  CallOutcome outcome = aOutcome;
+  if (running.mCancelled && outcome.mKind == CallEnd::Ok) {
+    // The backend server may have ended early on the cancellation.
+    outcome.mKind = CallEnd::Cancelled;
+  }
+  mLimit.OnFinish(aNow, running.mInFlight, outcome);
+  mServiceTimes.at(static_cast<std::size_t>(running.mImportance))
+    .Add(aNow, outcome);
+  if (outcome.mKind == CallEnd::Shed) {
+    mLevel.OnQueueRefusal();
+  } else {
+    mLevel.OnFinish();
+  }
+  Adapt(aNow);
+  Pump(aNow, result);
+  return result;
+}
+
+AdmissionResult
+Admission::Cancel(core::TimePoint aNow, std::uint64_t aId)
+{
+  AdmissionResult result;
+  if (const auto waiting = mQueue.Remove(aId)) {
+    Refuse(*waiting, core::ErrorKind::Cancelled, result);
+  } else if (const auto found = mRunning.find(aId); found != mRunning.end()) {
+    found->second.mCancelled = true;
+  }
+  Pump(aNow, result);
+  return result;
+}
+
+AdmissionResult
+Admission::Tick(core::TimePoint aNow)
+{
+  AdmissionResult result;
+  Adapt(aNow);
+  Pump(aNow, result);
+  return result;
+}
+
+core::TimePoint
+Admission::NextTick(core::TimePoint aNow) const
+{
+  core::TimePoint adapt = mLevel.NextAdapt();
+  if (mLimit.IsProbing() && adapt != core::TimePoint::max()) {
+    adapt = std::max(adapt, aNow + kProbingTick);
+  }
+  return std::min(mQueue.NextExpiry(ServiceTimesAt(aNow)), adapt);
+}
+
+AdmissionResult
+Admission::SetSlots(core::TimePoint aNow, std::uint32_t aSlots)
+{
+  AdmissionResult result;
+  mLimit.SetSlots(aSlots);
+  Pump(aNow, result);
+  return result;
+}
+
+std::uint32_t
+Admission::LoadPermille() const
+{
+  const std::uint64_t calls = std::uint64_t{ InFlight() } + Waiting();
+  return static_cast<std::uint32_t>(calls * 1000 / mLimit.AdaptedLimit());
+}
+
+void
+Admission::Start(core::TimePoint aNow,
+                 const Ticket& aTicket,
+                 AdmissionResult& aResult)
+{
+  mRunning.emplace(aTicket.mId,
+                   Running{ aNow, InFlight() + 1, aTicket.mImportance, false });
+  aResult.mStart.push_back(aTicket.mId);
+}
+
+void
+Admission::Refuse(const Ticket& aTicket,
+                  core::ErrorKind aKind,
+                  AdmissionResult& aResult)
+{
+  const bool pause = core::RowOf(aKind).mAdvice == core::RetryAdvice::Later;
+  aResult.mRefused.push_back(
+    { aTicket.mId,
+      aKind,
+      pause ? RetryAfter(aTicket.mCohort) : std::chrono::milliseconds{ 0 } });
+}
+
+void
+Admission::Pump(core::TimePoint aNow, AdmissionResult& aResult)
+{
+  if (mQueue.Size() == 0) {
+    return;
+  }
+  for (const auto& [ticket, kind] : mQueue.Expire(aNow, ServiceTimesAt(aNow))) {
+    mLevel.OnQueueRefusal();
+    Refuse(ticket, kind, aResult);
+  }
+  while (InFlight() < Limit()) {
+    const auto next = mQueue.Pop();
+    if (!next) {
+      break;
+    }
+    mLevel.OnStart(aNow - next->mArrived);
+    Start(aNow, next->mTicket, aResult);
+  }
+}
+
+void
+Admission::Adapt(core::TimePoint aNow)
+{
+  if (mLimit.IsProbing()) {
+    // The delay of a measurement at half the limit is no overload.
+    return;
+  }
+  const auto oldest = mQueue.OldestArrival();
+  core::Duration longest{ 0 };
+  for (const ServiceTime& time : mServiceTimes) {
+    longest = std::max(longest, time.Estimate(aNow));
+  }
+  mLevel.Adapt(aNow, oldest ? aNow - *oldest : core::Duration{ 0 }, longest);
+}
+
+std::chrono::milliseconds
+Admission::RetryAfter(core::Cohort aCohort) const
+{
+  // The further the level is up the longer it takes to fall. The spread by
+  // cohort keeps refused callers from coming back at the same moment.
+  const core::Level level = mLevel.Current();
+  const auto height =
+    static_cast<unsigned>(level.mImportance) * 128U + level.mCohort;
+  const auto pause = kShortestPause + std::chrono::milliseconds{ height } +
+                     std::chrono::milliseconds{ aCohort };
+  return std::min(pause, kLongestPause);
+}
+
+} // namespace nutmegrock::limits
--- a/src/nutmegrock/limits/Admission.h
+++ b/src/nutmegrock/limits/Admission.h
@@ -6,8 +6,10 @@
 #include "limits/AdmissionQueue.h"
 #include "limits/CallOutcome.h"
 #include "limits/ConcurrencyLimit.h"
+#include "limits/ServiceTime.h"
 #include "limits/Ticket.h"
 
+#include <array>
 #include <cstdint>
 #include <unordered_map>
 
@@ -68,6 +70,7 @@
     core::TimePoint mStarted;
     /// Calls in flight when it started, itself included.
     std::uint32_t mInFlight = 0;
+    core::Importance mImportance = core::Importance::Normal;
     bool mCancelled = false;
   };
 
@@ -84,11 +87,14 @@
   /// Drops calls past their time and fills free slots from the queue.
   void Pump(core::TimePoint aNow, AdmissionResult& aResult);
   void Adapt(core::TimePoint aNow);
+  AdmissionQueue::ServiceTimes ServiceTimesAt(core::TimePoint aNow) const;
   std::chrono::milliseconds RetryAfter(core::Cohort aCohort) const;
 
   ConcurrencyLimit mLimit;
   AdmissionQueue mQueue;
   AdmissionLevel mLevel;
+  /// Profiles of one importance have similar work, so times are kept apart.
+  std::array<ServiceTime, core::kImportances> mServiceTimes;
   std::unordered_map<std::uint64_t, Running> mRunning;
 };
 
--- a/src/nutmegrock/limits/AdmissionLevel.h
+++ b/src/nutmegrock/limits/AdmissionLevel.h
@@ -11,22 +11,27 @@
 
 struct AdmissionLevelSettings
 {
-  /// Window after which the level is adapted.
+  /// Shortest window after which the level is adapted.
   core::Duration mWindow = std::chrono::milliseconds{ 50 };
-  /// Arrivals after which a window ends early.
-  std::uint32_t mWindowCalls = 2000;
+  /// Longest window, for a service with few calls.
+  core::Duration mLongestWindow = std::chrono::milliseconds{ 200 };
+  /// Arrivals needed to end a window before mLongestWindow.
+  std::uint32_t mWindowCalls = 20;
   /// Mean queue delay above which the server counts as overloaded. 20 ms is
   /// the figure of Zhou et al., SoCC 2018.
   core::Duration mTargetDelay = std::chrono::milliseconds{ 20 };
-  /// Share of arrivals refused by the queue above which the server counts as
-  /// overloaded.
+  /// The same as a share of the service time, whichever is longer: slow
+  /// services queue for longer at the same use.
+  double mTargetShare = 0.3;
+  /// Share of arrivals refused by the queue or the server above which the
+  /// server counts as overloaded.
   double mRefusedShare = 0.02;
-  /// Share by which the admitted work is cut below what was served, so that a
-  /// queue drains while the level is up.
-  double mMargin = 0.05;
-  /// Cohorts by which the level falls in the first calm window; doubles with
-  /// each further calm window.
-  std::uint32_t mFallCohorts = 8;
+  /// Largest cut of the admitted work below what was served, so that a queue
+  /// drains while the level is up.
+  double mMostMargin = 0.3;
+  /// Growth of the admitted work in the first calm window; doubles with each
+  /// further one.
+  double mFallGrowth = 0.08;
 
   bool operator==(const AdmissionLevelSettings&) const = default;
 };
@@ -52,8 +57,11 @@
   /// A call ended at the backend server.
   void OnFinish();
   /// Adapts the level if the window is over. aOldestWait is the time that the
-  /// oldest waiting call has waited, zero when none waits.
-  void Adapt(core::TimePoint aNow, core::Duration aOldestWait);
+  /// oldest waiting call has waited, zero when none waits; aServiceTime the
+  /// usual time at the backend server.
+  void Adapt(core::TimePoint aNow,
+             core::Duration aOldestWait,
+             core::Duration aServiceTime);
 
   core::Level Current() const;
   /// When the running window ends; TimePoint::max() while the level admits all
@@ -64,19 +72,24 @@
   static constexpr std::size_t kPositions = core::kImportances * core::kCohorts;
 
   explicit AdmissionLevel(const AdmissionLevelSettings& aSettings);
-  bool IsOverloaded(core::Duration aOldestWait) const;
-  void Rise();
-  void Fall();
   void StartWindow(core::TimePoint aNow);
+  void UpdateRates(double aSeconds);
+  /// Arrivals per second at or above a position.
+  double RateFrom(std::size_t aPosition) const;
+  void Rise(double aTarget);
+  void Fall();
 
   AdmissionLevelSettings mSettings;
   /// Position of the level: importance * kCohorts + cohort.
   std::size_t mPosition = 0;
   /// Arrivals of this window per position.
   std::array<std::uint32_t, kPositions> mArrivals{};
-  /// Arrivals per window and position, averaged over recent windows.
-  std::array<float, kPositions> mUsual{};
-  core::TimePoint mWindowEnd;
+  /// Usual arrivals per second and position. Below the level they fade slowly,
+  /// since callers that know the level do not send.
+  std::array<double, kPositions> mRates{};
+  /// Usual calls ended per second.
+  double mServedRate = 0;
+  core::TimePoint mWindowStart;
   bool mWindowOpen = false;
   std::uint32_t mArrived = 0;
   std::uint32_t mAdmitted = 0;
--- a/src/nutmegrock/limits/AdmissionQueue.h
+++ b/src/nutmegrock/limits/AdmissionQueue.h
@@ -28,6 +28,9 @@
 class AdmissionQueue
 {
 public:
+  /// Expected time at the backend server per importance.
+  using ServiceTimes = std::array<core::Duration, core::kImportances>;
+
   /// A call that left the queue, and when it came.
   struct Waiting
   {
@@ -48,13 +51,13 @@
   /// Removes a call by id.
   std::optional<Ticket> Remove(std::uint64_t aId);
   /// Removes the calls that have waited their max wait (QueueTimeout) or cannot
-  /// meet their deadline when the service takes aServiceTime
+  /// meet their deadline when a call of their importance takes the given time
   /// (DeadlineExceeded).
   std::vector<std::pair<Ticket, core::ErrorKind>> Expire(
     core::TimePoint aNow,
-    core::Duration aServiceTime);
+    const ServiceTimes& aTimes);
   /// When the next call expires; TimePoint::max() when none waits.
-  core::TimePoint NextExpiry(core::Duration aServiceTime) const;
+  core::TimePoint NextExpiry(const ServiceTimes& aTimes) const;
   /// Arrival of the call that has waited longest.
   std::optional<core::TimePoint> OldestArrival() const;
 
@@ -97,10 +100,11 @@
   std::unordered_map<std::uint64_t, Entry> mCalls;
   std::map<RunKey, std::uint64_t> mRunOrder;
   std::map<EvictKey, std::uint64_t> mEvictOrder;
-  /// (arrival, id), (arrival + max wait, id) and (deadline, id).
-  std::set<std::pair<core::TimePoint, std::uint64_t>> mByArrival;
-  std::set<std::pair<core::TimePoint, std::uint64_t>> mByMaxWait;
-  std::set<std::pair<core::TimePoint, std::uint64_t>> mByDeadline;
+  using ByTime = std::set<std::pair<core::TimePoint, std::uint64_t>>;
+  ByTime mByArrival;
+  /// By the end of the max wait.
+  ByTime mByMaxWait;
+  std::array<ByTime, core::kImportances> mByDeadline;
 };
 
 } // namespace nutmegrock::limits
--- a/src/nutmegrock/limits/LevelCache.h
+++ b/src/nutmegrock/limits/LevelCache.h
@@ -9,7 +9,6 @@
 #include <memory>
 #include <mutex>
 #include <optional>
-#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -71,20 +70,22 @@
   };
   struct Entry
   {
-    std::string mService;
-    std::string mProfile;
     std::array<Report, kReports> mReports;
     std::size_t mCount = 0;
     std::size_t mNext = 0;
+    /// Newest report.
     core::TimePoint mLast;
     core::Level mLevel;
     core::Level mBelow;
+    /// Refusals since the last probe.
     std::uint32_t mRefused = 0;
     core::TimePoint mLastProbe;
   };
   struct Shard
   {
     mutable std::mutex mMutex;
+    /// By 64-bit hash of service and profile. Two pairs of equal hash would
+    /// share a level; at 8192 entries that is a chance of 2e-12.
     std::unordered_map<std::uint64_t, Entry> mEntries;
   };
 
@@ -93,7 +94,7 @@
                              std::string_view aProfile);
   Shard& ShardOf(std::uint64_t aKey) const;
   void MakeRoom(Shard& aShard) const;
-  void Summarize(Entry& aEntry) const;
+  static void Summarize(Entry& aEntry);
 
   LevelCacheSettings mSettings;
   std::vector<std::unique_ptr<Shard>> mShards;
--- a/src/nutmegrock/retry/RetryBudget.h
+++ b/src/nutmegrock/retry/RetryBudget.h
@@ -42,7 +42,6 @@
 private:
   std::uint32_t mLeft;
   std::uint32_t mNextId = 1;
-  bool mClosed = false;
   std::vector<RetryGrant> mOpen;
 };
 
--- a/src/nutmegrock/retry/RetryRatio.h
+++ b/src/nutmegrock/retry/RetryRatio.h
@@ -40,8 +40,6 @@
   void OnSuccess(core::TimePoint aNow, std::string_view aService);
   /// Takes one retry; false when none is available.
   bool TryTake(core::TimePoint aNow, std::string_view aService);
-  /// Gives back a retry that was taken and not sent.
-  void GiveBack(core::TimePoint aNow, std::string_view aService);
 
 private:
   struct Bucket
