--- /dev/null
+++ b/src/nutmegrock/admin/AdminRequest.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace nutmegrock::admin {
+
+/// A request to the administration API as a handler sees it.
+struct AdminRequest
+{
+  using Values = std::map<std::string, std::string, std::less<>>;
+
+  std::string mMethod;
+  /// Path without the query, percent-encoded.
+  std::string mPath;
+  /// Values of the {name} segments of the route's pattern, decoded.
+  Values mVariables;
+  /// Query parameters, decoded.
+  Values mQuery;
+  /// Headers with their names in lower case.
+  Values mHeaders;
+  std::string mBody;
+
+  /// A value of one of the maps, or the empty string.
+  static std::string ValueOf(const Values& aValues, std::string_view aName);
+};
+
+} // namespace nutmegrock::admin
--- /dev/null
+++ b/src/nutmegrock/admin/ProfileRoutes.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "admin/AdminServer.h"
+#include "platform/ObjectStore.h"
+#include "platform/TableService.h"
+#include "profiles/ProfileHolder.h"
+#include "profiles/ProfileRecord.h"
+
+#include <functional>
+#include <vector>
+
+namespace nutmegrock::admin {
+
+/// Routes of the administration API for profiles:
+///
+/// - GET /profiles: the set in force on this node, ETag its version
+/// - GET /profiles/current: the current set of the store
+/// - GET /profiles/versions?limit=N&before=V: history, latest first
+/// - GET /profiles/versions/{version}: one version
+/// - GET /profiles/diff?from=A&to=B: difference of two versions
+/// - POST /profiles/check: lists the faults of the document in the body
+/// - POST /profiles/diff?from=A: difference from a version to the document in
+///   the body
+/// - PUT /profiles?author=A&publication=P with If-Match: "V": publishes the
+///   document in the body as version V + 1
+class ProfileRoutes
+{
+public:
+  struct Settings
+  {
+    platform::TableService& mTable;
+    platform::ObjectStore& mObjects;
+    const profiles::ProfileHolder& mHolder;
+    /// Called with each accepted publication, before it is answered.
+    std::function<void(const profiles::PublishedSet&)> mOnPublished;
+  };
+
+  /// The routes; what aSettings refers to must outlive the server.
+  static std::vector<AdminRoute> Make(Settings aSettings);
+};
+
+} // namespace nutmegrock::admin
--- /dev/null
+++ b/src/nutmegrock/platform/http/HttpObjectStore.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "platform/ObjectStore.h"
+#include "platform/http/StoreClient.h"
+
+#include <memory>
+
+namespace nutmegrock::platform::http {
+
+/// ObjectStore over the platform's HTTP interface.
+class HttpObjectStore : public ObjectStore
+{
+public:
+  /// Fails with InvalidSettings when the URL is not an HTTP URL of a host.
+  static core::Expected<std::unique_ptr<HttpObjectStore>> Make(
+    const StoreSettings& aSettings);
+
+  core::Expected<std::optional<std::string>> Get(
+    const std::string& aName) override;
+  core::Expected<bool> Put(const std::string& aName,
+                           const std::string& aBytes) override;
+
+private:
+  explicit HttpObjectStore(StoreClient aClient);
+
+  StoreClient mClient;
+};
+
+} // namespace nutmegrock::platform::http
--- /dev/null
+++ b/src/nutmegrock/platform/http/HttpTableService.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "platform/TableService.h"
+#include "platform/http/StoreClient.h"
+
+#include <memory>
+
+namespace nutmegrock::platform::http {
+
+/// TableService over the platform's HTTP interface.
+class HttpTableService : public TableService
+{
+public:
+  /// Fails with InvalidSettings when the URL is not an HTTP URL of a host.
+  static core::Expected<std::unique_ptr<HttpTableService>> Make(
+    const StoreSettings& aSettings);
+
+  core::Expected<std::optional<Row>> Read(const std::string& aKey) override;
+  core::Expected<std::vector<Row>> Scan(const std::string& aPrefix,
+                                        const std::string& aFrom,
+                                        std::size_t aLimit) override;
+  core::Expected<std::uint64_t> Write(const std::string& aKey,
+                                      const std::string& aValue,
+                                      std::uint64_t aExpected) override;
+  core::Expected<bool> Remove(const std::string& aKey) override;
+
+private:
+  explicit HttpTableService(StoreClient aClient);
+
+  StoreClient mClient;
+};
+
+} // namespace nutmegrock::platform::http
