--- /dev/null
+++ b/src/nutmegrock/node/NodeParts.cpp
@@ -0,0 +1,470 @@
+#include "node/NodeParts.h"
+
+#include "admin/ProfileRoutes.h"
+#include "node/StatusReport.h"
+#include "routing/RouterSettings.h"
+#include "settings/SettingsFile.h"
+
+#include <boost/algorithm/string/trim.hpp>
+#include <random>
+#include <spdlog/spdlog.h>
+#include <thread>
+#include <utility>
+
+namespace nutmegrock::node {
+
+namespace {
+
+/// Longest wait for calls in flight at a planned stop. Above the longest
+/// timeout of a usual profile.
+constexpr std::chrono::seconds kMaxDrain(60);
+/// After leaving, the node answers "draining" until no call has come for this
+/// time, so that a call already on its way is refused and not cut.
+constexpr std::chrono::milliseconds kQuiet(1000);
+constexpr std::chrono::seconds kMaxLinger(4);
+constexpr std::chrono::milliseconds kDrainPoll(10);
+constexpr std::chrono::seconds kControlTimeout(2);
+
+core::Incarnation
+NewIncarnation()
+{
+  std::random_device device;
+  const auto high = static_cast<std::uint64_t>(device());
+  // Zero stands for "not known".
+  return { (high << 32U) | device() | 1U };
+}
+
+std::int64_t
+WallMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+} // namespace
+
+NodeRuntime::Parts::Parts(settings::NodeSettings aSettings)
+  : mSettings(std::move(aSettings))
+  , mSelf(NewIncarnation())
+  , mIo(mSettings.mThreads)
+  , mEnvironment(mIo.MakeEnvironment())
+{
+}
+
+NodeRuntime::Parts::~Parts()
+{
+  // Handlers under way refer to the parts, so the threads end first.
+  mAdmin.reset();
+  mMembership.reset();
+  mSync.reset();
+  mIo.Stop();
+}
+
+core::Expected<bool>
+NodeRuntime::Parts::Open()
+{
+  platform::http::InitializePool();
+  if (!mSettings.mSecretFile.empty()) {
+    auto secret = settings::ReadTextFile(mSettings.mSecretFile);
+    if (!secret) {
+      return tl::make_unexpected(secret.error());
+    }
+    mSecret = boost::algorithm::trim_copy(*secret);
+  }
+  using Step = core::Expected<bool> (Parts::*)();
+  for (const Step step : { &Parts::OpenDecisions,
+                           &Parts::OpenPlatform,
+                           &Parts::OpenServing,
+                           &Parts::OpenCalling,
+                           &Parts::OpenPeers,
+                           &Parts::OpenMembership,
+                           &Parts::OpenAdmin }) {
+    const auto opened = (this->*step)();
+    if (!opened) {
+      return opened;
+    }
+  }
+  spdlog::info("node started service={} zone={} incarnation={} peer={}",
+               mSettings.mService,
+               mSettings.mAvailabilityZone,
+               mSelf.Text(),
+               mSettings.mListen.mPeer.Text());
+  return true;
+}
+
+core::Expected<bool>
+NodeRuntime::Parts::OpenDecisions()
+{
+  auto router = routing::Router::Create({});
+  auto ratio = retry::RetryRatio::Create({});
+  auto policy = retry::RetryPolicy::Create({});
+  auto levels = limits::LevelCache::Create({});
+  auto resends = retry::ResendLedger::Create({});
+  for (const core::Error* error : { router ? nullptr : &router.error(),
+                                    ratio ? nullptr : &ratio.error(),
+                                    policy ? nullptr : &policy.error(),
+                                    levels ? nullptr : &levels.error(),
+                                    resends ? nullptr : &resends.error() }) {
+    if (error != nullptr) {
+      return tl::make_unexpected(*error);
+    }
+  }
+  mRouter = std::move(*router);
+  mRatio = std::move(*ratio);
+  mPolicy = std::make_unique<retry::RetryPolicy>(*policy);
+  mLevels = std::move(*levels);
+  mResends = std::move(*resends);
+  mFeed = std::make_unique<CandidateFeed>(*mRouter);
+  return true;
+}
+
+core::Expected<bool>
+NodeRuntime::Parts::OpenPlatform()
+{
+  platform::http::StoreSettings store;
+  store.mUrl = mSettings.mPlatform.mTableService;
+  auto table = platform::http::HttpTableService::Make(store);
+  if (!table) {
+    return tl::make_unexpected(table.error());
+  }
+  store.mUrl = mSettings.mPlatform.mObjectStore;
+  auto objects = platform::http::HttpObjectStore::Make(store);
+  if (!objects) {
+    return tl::make_unexpected(objects.error());
+  }
+  mTable = std::move(*table);
+  mObjects = std::move(*objects);
+  mProfiles.OnChange([](const profiles::ProfileHolder::Snapshot& aSet) {
+    spdlog::info("profiles in force version={}", aSet->mVersion);
+  });
+  return true;
+}
+
+core::Expected<bool>
+NodeRuntime::Parts::OpenServing()
+{
+  transport::http::HttpBackendClientSettings client;
+  client.mAddress = mSettings.mBackendServer;
+  client.mMaxConnections = mSettings.mConnections;
+  auto backend =
+    transport::http::HttpBackendClient::Create(mIo.Context(), client);
+  if (!backend) {
+    return tl::make_unexpected(backend.error());
+  }
+  mBackend = std::move(*backend);
+  ServingSettings serving;
+  serving.mService = mSettings.mService;
+  serving.mAdmissionEnabled = mSettings.mOverload.mEnabled;
+  serving.mAdmission.mLimit.mSlots = mSettings.mSlots;
+  auto side =
+    ServingSide::Create(serving, mEnvironment, mCalls, *mBackend, mRegistry);
+  if (!side) {
+    return tl::make_unexpected(side.error());
+  }
+  mServing = std::move(*side);
+  return true;
+}
+
+core::Expected<bool>
+NodeRuntime::Parts::OpenCalling()
+{
+  transport::peer::PeerClientSettings client;
+  client.mIncarnation = mSelf;
+  client.mSecret = mSecret;
+  mPeerClient = transport::peer::PeerClient::Create(mIo.Context(), client);
+  auto services = std::make_shared<OutgoingServices>(OutgoingServices{
+    mEnvironment,
+    mSettings.mAvailabilityZone,
+    *mRouter,
+    *mRatio,
+    *mPolicy,
+    *mLevels,
+    mRegistry,
+    [this](const routing::Choice& aChoice,
+           transport::PeerCall aCall,
+           transport::PeerResultHandler aHandler) {
+      SendAttempt(aChoice, std::move(aCall), std::move(aHandler));
+    },
+    mSettings.mOverload.mUnboundedRetries,
+    mSettings.mOverload.mEnabled });
+  mCalling = std::make_unique<CallingSide>(
+    services,
+    [this] { return mProfiles.Current(); },
+    mCalls,
+    *mResends,
+    [this](const std::string& aName, const std::string& aBody) {
+      return OnNotice(aName, aBody);
+    });
+  transport::http::CallListenerSettings listener;
+  listener.mAddress = mSettings.mListen.mCaller;
+  auto caller = transport::http::CallListener::Create(
+    mIo.Context(),
+    listener,
+    [this](transport::Call aCall, transport::AnswerHandler aHandler) {
+      mCalling->HandleCaller(std::move(aCall), std::move(aHandler));
+    });
+  if (!caller) {
+    return tl::make_unexpected(caller.error());
+  }
+  mCallerListener = std::move(*caller);
+  listener.mAddress = mSettings.mListen.mBackend;
+  auto backend = transport::http::CallListener::Create(
+    mIo.Context(),
+    listener,
+    [this](transport::Call aCall, transport::AnswerHandler aHandler) {
+      mCalling->HandleBackend(std::move(aCall), std::move(aHandler));
+    });
+  if (!backend) {
+    return tl::make_unexpected(backend.error());
+  }
+  mBackendListener = std::move(*backend);
+  return true;
+}
+
+core::Expected<bool>
+NodeRuntime::Parts::OpenPeers()
+{
+  transport::peer::PeerServerSettings server;
+  server.mAddress = mSettings.mListen.mPeer;
+  server.mIncarnation = mSelf;
+  server.mSecret = mSecret;
+  auto opened = transport::peer::PeerServer::Create(
+    mIo.Context(),
+    server,
+    [this](transport::PeerCall aCall, transport::PeerResultHandler aHandler) {
+      ++mPeerCalls;
+      mServing->Handle(std::move(aCall), std::move(aHandler));
+    },
+    [this](core::Incarnation,
+           const std::string& aMethod,
+           const std::string& aArgument,
+           const std::function<void(core::Expected<std::string>)>& aAnswer) {
+      HandleControl(aMethod, aArgument, aAnswer);
+    });
+  if (!opened) {
+    return tl::make_unexpected(opened.error());
+  }
+  mPeerServer = std::move(*opened);
+  return true;
+}
+
+void
+NodeRuntime::Parts::SendAttempt(const routing::Choice& aChoice,
+                                transport::PeerCall aCall,
+                                transport::PeerResultHandler aHandler)
+{
+  if (aChoice.mIncarnation == mSelf) {
+    mServing->Handle(std::move(aCall), std::move(aHandler));
+    return;
+  }
+  mPeerClient->Send(aChoice.mPeer, std::move(aCall), std::move(aHandler));
+}
+
+void
+NodeRuntime::Parts::HandleControl(
+  const std::string& aMethod,
+  const std::string& aArgument,
+  const std::function<void(core::Expected<std::string>)>& aAnswer)
+{
+  if (aMethod == profiles::ProfileExchange::kMethod) {
+    aAnswer(mSync->AnswerPull());
+    return;
+  }
+  aAnswer(mMembership->HandleControl(aMethod, aArgument));
+}
+
+void
+NodeRuntime::Parts::PullProfiles(const core::Address& aFrom,
+                                 profiles::ProfileSync::PullCallback aCallback)
+{
+  mPeerClient->Control(aFrom,
+                       {},
+                       std::string(profiles::ProfileExchange::kMethod),
+                       {},
+                       mEnvironment.mNow() + kControlTimeout,
+                       std::move(aCallback));
+}
+
+core::Expected<bool>
+NodeRuntime::Parts::OpenMembership()
+{
+  profiles::ProfileSync::Hooks sync;
+  sync.mNotify = [this](std::uint64_t aVersion) {
+    mMembership->NotifyVersion(aVersion);
+  };
+  sync.mPull = [this](const core::Address& aFrom,
+                      profiles::ProfileSync::PullCallback aCallback) {
+    PullProfiles(aFrom, std::move(aCallback));
+  };
+  sync.mMembers = [this] { return mMembership->View()->Alive(); };
+  profiles::ProfileSync::Settings sync_settings;
+  sync_settings.mSeed = mSelf.mBits;
+  mSync = std::make_unique<profiles::ProfileSync>(
+    *mTable, *mObjects, mProfiles, sync, sync_settings);
+
+  membership::udp::MembershipServiceSettings settings;
+  settings.mOwn.mIncarnation = mSelf;
+  settings.mOwn.mAddress = mSettings.mListen.mPeer;
+  settings.mOwn.mService = mSettings.mService;
+  settings.mOwn.mRegion = mSettings.mRegion;
+  settings.mOwn.mAvailabilityZone = mSettings.mAvailabilityZone;
+  settings.mOwn.mSlots = mSettings.mSlots;
+  settings.mOwn.mConnections = mSettings.mConnections;
+  settings.mSeeds = mSettings.mSeeds;
+  membership::udp::MembershipHooks hooks;
+  hooks.mOwnVersion = [this] { return mProfiles.Version(); };
+  hooks.mNewerVersion = [this](const core::Address& aFrom,
+                               std::uint64_t aVersion) {
+    mSync->OnVersionSeen(aFrom, aVersion);
+  };
+  hooks.mViewChanged =
+    [this](const std::shared_ptr<const membership::MemberView>& aView) {
+      mFeed->Apply(*aView, mEnvironment.mNow(), WallMs());
+    };
+  hooks.mControl =
+    [this](const core::Address& aAddress,
+           core::Incarnation aTarget,
+           std::string aMethod,
+           std::string aArgument,
+           std::function<void(core::Expected<std::string>)> aHandler) {
+      mPeerClient->Control(aAddress,
+                           aTarget,
+                           std::move(aMethod),
+                           std::move(aArgument),
+                           mEnvironment.mNow() + kControlTimeout,
+                           std::move(aHandler));
+    };
+  auto started = membership::udp::MembershipService::Start(
+    std::move(settings), mTable, std::move(hooks));
+  if (!started) {
+    return tl::make_unexpected(started.error());
+  }
+  mMembership = std::move(*started);
+  mSync->Start();
+  return true;
+}
+
+core::Expected<bool>
+NodeRuntime::Parts::OpenAdmin()
+{
+  std::vector<admin::AdminRoute> routes =
+    admin::ProfileRoutes::Make({ *mTable,
+                                 *mObjects,
+                                 mProfiles,
+                                 [this](const profiles::PublishedSet& aSet) {
+                                   mSync->OnPublished(aSet);
+                                 } });
+  routes.push_back({ "GET", "/status", [this](const admin::AdminRequest&) {
+                      return StatusAnswer();
+                    } });
+  routes.push_back({ "GET", "/metrics", [this](const admin::AdminRequest&) {
+                      return admin::AdminAnswer::Text(
+                        mRegistry.PrometheusText(),
+                        "text/plain; version=0.0.4");
+                    } });
+  admin::AdminServer::Settings settings;
+  settings.mListen = mSettings.mListen.mAdmin;
+  auto opened = admin::AdminServer::Open(settings, std::move(routes));
+  if (!opened) {
+    return tl::make_unexpected(opened.error());
+  }
+  mAdmin = std::move(*opened);
+  return true;
+}
+
+core::Expected<bool>
+NodeRuntime::Parts::OnNotice(const std::string& aName, const std::string& aBody)
+{
+  if (aName == "announce") {
+    const auto announcement = Announcement::Parse(aBody);
+    if (!announcement) {
+      return tl::make_unexpected(announcement.error());
+    }
+    mServing->SetSlots(announcement->mSlots);
+    if (mServing->State() == ServerState::Starting) {
+      PublishState(ServerState::Serving);
+    }
+    return true;
+  }
+  if (aName == "report") {
+    const auto report = LoadReport::Parse(aBody);
+    if (!report) {
+      return tl::make_unexpected(report.error());
+    }
+    if (mServing->State() == ServerState::Starting) {
+      // A node that was replaced asks the backend server to announce again.
+      return core::Fail(core::ErrorKind::NotReady, "announce first");
+    }
+    return true;
+  }
+  if (aName == "drain" || aName == "leave") {
+    PublishState(ServerState::Draining);
+    return true;
+  }
+  return core::Fail(core::ErrorKind::NotFound,
+                    "notice \"" + aName + "\" is not known");
+}
+
+void
+NodeRuntime::Parts::PublishState(ServerState aState)
+{
+  if (mServing->State() == aState) {
+    return;
+  }
+  mServing->SetState(aState);
+  const bool serving = aState == ServerState::Serving;
+  spdlog::info("backend server state={}", serving ? "serving" : "draining");
+  mMembership->SetOwnState(serving ? membership::MemberState::Serving
+                                   : membership::MemberState::Draining,
+                           mSettings.mSlots,
+                           mSettings.mConnections);
+}
+
+std::size_t
+NodeRuntime::Parts::InFlight() const
+{
+  return mServing->Pending() + mCallerListener->InFlight() +
+         mBackendListener->InFlight() + mPeerServer->InFlight();
+}
+
+std::size_t
+NodeRuntime::Parts::Drain()
+{
+  PublishState(ServerState::Draining);
+  mCallerListener->StopAccepting();
+  const auto limit = core::Clock::now() + kMaxDrain;
+  while (InFlight() > 0 && core::Clock::now() < limit) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  const std::size_t left = InFlight();
+  mMembership->Leave();
+  const auto linger = core::Clock::now() + kMaxLinger;
+  std::uint64_t seen = mPeerCalls;
+  auto quiet_since = core::Clock::now();
+  while (core::Clock::now() < linger &&
+         core::Clock::now() < quiet_since + kQuiet) {
+    std::this_thread::sleep_for(kDrainPoll);
+    if (mPeerCalls != seen) {
+      seen = mPeerCalls;
+      quiet_since = core::Clock::now();
+    }
+  }
+  spdlog::info("node left calls_not_ended={}", left);
+  return left;
+}
+
+admin::AdminAnswer
+NodeRuntime::Parts::StatusAnswer() const
+{
+  return admin::AdminAnswer::Json(
+    StatusJson({ mSettings.mService,
+                 mSettings.mAvailabilityZone,
+                 mSelf,
+                 mProfiles.Version(),
+                 mServing->Status(),
+                 mRouter->Ejected(mEnvironment.mNow()),
+                 mMembership->View() }));
+}
+
+} // namespace nutmegrock::node
--- /dev/null
+++ b/src/nutmegrock/node/NodeRuntime.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "core/Error.h"
+#include "core/Incarnation.h"
+#include "settings/NodeSettings.h"
+
+#include <memory>
+#include <string>
+
+namespace nutmegrock::node {
+
+/// A running node: the one place where decisions and adapters are wired.
+class NodeRuntime
+{
+public:
+  /// Starts all listeners and threads. Fails with InvalidSettings when an
+  /// address cannot be bound or the secret file cannot be read.
+  static core::Expected<std::unique_ptr<NodeRuntime>> Start(
+    const settings::NodeSettings& aSettings);
+
+  NodeRuntime(const NodeRuntime&) = delete;
+  NodeRuntime& operator=(const NodeRuntime&) = delete;
+  /// Stops at once; calls in flight are cut.
+  ~NodeRuntime();
+
+  core::Incarnation Incarnation() const;
+  /// Graceful shutdown: refuses new work, waits until every call in flight has
+  /// ended, and leaves the membership. Blocks. Returns the number of calls that
+  /// had not ended after the longest drain time.
+  std::size_t Drain();
+
+private:
+  class Parts;
+
+  explicit NodeRuntime(std::unique_ptr<Parts> aParts);
+
+  std::unique_ptr<Parts> mParts;
+};
+
+} // namespace nutmegrock::node
--- /dev/null
+++ b/src/nutmegrock/node/StatusReport.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/Incarnation.h"
+#include "membership/MemberView.h"
+#include "node/ServingSide.h"
+
+#include <cpprest/json.h>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace nutmegrock::node {
+
+/// What a node shows of itself and of the mesh.
+struct StatusReport
+{
+  std::string mService;
+  std::string mAvailabilityZone;
+  core::Incarnation mIncarnation;
+  /// Profile version in force; 0 for none.
+  std::uint64_t mProfileVersion = 0;
+  ServingStatus mServing;
+  /// Backend servers ejected by this node.
+  std::uint32_t mEjected = 0;
+  std::shared_ptr<const membership::MemberView> mView;
+};
+
+/// The report as JSON for the administration API.
+web::json::value
+StatusJson(const StatusReport& aReport);
+
+/// "starting", "serving" or "draining".
+std::string_view
+NameOf(ServerState aState);
+
+} // namespace nutmegrock::node
