--- a/src/nutmegrock/limits/Admission.cpp
+++ b/src/nutmegrock/limits/Admission.cpp
@@ -15,13 +15,12 @@
 
 } // namespace
 
-Admission::Admission(const AdmissionSettings& /*aSettings*/,
-                     ConcurrencyLimit aLimit,
+Admission::Admission(const ConcurrencyLimit& aLimit,
                      AdmissionQueue aQueue,
-                     AdmissionLevel aLevel)
-  : mLimit(std::move(aLimit))
+                     const AdmissionLevel& aLevel)
+  : mLimit(aLimit)
   , mQueue(std::move(aQueue))
-  , mLevel(std::move(aLevel))
+  , mLevel(aLevel)
 {
 }
 
@@ -40,8 +39,7 @@
   if (!level) {
     return tl::unexpected(level.error());
   }
-  return Admission(
-    aSettings, std::move(*limit), std::move(*queue), std::move(*level));
+  return Admission(*limit, std::move(*queue), *level);
 }
 
 AdmissionQueue::ServiceTimes
--- a/src/nutmegrock/limits/Admission.h
+++ b/src/nutmegrock/limits/Admission.h
@@ -74,10 +74,9 @@
     bool mCancelled = false;
   };
 
-  Admission(const AdmissionSettings& aSettings,
-            ConcurrencyLimit aLimit,
+  Admission(const ConcurrencyLimit& aLimit,
             AdmissionQueue aQueue,
-            AdmissionLevel aLevel);
+            const AdmissionLevel& aLevel);
   void Start(core::TimePoint aNow,
              const Ticket& aTicket,
              AdmissionResult& aResult);
--- a/src/nutmegrock/limits/ConcurrencyLimit.cpp
+++ b/src/nutmegrock/limits/ConcurrencyLimit.cpp
@@ -26,8 +26,18 @@
 /// Baselines and windows older than this are collected anew.
 constexpr Seconds kCollectFor{ 3 };
 /// Time between two measurements at half the limit, in latencies. A measurement
-/// takes about two latencies at half of the throughput, so this costs 1%.
-constexpr double kProbeGap = 100;
+/// takes about three latencies at half of the throughput, so this costs 1%.
+constexpr double kProbeGap = 150;
+/// Latencies to wait after a change of the limit before calls count.
+constexpr double kSettle = 2;
+/// Latencies after which a measurement without enough calls ends.
+constexpr double kStuck = 10;
+/// Age of the baseline, in latencies, up to which a window is compared with it
+/// without measuring again.
+constexpr double kFresh = 20;
+/// Latency at the limit over that at half of it from which on the lower half
+/// completes about as many calls.
+constexpr double kNothingLost = 1.7;
 /// Fewest calls of a measurement at half the limit.
 constexpr std::uint32_t kFewestCalls = 16;
 
@@ -68,7 +78,7 @@
 std::uint32_t
 ConcurrencyLimit::AdaptedLimit() const
 {
-  return std::max(1U, static_cast<std::uint32_t>(mLimit + 0.5));
+  return std::max(1U, static_cast<std::uint32_t>(std::lround(mLimit)));
 }
 
 void
@@ -104,13 +114,13 @@
       // The latency is only a lower bound; it tells something when it is
       // longer than usual.
       if (seconds > usual && usual > 0) {
-        Sample(aNow, aNow - aOutcome.mLatency, aInFlight, seconds);
+        Sample(aNow, aInFlight, seconds);
       }
       return;
     case CallEnd::Ok:
       break;
   }
-  Sample(aNow, aNow - aOutcome.mLatency, aInFlight, seconds);
+  Sample(aNow, aInFlight, seconds);
 }
 
 void
@@ -128,29 +138,32 @@
 
 void
 ConcurrencyLimit::Sample(core::TimePoint aNow,
-                         core::TimePoint aStarted,
                          std::uint32_t aInFlight,
                          double aSeconds)
 {
   const double share = aInFlight / mLimit;
+  const double clip = kClip * mLoaded.Mean();
+  const double seconds = clip > 0 ? std::min(aSeconds, clip) : aSeconds;
   if (mProbing) {
-    if (aStarted >= mProbeStart && aInFlight <= Limit()) {
-      mLow.Add(aSeconds);
+    if (aNow >= mCountFrom && aInFlight <= Limit()) {
+      mLow.Add(seconds);
     }
     const bool stuck =
-      Seconds(aNow - mProbeStart).count() > 10 * mLoaded.Mean();
+      Seconds(aNow - mCountFrom).count() > kStuck * mLoaded.Mean();
     if (mLow.Count() >= BaselineCalls() || stuck) {
       EndProbe(aNow);
     }
     return;
   }
   if (share >= kLoadedShare || aInFlight >= Limit()) {
-    if (aStarted < mWindowStart) {
+    if (aNow < mCountFrom) {
       return;
     }
-    const double clip = kClip * mLoaded.Mean();
-    mWindow.Add(clip > 0 ? std::min(aSeconds, clip) : aSeconds);
-    if (mWindow.Count() >= mSettings.mWindowCalls) {
+    mWindow.Add(seconds);
+    const double length =
+      std::max(Seconds(mSettings.mWindow).count(), mWindow.Mean());
+    if (mWindow.Count() >= BaselineCalls() &&
+        Seconds(aNow - mCountFrom).count() >= length) {
       EndWindow(aNow);
     }
   } else if (share >= kLowFrom && share <= kLowTo) {
@@ -158,7 +171,7 @@
       mLow = {};
       mLowStart = aNow;
     }
-    mLow.Add(aSeconds);
+    mLow.Add(seconds);
     if (mLow.Count() >= BaselineCalls()) {
       EndBaseline(aNow);
     }
@@ -173,12 +186,25 @@
   return std::clamp(AdaptedLimit(), kFewestCalls, most);
 }
 
-bool
-ConcurrencyLimit::IsSaturated(const LatencySample& aLoaded) const
+double
+ConcurrencyLimit::Excess() const
 {
-  const double excess =
-    std::log(aLoaded.Mean() / mBaseline.Mean() / mSettings.mTolerance);
-  return excess > std::sqrt(aLoaded.LogVariance() + mBaseline.LogVariance());
+  // Two sources of noise; one standard deviation keeps false alarms rare and
+  // still sees a ratio of 2 in 16 calls.
+  const double noise =
+    std::sqrt(mLoaded.LogVariance() + mBaseline.LogVariance());
+  return std::log(mLoaded.Mean() / mBaseline.Mean() / mSettings.mTolerance) -
+         noise;
+}
+
+void
+ConcurrencyLimit::StartCounting(core::TimePoint aNow)
+{
+  // Calls that end right after a change of the limit are the short ones of
+  // those started since, or were started before it.
+  const double settle = kSettle * std::max(mLoaded.Mean(), mBaseline.Mean());
+  mCountFrom = aNow + ToDuration(settle);
+  mWindow = {};
 }
 
 void
@@ -188,34 +214,27 @@
     mLoaded.Count() > 0 && mWindow.Mean() > kJump * mLoaded.Mean();
   mLoaded = mWindow;
   mWindow = {};
-  mWindowStart = aNow;
-  if (mBaseline.Count() > 0 && mLoaded.Mean() < mBaseline.Mean()) {
+  mCountFrom = aNow;
+  if (mBaseline.Count() == 0 || jumped) {
+    StartProbe(aNow);
+    return;
+  }
+  if (mLoaded.Mean() < mBaseline.Mean() / mSettings.mTolerance) {
+    // The server has become faster than the baseline.
     mBaseline = mLoaded;
     mBaselineAt = aNow;
   }
   const double age = Seconds(aNow - mBaselineAt).count();
   const double interval = std::max(Seconds(mSettings.mProbeInterval).count(),
                                    kProbeGap * mLoaded.Mean());
-  if (mBaseline.Count() == 0 || jumped || age > interval) {
+  const bool saturated = Excess() > 0;
+  if (age > interval || (saturated && age > kFresh * mLoaded.Mean())) {
     StartProbe(aNow);
-    return;
-  }
-  if (!IsSaturated(mLoaded)) {
-    Grow(aNow);
-    return;
-  }
-  if (age > 10 * mLoaded.Mean()) {
-    StartProbe(aNow);
-    return;
-  }
-  const double ratio = mLoaded.Mean() / mBaseline.Mean();
-  SetLimit(mLimit * std::max(kMostCut, mSettings.mTolerance / ratio));
-}
-
-void
-ConcurrencyLimit::Grow(core::TimePoint aNow)
-{
-  if (aNow >= mNoGrowthBefore) {
+  } else if (saturated) {
+    const double ratio = mLoaded.Mean() / mBaseline.Mean();
+    SetLimit(mLimit * std::max(kMostCut, mSettings.mTolerance / ratio));
+    StartCounting(aNow);
+  } else if (aNow >= mNoGrowthBefore) {
     SetLimit(std::max(mLimit * (1 + mSettings.mGrowth), mLimit + 0.5));
   }
 }
@@ -232,34 +251,41 @@
 void
 ConcurrencyLimit::StartProbe(core::TimePoint aNow)
 {
-  if (Limit() <= 1) {
+  if (AdaptedLimit() <= 1) {
     mBaseline = mLoaded;
     mBaselineAt = aNow;
-    Grow(aNow);
+    SetLimit(mLimit + 0.5);
     return;
   }
   mProbing = true;
-  mProbeStart = aNow;
   mLow = {};
+  StartCounting(aNow);
 }
 
 void
 ConcurrencyLimit::EndProbe(core::TimePoint aNow)
 {
   mProbing = false;
-  mWindow = {};
-  mWindowStart = aNow;
   if (mLow.Count() < 2) {
     // No answer at half the limit either; lower it until calls come back.
     SetLimit(mLimit * kMostCut);
     mLow = {};
+    StartCounting(aNow);
     return;
   }
   EndBaseline(aNow);
-  if (IsSaturated(mLoaded)) {
-    const double ratio = mLoaded.Mean() / mBaseline.Mean();
-    SetLimit(mLimit * std::max(0.5, mSettings.mTolerance / ratio));
+  const double ratio = mLoaded.Mean() / mBaseline.Mean();
+  if (Excess() > 0 && ratio >= kNothingLost) {
+    // Half of the limit completes as much: keep it, and try half of that.
+    SetLimit(mLimit / 2);
+    mLoaded = mBaseline;
+    StartProbe(aNow);
+    return;
+  }
+  if (Excess() > 0) {
+    SetLimit(mLimit * mSettings.mTolerance / ratio);
   }
+  StartCounting(aNow);
 }
 
 } // namespace nutmegrock::limits
--- a/src/nutmegrock/limits/ConcurrencyLimit.h
+++ b/src/nutmegrock/limits/ConcurrencyLimit.h
@@ -21,8 +21,9 @@
   double mTolerance = 1.25;
   /// Growth of the limit per window.
   double mGrowth = 0.08;
-  /// Calls of one window at the limit, and most calls of one measurement at
-  /// half of it.
+  /// Shortest window.
+  core::Duration mWindow = std::chrono::milliseconds{ 50 };
+  /// Calls of one window or measurement; fewer when the limit is lower.
   std::uint32_t mWindowCalls = 40;
   /// Longest time between two measurements at half the limit while it is used.
   core::Duration mProbeInterval = std::chrono::seconds{ 4 };
@@ -64,26 +65,23 @@
   explicit ConcurrencyLimit(const ConcurrencyLimitSettings& aSettings);
 
   void OnShed(core::TimePoint aNow, std::uint32_t aInFlight);
-  void Sample(core::TimePoint aNow,
-              core::TimePoint aStarted,
-              std::uint32_t aInFlight,
-              double aSeconds);
+  void Sample(core::TimePoint aNow, std::uint32_t aInFlight, double aSeconds);
   std::uint32_t BaselineCalls() const;
   void EndWindow(core::TimePoint aNow);
   void EndBaseline(core::TimePoint aNow);
   void StartProbe(core::TimePoint aNow);
   void EndProbe(core::TimePoint aNow);
   void SetLimit(double aLimit);
-  void Grow(core::TimePoint aNow);
-  /// Whether the latency at the limit is above the tolerance by more than the
-  /// spread of the samples explains.
-  bool IsSaturated(const LatencySample& aLoaded) const;
+  /// Begins a new window once the latencies show the present limit.
+  void StartCounting(core::TimePoint aNow);
+  /// Logarithm by which the latency at the limit is above the tolerance and the
+  /// spread of the samples; the server is saturated if it is positive.
+  double Excess() const;
 
   ConcurrencyLimitSettings mSettings;
   double mLimit = 1;
   /// Calls that started at or near the limit.
   LatencySample mWindow;
-  core::TimePoint mWindowStart;
   /// Calls that started near half of the limit, being collected.
   LatencySample mLow;
   core::TimePoint mLowStart;
@@ -93,7 +91,8 @@
   /// Last complete window at the limit.
   LatencySample mLoaded;
   bool mProbing = false;
-  core::TimePoint mProbeStart;
+  /// Calls that end before it do not count.
+  core::TimePoint mCountFrom;
   core::TimePoint mNoGrowthBefore;
   core::TimePoint mNoShedCutBefore;
 };
--- /dev/null
+++ b/src/nutmegrock/routing/Ejection.cpp
@@ -0,0 +1,285 @@
+#include "routing/Ejection.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace nutmegrock::routing {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Relative step of the running median per answer.
+constexpr double kMedianStep = 0.06;
+/// Answers after which the median over the servers is computed again.
+constexpr std::uint32_t kMedianEvery = 16;
+
+} // namespace
+
+Ejection::Ejection(const EjectionSettings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void
+Ejection::SetServers(std::span<const core::Incarnation> aServers)
+{
+  std::vector<Health> servers;
+  servers.reserve(aServers.size());
+  mEjected = 0;
+  for (const core::Incarnation incarnation : aServers) {
+    const auto found = std::find_if(
+      mServers.begin(), mServers.end(), [&](const Health& aHealth) {
+        return aHealth.mIncarnation == incarnation;
+      });
+    if (found != mServers.end()) {
+      servers.push_back(std::move(*found));
+    } else {
+      servers.emplace_back();
+      servers.back().mIncarnation = incarnation;
+    }
+    mEjected += servers.back().mEjected ? 1 : 0;
+  }
+  mServers = std::move(servers);
+  mScratch.reserve(mServers.size());
+  UpdateMedian();
+}
+
+void
+Ejection::OnStart(core::TimePoint aNow, std::size_t aServer)
+{
+  Health& health = mServers.at(aServer);
+  health.mStarts.insert(
+    std::upper_bound(health.mStarts.begin(), health.mStarts.end(), aNow), aNow);
+  if (health.mEjected && aNow >= health.mProbeAt) {
+    health.mProbing = true;
+  }
+}
+
+void
+Ejection::OnEnd(core::TimePoint aNow,
+                std::size_t aServer,
+                AttemptOutcome aOutcome,
+                core::Duration aLatency)
+{
+  Health& health = mServers.at(aServer);
+  if (!health.mStarts.empty()) {
+    // The start closest to the one that the latency tells.
+    auto start = std::lower_bound(
+      health.mStarts.begin(), health.mStarts.end(), aNow - aLatency);
+    if (start == health.mStarts.end()) {
+      --start;
+    }
+    health.mStarts.erase(start);
+  }
+  Fade(aNow, health);
+  const bool failed =
+    aOutcome == AttemptOutcome::Failed || aOutcome == AttemptOutcome::TimedOut;
+  if (aOutcome == AttemptOutcome::Cancelled) {
+    health.mProbing = false;
+    return;
+  }
+  if (aOutcome != AttemptOutcome::TimedOut) {
+    health.mLastAnswer = aNow;
+  }
+  health.mAttempts += 1;
+  if (failed) {
+    health.mFailures += 1;
+    ++health.mErrorsInRow;
+  } else {
+    health.mErrorsInRow = 0;
+  }
+  if (aOutcome == AttemptOutcome::Ok) {
+    const double seconds = Seconds(aLatency).count();
+    const double step = 1 + kMedianStep;
+    health.mMedian = health.mMedian <= 0        ? seconds
+                     : seconds > health.mMedian ? health.mMedian * step
+                                                : health.mMedian / step;
+    ++health.mAnswers;
+    if (++mAnswersSinceMedian >= kMedianEvery || mMedian <= 0) {
+      UpdateMedian();
+    }
+  }
+  if (health.mEjected) {
+    if (health.mProbing) {
+      const bool slow =
+        mMedian > 0 &&
+        Seconds(aLatency).count() > 2 * mSettings.mLatencyFactor * mMedian &&
+        aLatency > mSettings.mLatencyFloor;
+      OnProbeEnd(aNow, health, !failed && !slow);
+    }
+    return;
+  }
+  if (health.mErrorsInRow >= mSettings.mConsecutiveErrors &&
+      FailsAlone(health)) {
+    Eject(aNow, health, EjectionReason::ConsecutiveErrors);
+  } else if (health.mAttempts >= mSettings.mMinAttempts &&
+             health.mFailures >= mSettings.mErrorShare * health.mAttempts &&
+             FailsAlone(health)) {
+    Eject(aNow, health, EjectionReason::ErrorShare);
+  } else if (IsLatencyOutlier(health)) {
+    Eject(aNow, health, EjectionReason::Latency);
+  }
+}
+
+bool
+Ejection::IsEjected(core::TimePoint aNow, std::size_t aServer)
+{
+  Health& health = mServers.at(aServer);
+  if (!health.mEjected && IsOverdue(aNow, health)) {
+    Eject(aNow, health, EjectionReason::Overdue);
+  }
+  return health.mEjected;
+}
+
+bool
+Ejection::IsProbeDue(core::TimePoint aNow, std::size_t aServer) const
+{
+  const Health& health = mServers.at(aServer);
+  return health.mEjected && !health.mProbing && aNow >= health.mProbeAt;
+}
+
+core::TimePoint
+Ejection::ReturnedAt(std::size_t aServer) const
+{
+  return mServers.at(aServer).mReturnedAt;
+}
+
+std::uint32_t
+Ejection::InFlight(std::size_t aServer) const
+{
+  return static_cast<std::uint32_t>(mServers.at(aServer).mStarts.size());
+}
+
+double
+Ejection::FailedShare(std::size_t aServer) const
+{
+  const Health& health = mServers.at(aServer);
+  // One attempt of each kind is assumed, so that the first failure after a
+  // silence is not a share of 1.
+  return health.mFailures / (health.mAttempts + 2);
+}
+
+core::Duration
+Ejection::Median() const
+{
+  return std::chrono::duration_cast<core::Duration>(Seconds{ mMedian });
+}
+
+void
+Ejection::Eject(core::TimePoint aNow, Health& aHealth, EjectionReason aReason)
+{
+  const auto most = static_cast<std::uint32_t>(
+    mSettings.mMaxShare * static_cast<double>(mServers.size()));
+  if (mEjected >= most) {
+    return;
+  }
+  ++mEjected;
+  ++mCounts.at(static_cast<std::size_t>(aReason));
+  aHealth.mEjected = true;
+  aHealth.mProbing = false;
+  aHealth.mGoodProbes = 0;
+  aHealth.mBackoff = mSettings.mFirstBackoff;
+  aHealth.mProbeAt = aNow + aHealth.mBackoff;
+}
+
+void
+Ejection::OnProbeEnd(core::TimePoint aNow, Health& aHealth, bool aGood)
+{
+  aHealth.mProbing = false;
+  if (!aGood) {
+    aHealth.mGoodProbes = 0;
+    aHealth.mBackoff = std::min(aHealth.mBackoff * 2, mSettings.mMaxBackoff);
+    aHealth.mProbeAt = aNow + aHealth.mBackoff;
+  } else if (++aHealth.mGoodProbes >= mSettings.mProbesToReturn) {
+    Return(aNow, aHealth);
+  }
+}
+
+void
+Ejection::Return(core::TimePoint aNow, Health& aHealth)
+{
+  --mEjected;
+  aHealth.mEjected = false;
+  aHealth.mReturnedAt = aNow;
+  aHealth.mErrorsInRow = 0;
+  aHealth.mAttempts = 0;
+  aHealth.mFailures = 0;
+  aHealth.mMedian = 0;
+  aHealth.mAnswers = 0;
+}
+
+void
+Ejection::Fade(core::TimePoint aNow, Health& aHealth) const
+{
+  if (aNow <= aHealth.mFadedAt) {
+    return;
+  }
+  const double keep =
+    std::exp(-(Seconds(aNow - aHealth.mFadedAt) / mSettings.mMemory));
+  aHealth.mAttempts *= keep;
+  aHealth.mFailures *= keep;
+  aHealth.mFadedAt = aNow;
+}
+
+bool
+Ejection::IsOverdue(core::TimePoint aNow, const Health& aHealth) const
+{
+  if (aHealth.mStarts.size() < mSettings.mOverdueCalls ||
+      mSettings.mOverdueCalls == 0) {
+    return false;
+  }
+  const core::Duration expected =
+    std::max(mSettings.mOverdueFloor,
+             std::chrono::duration_cast<core::Duration>(
+               Seconds{ mSettings.mOverdueFactor * mMedian }));
+  const core::TimePoint latest = aNow - expected;
+  return aHealth.mStarts.at(mSettings.mOverdueCalls - 1) < latest &&
+         aHealth.mLastAnswer < latest;
+}
+
+bool
+Ejection::FailsAlone(const Health& aHealth) const
+{
+  double attempts = 0;
+  double failures = 0;
+  for (const Health& other : mServers) {
+    if (&other != &aHealth && !other.mEjected) {
+      attempts += other.mAttempts;
+      failures += other.mFailures;
+    }
+  }
+  const double own = aHealth.mFailures / std::max(1.0, aHealth.mAttempts);
+  return attempts < 1 || own >= mSettings.mErrorFactor * failures / attempts;
+}
+
+bool
+Ejection::IsLatencyOutlier(const Health& aHealth) const
+{
+  return aHealth.mAnswers >= mSettings.mMinAttempts && mMedian > 0 &&
+         aHealth.mMedian > Seconds(mSettings.mLatencyFloor).count() &&
+         aHealth.mMedian > mSettings.mLatencyFactor * mMedian;
+}
+
+void
+Ejection::UpdateMedian()
+{
+  mAnswersSinceMedian = 0;
+  mScratch.clear();
+  for (const Health& health : mServers) {
+    if (health.mMedian > 0 && !health.mEjected) {
+      mScratch.push_back(health.mMedian);
+    }
+  }
+  if (mScratch.empty()) {
+    return;
+  }
+  // The lower of the two middle ones, so that of two servers the slow one can
+  // be told apart.
+  const auto middle =
+    mScratch.begin() + static_cast<std::ptrdiff_t>((mScratch.size() - 1) / 2);
+  std::nth_element(mScratch.begin(), middle, mScratch.end());
+  mMedian = *middle;
+}
+
+} // namespace nutmegrock::routing
--- a/src/nutmegrock/routing/Router.h
+++ b/src/nutmegrock/routing/Router.h
@@ -3,6 +3,8 @@
 #include "core/Error.h"
 #include "core/Level.h"
 #include "routing/Candidate.h"
+#include "routing/Ejection.h"
+#include "routing/RouterSettings.h"
 
 #include <array>
 #include <cstdint>
@@ -17,7 +19,15 @@
 namespace nutmegrock::routing {
 
 class ServiceRouter;
-struct RouterSettings;
+
+/// Servers ejected now, and times a server was ejected by EjectionReason.
+struct EjectionSummary
+{
+  std::uint32_t mEjected = 0;
+  std::array<std::uint64_t, kEjectionReasons> mCounts{};
+
+  bool operator==(const EjectionSummary&) const = default;
+};
 
 /// Chooses a backend server for each attempt and learns from how attempts end.
 /// Safe from any thread: state is in shards by service, each under its own
@@ -35,7 +45,7 @@
   /// Replaces the candidates of a service. What was observed about servers that
   /// stay is kept. An empty list forgets the service.
   void Update(core::TimePoint aNow,
-              const std::string& aService,
+              std::string_view aService,
               const std::vector<Candidate>& aCandidates);
 
   /// The server for one attempt: of the two ranked first by weighted rendezvous
@@ -63,8 +73,8 @@
                           std::span<const core::Incarnation> aExcluded);
   /// Usual latency of the service as seen here; zero when not known.
   core::Duration UsualLatency(std::string_view aService);
-  /// Servers ejected now, over all services.
-  std::uint32_t Ejected(core::TimePoint aNow);
+  /// Ejections over all services of the last Update() lists.
+  EjectionSummary Ejections();
 
 private:
   static constexpr std::size_t kShards = 64;
@@ -82,8 +92,15 @@
   };
 
   explicit Router(const RouterSettings& aSettings);
+  Shard& ShardOf(std::uint64_t aKey);
+  void Reindex(std::uint64_t aKey,
+               const std::vector<Candidate>& aOld,
+               const std::vector<Candidate>& aNew);
+  /// Calls aVisitor with the service of an incarnation under its lock.
+  template<class Visitor>
+  void Visit(core::Incarnation aIncarnation, Visitor aVisitor);
 
-  std::unique_ptr<RouterSettings> mSettings;
+  RouterSettings mSettings;
   std::array<Shard, kShards> mShards;
   std::array<IndexShard, kShards> mIndex;
 };
--- a/src/nutmegrock/routing/RouterSettings.h
+++ b/src/nutmegrock/routing/RouterSettings.h
@@ -10,16 +10,22 @@
   EjectionSettings mEjection;
   /// Time over which the weight of a new server ramps up.
   core::Duration mRamp = std::chrono::seconds{ 10 };
-  /// Weight of a server that has just joined, as a share of its full weight.
+  /// The same for a server that returns from an ejection; below the 3 s allowed
+  /// for recovery.
+  core::Duration mReturnRamp = std::chrono::milliseconds{ 1500 };
+  /// Weight at the beginning of a ramp, as a share of the full weight.
   double mRampStart = 0.1;
   /// Load of the own availability zone, as a share of its slots, above which
   /// requests begin to spill over; all spill over at mSpillFull.
   double mSpillBegin = 0.7;
   double mSpillFull = 1.0;
-  /// One in this many requests of a service goes to a server under probe.
-  std::uint32_t mProbeEvery = 50;
+  /// One in this many requests of a service may go to an ejected server.
+  std::uint32_t mProbeEvery = 25;
   /// Age at which a reported load no longer counts.
   core::Duration mReportLifetime = std::chrono::seconds{ 1 };
+  /// Time for which a server that refused a call as leaving is left out;
+  /// afterwards the member table has the news.
+  core::Duration mGoneFor = std::chrono::seconds{ 5 };
 
   bool operator==(const RouterSettings&) const = default;
 };
--- /dev/null
+++ b/src/nutmegrock/routing/SlowStart.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "core/Time.h"
+
+namespace nutmegrock::routing {
+
+/// Share of its full weight that a new or returning backend server gets. It
+/// grows linearly, so that cold caches and pools are not met with full load.
+class SlowStart
+{
+public:
+  /// aStart is the share at the beginning, in (0, 1]; the full weight is
+  /// reached after aRamp. A ramp of zero gives the full weight at once.
+  SlowStart(core::Duration aRamp, double aStart);
+
+  /// The share at aNow of a server that began at aSince.
+  double Share(core::TimePoint aNow, core::TimePoint aSince) const;
+
+private:
+  core::Duration mRamp;
+  double mStart;
+};
+
+} // namespace nutmegrock::routing
