Carry HTTP calls with Boost.Beast

The caller and backend hops need an HTTP listener and a pooled client with streamed bodies. Adds CallListener and HttpBackendClient on Boost.Beast: one strand per connection or exchange, bodies pulled chunk by chunk, checked ends on both sides.

--- /dev/null
+++ b/src/nutmegrock/transport/http/BackendExchange.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "transport/Call.h"
+#include "transport/http/ConnectionPool.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace nutmegrock::transport::http {
+
+/// One call to the backend server, from its first body chunk to the end of the
+/// answer's body. Reads the answer while the call's body is still being
+/// written, since a backend server may answer early. Works on its own strand.
+class BackendExchange : public std::enable_shared_from_this<BackendExchange>
+{
+public:
+  BackendExchange(std::shared_ptr<ConnectionPool> aPool,
+                  Call aCall,
+                  core::TimePoint aDeadline,
+                  AnswerHandler aHandler);
+
+  void Start();
+  /// Next chunk of the answer's body.
+  void NextChunk(ChunkHandler aHandler);
+  /// Ends the exchange because nobody wants the rest of the answer.
+  void Abandon();
+
+private:
+  using Code = boost::system::error_code;
+  using Request = boost::beast::http::request<boost::beast::http::buffer_body>;
+  using Serializer =
+    boost::beast::http::request_serializer<boost::beast::http::buffer_body>;
+  using Parser =
+    boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+  void WatchCancellation();
+  void SetTimer(core::TimePoint aTime);
+  void OnTimer();
+
+  void PullBody();
+  void OnBodyChunk(core::Expected<BodyChunk> aChunk);
+  void Acquire();
+  void OnGranted(std::unique_ptr<PooledConnection> aConnection);
+  void Connect();
+  void OnConnected(Code aCode);
+  void StartRequest();
+  void PrepareRequest();
+  void WriteChunk();
+  void OnWritten(Code aCode);
+
+  void ReadHead();
+  void OnHead(Code aCode);
+  AnswerHead TakeHead();
+  void ReadBody();
+  void OnBody(Code aCode, std::size_t aBytes);
+
+  /// Ends the exchange with an error; weakened to Unknown once bytes of the
+  /// call were handed to the connection.
+  void Fail(core::Error aError);
+  void Finish(bool aReusable);
+  void GiveError();
+  void CloseSocket();
+  /// Gives the connection back once no operation uses it.
+  void Release();
+
+  const std::shared_ptr<ConnectionPool> mPool;
+  boost::asio::strand<boost::asio::io_context::executor_type> mStrand;
+  boost::asio::steady_timer mTimer;
+  Call mCall;
+  const core::TimePoint mDeadline;
+  AnswerHandler mHandler;
+  std::unique_ptr<PooledConnection> mConnection;
+
+  Request mRequest;
+  std::optional<Serializer> mSerializer;
+  /// Being written.
+  BodyChunk mChunk;
+  /// Bytes of the call's body up to and with mChunk.
+  std::uint64_t mBytes = 0;
+  std::optional<Parser> mParser;
+  ChunkHandler mWantsChunk;
+  std::string mReadBuffer;
+  std::optional<core::Error> mError;
+
+  bool mConnecting = false;
+  bool mWriting = false;
+  bool mReading = false;
+  bool mPulling = false;
+  /// Bytes of the call were handed to the connection.
+  bool mSent = false;
+  /// The whole call was written.
+  bool mWritten = false;
+  bool mEnded = false;
+  bool mReusable = false;
+};
+
+} // namespace nutmegrock::transport::http
--- /dev/null
+++ b/src/nutmegrock/transport/http/ErrorAnswer.cpp
@@ -0,0 +1,35 @@
+#include "transport/http/ErrorAnswer.h"
+
+#include <cpprest/json.h>
+#include <string>
+#include <utility>
+
+namespace nutmegrock::transport::http {
+
+Answer
+ErrorAnswer(const core::Error& aError)
+{
+  const core::ErrorRow& row = core::RowOf(aError.mKind);
+  const std::string name(row.mName);
+  const std::string retry =
+    row.mAdvice == core::RetryAdvice::No
+      ? "no"
+      : "after-ms=" + std::to_string(aError.mRetryAfter.count());
+  auto json = web::json::value::object();
+  json["error"] = web::json::value::string(name);
+  json["message"] = web::json::value::string(aError.mMessage);
+  std::string body = json.serialize();
+
+  Answer answer;
+  answer.mHead.mStatus = row.mStatus;
+  answer.mHead.mHeaders = { { "Content-Type", "application/json" },
+                            { "Nutmegrock-Error", name },
+                            { "Nutmegrock-Run",
+                              std::string(core::NameOf(aError.mRun)) },
+                            { "Nutmegrock-Retry", retry } };
+  answer.mHead.mBodySize = body.size();
+  answer.mBody = WholeBody(std::move(body));
+  return answer;
+}
+
+} // namespace nutmegrock::transport::http
--- /dev/null
+++ b/src/nutmegrock/transport/http/HttpBackendClient.cpp
@@ -0,0 +1,65 @@
+#include "transport/http/HttpBackendClient.h"
+
+#include "transport/http/BackendExchange.h"
+#include "transport/http/ConnectionPool.h"
+
+#include <utility>
+
+namespace nutmegrock::transport::http {
+
+HttpBackendClient::HttpBackendClient(std::shared_ptr<ConnectionPool> aPool)
+  : mPool(std::move(aPool))
+{
+}
+
+core::Expected<std::unique_ptr<HttpBackendClient>>
+HttpBackendClient::Create(boost::asio::io_context& aIo,
+                          const HttpBackendClientSettings& aSettings)
+{
+  boost::system::error_code code;
+  const auto ip = boost::asio::ip::make_address(aSettings.mAddress.mIp, code);
+  if (code || aSettings.mAddress.mPort == 0) {
+    return core::Fail(core::ErrorKind::InvalidSettings,
+                      aSettings.mAddress.Text() +
+                        " is not the address of a backend server");
+  }
+  if (aSettings.mMaxConnections == 0) {
+    return core::Fail(core::ErrorKind::InvalidSettings,
+                      "the backend server needs at least one connection");
+  }
+  auto pool = std::make_shared<ConnectionPool>(
+    aIo,
+    aSettings,
+    boost::asio::ip::tcp::endpoint(ip, aSettings.mAddress.mPort));
+  return std::unique_ptr<HttpBackendClient>(
+    new HttpBackendClient(std::move(pool)));
+}
+
+HttpBackendClient::~HttpBackendClient()
+{
+  mPool->Close();
+}
+
+void
+HttpBackendClient::Send(Call aCall,
+                        core::TimePoint aDeadline,
+                        AnswerHandler aHandler)
+{
+  std::make_shared<BackendExchange>(
+    mPool, std::move(aCall), aDeadline, std::move(aHandler))
+    ->Start();
+}
+
+std::size_t
+HttpBackendClient::Connections() const
+{
+  return mPool->Connections();
+}
+
+std::size_t
+HttpBackendClient::Idle() const
+{
+  return mPool->Idle();
+}
+
+} // namespace nutmegrock::transport::http
--- /dev/null
+++ b/src/nutmegrock/transport/http/ListenerState.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "transport/Call.h"
+#include "transport/http/CallListenerSettings.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegrock::transport::http {
+
+class ServerConnection;
+
+/// Shared by a CallListener and its connections: the listening socket, the
+/// open connections and the counters. Lives until the last connection closed.
+class ListenerState : public std::enable_shared_from_this<ListenerState>
+{
+public:
+  ListenerState(boost::asio::io_context& aIo,
+                const CallListenerSettings& aSettings,
+                CallHandler aHandler);
+
+  /// Binds and listens. Fails with InvalidSettings.
+  core::Expected<void> Open();
+  void Accept();
+  /// Closes the listening socket and tells each connection to finish.
+  void Stop();
+  /// Closes the listening socket and all connections.
+  void Close();
+
+  const CallListenerSettings& Settings() const { return mSettings; }
+  const core::Address& LocalAddress() const { return mLocalAddress; }
+  void Handle(Call aCall, AnswerHandler aAnswer) const;
+  bool IsStopping() const { return mStopping; }
+
+  /// A token counts one call in flight until its last copy is destroyed.
+  std::shared_ptr<void> StartCall();
+  std::size_t InFlight() const { return mInFlight; }
+  std::size_t Connections() const;
+  std::uint64_t Refused() const { return mRefused; }
+  /// Called by a connection when it has closed.
+  void Remove(const ServerConnection* aConnection);
+
+private:
+  void OnAccepted(boost::asio::ip::tcp::socket aSocket);
+  void AcceptLater();
+  std::vector<std::shared_ptr<ServerConnection>> All() const;
+
+  const CallListenerSettings mSettings;
+  const CallHandler mHandler;
+  boost::asio::io_context& mIo;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  boost::asio::steady_timer mAcceptTimer;
+  core::Address mLocalAddress;
+  std::atomic<bool> mStopping{ false };
+  std::atomic<std::size_t> mInFlight{ 0 };
+  std::atomic<std::uint64_t> mRefused{ 0 };
+  mutable std::mutex mMutex;
+  // A connection is kept alive by its own pending operations.
+  std::unordered_map<const ServerConnection*, std::weak_ptr<ServerConnection>>
+    mConnections;
+};
+
+} // namespace nutmegrock::transport::http
--- /dev/null
+++ b/src/nutmegrock/transport/http/ServerConnection.cpp
@@ -0,0 +1,595 @@
+#include "transport/http/ServerConnection.h"
+
+#include "transport/http/ErrorAnswer.h"
+#include "transport/http/HeaderRules.h"
+#include "transport/http/ListenerState.h"
+
+#include <algorithm>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <utility>
+
+namespace nutmegrock::transport::http {
+
+namespace {
+
+namespace net = boost::asio;
+namespace beast_http = boost::beast::http;
+
+// Most bytes of a body held at a time; a body up to this size is one chunk.
+constexpr std::size_t kChunkBytes = 64 * 1024;
+
+// A usual head fits, so that it is read with one system call.
+constexpr std::size_t kFirstRead = 4096;
+
+// Bounds of Linger().
+constexpr auto kLingerTime = std::chrono::seconds(1);
+constexpr std::size_t kLingerBytes = 1024 * 1024;
+
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+class ServerBody final : public BodyReader
+{
+public:
+  ServerBody(std::weak_ptr<ServerConnection> aConnection,
+             std::uint64_t aExchange)
+    : mConnection(std::move(aConnection))
+    , mExchange(aExchange)
+  {
+  }
+
+  void Next(ChunkHandler aHandler) override
+  {
+    if (const auto connection = mConnection.lock()) {
+      connection->NextChunk(mExchange, std::move(aHandler));
+      return;
+    }
+    aHandler(core::Fail(core::ErrorKind::BodyIncomplete,
+                        "the caller's connection is closed"));
+  }
+
+private:
+  const std::weak_ptr<ServerConnection> mConnection;
+  const std::uint64_t mExchange;
+};
+
+std::string
+TextOf(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+} // namespace
+
+ServerConnection::ServerConnection(net::ip::tcp::socket aSocket,
+                                   std::shared_ptr<ListenerState> aListener)
+  : mSocket(std::move(aSocket))
+  , mListener(std::move(aListener))
+  , mTimer(mSocket.get_executor())
+  , mTick(
+      std::max<core::Duration>(std::chrono::milliseconds(1),
+                               std::min({ mListener->Settings().mHeaderTimeout,
+                                          mListener->Settings().mIdleTimeout,
+                                          core::Duration(kLingerTime) }) /
+                                 4))
+{
+}
+
+void
+ServerConnection::Start(bool aRefuse)
+{
+  net::dispatch(mSocket.get_executor(), [self = shared_from_this(), aRefuse] {
+    Code ignored;
+    self->mSocket.set_option(net::ip::tcp::no_delay(true), ignored);
+    self->mSocket.non_blocking(true, ignored);
+    self->mBuffer.reserve(kFirstRead);
+    self->Tick();
+    if (!aRefuse) {
+      self->ReadHead();
+      return;
+    }
+    self->StartExchange();
+    self->mKeepAlive = false;
+    self->OnAnswer(self->mLastExchange,
+                   core::Fail(core::ErrorKind::TooManyConnections,
+                              "this node has too many open connections"));
+  });
+}
+
+void
+ServerConnection::Stop()
+{
+  net::dispatch(mSocket.get_executor(), [self = shared_from_this()] {
+    if (self->mClosed || self->mExchange || self->mBuffer.size() > 0) {
+      return;
+    }
+    // A call whose bytes have arrived but are not yet read is still served.
+    char byte = 0;
+    Code code;
+    self->mSocket.receive(
+      net::buffer(&byte, 1), net::socket_base::message_peek, code);
+    if (code) {
+      self->Close();
+    }
+  });
+}
+
+void
+ServerConnection::Close()
+{
+  net::dispatch(mSocket.get_executor(), [self = shared_from_this()] {
+    if (self->mClosed) {
+      return;
+    }
+    self->mClosed = true;
+    Code ignored;
+    self->mSocket.close(ignored);
+    self->mTimer.cancel();
+    self->mListener->Remove(self.get());
+    if (!self->mExchange) {
+      return;
+    }
+    if (self->mExchange->mWriter) {
+      self->mExchange->mWriter->Abort();
+    }
+    self->CancelCall();
+    if (!self->mExchange->mReading) {
+      self->EndBody(core::MakeError(core::ErrorKind::BodyIncomplete,
+                                    "the caller's connection is closed"));
+      // Posted, since the caller of Close() may still use the exchange.
+      net::post(self->mSocket.get_executor(),
+                [self] { self->mExchange.reset(); });
+    }
+  });
+}
+
+void
+ServerConnection::CancelCall()
+{
+  if (mExchange && mExchange->mCancellation) {
+    mExchange->mCancellation->Cancel();
+  }
+}
+
+void
+ServerConnection::Limit(core::Duration aTime)
+{
+  mLimit = core::Clock::now() + aTime;
+}
+
+// One timer per connection that checks a time limit now and then costs less
+// than one that is set and cancelled with each call.
+void
+ServerConnection::Tick()
+{
+  mTimer.expires_after(mTick);
+  mTimer.async_wait([self = shared_from_this()](Code aCode) {
+    if (aCode || self->mClosed) {
+      return;
+    }
+    const core::TimePoint now = core::Clock::now();
+    if (now >= self->mLimit) {
+      self->Close();
+      return;
+    }
+    if (!self->mExchange && !self->mHeadStarted && self->mBuffer.size() > 0) {
+      self->mHeadStarted = true;
+      self->Limit(self->mListener->Settings().mHeaderTimeout);
+    }
+    self->Tick();
+  });
+}
+
+void
+ServerConnection::ReadHead()
+{
+  mParser.emplace();
+  mParser->header_limit(mListener->Settings().mMaxHeaderBytes);
+  mParser->body_limit(mListener->Settings().mMaxBodyBytes);
+  mHeadStarted = false;
+  Limit(mListener->Settings().mIdleTimeout);
+  beast_http::async_read_header(
+    mSocket,
+    mBuffer,
+    *mParser,
+    [self = shared_from_this()](Code aCode, std::size_t) {
+      self->OnHead(aCode);
+    });
+}
+
+void
+ServerConnection::StartExchange()
+{
+  mExchange = std::make_unique<ServerExchange>();
+  mExchange->mId = ++mLastExchange;
+  mExchange->mCancellation = std::make_shared<Cancellation>();
+}
+
+void
+ServerConnection::OnHead(Code aCode)
+{
+  mLimit = core::TimePoint::max();
+  if (mClosed) {
+    return;
+  }
+  if (aCode) {
+    RefuseHead(aCode);
+    return;
+  }
+  StartExchange();
+  auto head = TakeHead();
+  if (!head) {
+    mKeepAlive = false;
+    OnAnswer(mLastExchange, tl::make_unexpected(std::move(head.error())));
+    return;
+  }
+  mKeepAlive = mParser->get().keep_alive();
+  StartCall(std::move(*head));
+}
+
+void
+ServerConnection::RefuseHead(Code aCode)
+{
+  const bool malformed =
+    aCode.category() ==
+      beast_http::make_error_code(beast_http::error::bad_method).category() &&
+    aCode != beast_http::error::end_of_stream &&
+    aCode != beast_http::error::partial_message;
+  if (!malformed) {
+    Close();
+    return;
+  }
+  StartExchange();
+  mKeepAlive = false;
+  const auto kind = aCode == beast_http::error::body_limit
+                      ? core::ErrorKind::BodyTooLarge
+                      : core::ErrorKind::BadRequest;
+  OnAnswer(mLastExchange, core::Fail(kind, "HTTP: " + aCode.message()));
+}
+
+core::Expected<CallHead>
+ServerConnection::TakeHead()
+{
+  const auto& message = mParser->get();
+  if (message.version() != 11) {
+    return core::Fail(core::ErrorKind::BadRequest, "only HTTP/1.1 is accepted");
+  }
+  CallHead head;
+  head.mMethod = TextOf(message.method_string());
+  head.mTarget = TextOf(message.target());
+  mExchange->mIsHead = head.mMethod == "HEAD";
+  if (!IsTarget(head.mTarget) || !IsToken(head.mMethod)) {
+    return core::Fail(core::ErrorKind::BadRequest,
+                      "the request target must be a path");
+  }
+  head.mHeaders = EndToEnd(message);
+  if (const auto length = mParser->content_length()) {
+    head.mBodySize = *length;
+  } else if (!mParser->chunked()) {
+    head.mBodySize = 0;
+  }
+  return head;
+}
+
+void
+ServerConnection::StartCall(CallHead aHead)
+{
+  const std::uint64_t id = mExchange->mId;
+  mExchange->mToken = mListener->StartCall();
+  Call call;
+  call.mHead = std::move(aHead);
+  call.mCancellation = mExchange->mCancellation;
+  if (mParser->is_done()) {
+    call.mBody = WholeBody({});
+    mExchange->mBodyEnded = true;
+    WatchForClose();
+  } else {
+    call.mBody = std::make_shared<ServerBody>(weak_from_this(), id);
+    if (boost::beast::iequals(mParser->get()[beast_http::field::expect],
+                              "100-continue")) {
+      Continue();
+    } else {
+      ReadBody();
+    }
+  }
+  mListener->Handle(std::move(call), MakeAnswerHandler());
+}
+
+AnswerHandler
+ServerConnection::MakeAnswerHandler()
+{
+  return [self = shared_from_this(),
+          id = mExchange->mId,
+          token = mExchange->mToken](core::Expected<Answer> aAnswer) {
+    net::dispatch(self->mSocket.get_executor(),
+                  [self, id, answer = std::move(aAnswer)]() mutable {
+                    self->OnAnswer(id, std::move(answer));
+                  });
+  };
+}
+
+// The line is written before the handler runs, so that it cannot mix with the
+// answer. It fits into the empty send buffer of an idle connection.
+void
+ServerConnection::Continue()
+{
+  Code code;
+  net::write(mSocket, net::buffer(kContinue), code);
+  if (code) {
+    Close();
+    return;
+  }
+  ReadBody();
+}
+
+void
+ServerConnection::ReadBody()
+{
+  ServerExchange& exchange = *mExchange;
+  if (exchange.mReading || exchange.mBodyEnded || exchange.mReadyChunk) {
+    return;
+  }
+  exchange.mReading = true;
+  const auto length = mParser->content_length();
+  const bool whole = length && *length <= kChunkBytes;
+  exchange.mReadBuffer.resize(whole ? *length : kChunkBytes);
+  if (!whole) {
+    mBuffer.reserve(kChunkBytes);
+  }
+  auto& body = mParser->get().body();
+  body.data = exchange.mReadBuffer.data();
+  body.size = exchange.mReadBuffer.size();
+  Limit(mListener->Settings().mHeaderTimeout);
+  const auto done = [self = shared_from_this()](Code aCode, std::size_t) {
+    const std::size_t left = self->mParser->get().body().size;
+    self->OnBody(aCode, self->mExchange->mReadBuffer.size() - left);
+  };
+  if (whole) {
+    beast_http::async_read(mSocket, mBuffer, *mParser, done);
+  } else {
+    beast_http::async_read_some(mSocket, mBuffer, *mParser, done);
+  }
+}
+
+void
+ServerConnection::OnBody(Code aCode, std::size_t aBytes)
+{
+  ServerExchange& exchange = *mExchange;
+  exchange.mReading = false;
+  if (mDraining) {
+    Drain();
+    return;
+  }
+  mLimit = core::TimePoint::max();
+  if (aCode == beast_http::error::need_buffer) {
+    aCode = {};
+  }
+  if (aCode || mClosed) {
+    OnBodyFailed(aCode);
+    return;
+  }
+  const bool last = mParser->is_done();
+  if (aBytes == 0 && !last) {
+    ReadBody();
+    return;
+  }
+  exchange.mReadBuffer.resize(aBytes);
+  exchange.mReadyChunk = BodyChunk{ std::move(exchange.mReadBuffer), last };
+  exchange.mReadBuffer.clear();
+  exchange.mBodyEnded = last;
+  if (last && exchange.mAnswerWritten) {
+    EndCall();
+    return;
+  }
+  if (last) {
+    WatchForClose();
+  }
+  GiveChunk();
+}
+
+void
+ServerConnection::OnBodyFailed(Code aCode)
+{
+  const bool large = aCode == beast_http::error::body_limit;
+  mKeepAlive = false;
+  EndBody(core::MakeError(large ? core::ErrorKind::BodyTooLarge
+                                : core::ErrorKind::BodyIncomplete,
+                          "the body ended early: " + aCode.message()));
+  if (mClosed) {
+    mExchange.reset();
+  } else if (!large) {
+    Close();
+  }
+}
+
+void
+ServerConnection::EndBody(core::Error aError)
+{
+  if (mExchange->mBodyEnded) {
+    return;
+  }
+  mExchange->mBodyEnded = true;
+  mExchange->mReadyChunk = tl::make_unexpected(std::move(aError));
+  GiveChunk();
+}
+
+void
+ServerConnection::NextChunk(std::uint64_t aExchange, ChunkHandler aHandler)
+{
+  net::dispatch(mSocket.get_executor(),
+                [self = shared_from_this(),
+                 aExchange,
+                 handler = std::move(aHandler)]() mutable {
+                  if (!self->mExchange || self->mExchange->mId != aExchange) {
+                    handler(core::Fail(core::ErrorKind::BodyIncomplete,
+                                       "the call has ended"));
+                    return;
+                  }
+                  self->mExchange->mWantsChunk = std::move(handler);
+                  self->GiveChunk();
+                });
+}
+
+void
+ServerConnection::GiveChunk()
+{
+  ServerExchange& exchange = *mExchange;
+  if (!exchange.mWantsChunk || !exchange.mReadyChunk) {
+    return;
+  }
+  const ChunkHandler handler = std::exchange(exchange.mWantsChunk, {});
+  auto chunk = std::move(*exchange.mReadyChunk);
+  exchange.mReadyChunk.reset();
+  if (!mClosed) {
+    ReadBody();
+  }
+  handler(std::move(chunk));
+}
+
+// After the whole call was read, the socket becomes readable only when the
+// caller closes it or sends its next call early.
+void
+ServerConnection::WatchForClose()
+{
+  if (mWatching || mBuffer.size() > 0) {
+    return;
+  }
+  mWatching = true;
+  mSocket.async_wait(net::socket_base::wait_read,
+                     [self = shared_from_this()](Code aCode) {
+                       self->mWatching = false;
+                       if (!aCode && !self->mClosed) {
+                         self->OnReadable();
+                       }
+                     });
+}
+
+void
+ServerConnection::OnReadable()
+{
+  if (!mExchange || !mExchange->mBodyEnded) {
+    return;
+  }
+  char byte = 0;
+  Code code;
+  mSocket.receive(net::buffer(&byte, 1), net::socket_base::message_peek, code);
+  if (code == net::error::would_block) {
+    WatchForClose();
+  } else if (code) {
+    Close();
+  }
+}
+
+void
+ServerConnection::OnAnswer(std::uint64_t aExchange,
+                           core::Expected<Answer> aAnswer)
+{
+  if (mClosed || !mExchange || mExchange->mId != aExchange ||
+      mExchange->mWriter) {
+    return;
+  }
+  AnswerHooks hooks;
+  hooks.mMayKeepAlive = [this] { return MayKeepAlive(); };
+  hooks.mWriting = [this](bool aWriting) {
+    if (aWriting) {
+      Limit(mListener->Settings().mIdleTimeout);
+    } else {
+      mLimit = core::TimePoint::max();
+    }
+  };
+  hooks.mDone = [this](bool aComplete) { OnAnswerWritten(aComplete); };
+  mExchange->mWriter = std::make_shared<AnswerWriter>(
+    std::shared_ptr<net::ip::tcp::socket>(shared_from_this(), &mSocket),
+    mExchange->mIsHead,
+    std::move(hooks));
+  // Kept here too, since a failed write can end the exchange at once.
+  const auto writer = mExchange->mWriter;
+  writer->Start(std::move(aAnswer));
+}
+
+bool
+ServerConnection::BodyIsShort() const
+{
+  const auto length = mParser->content_length();
+  return length && *length <= kChunkBytes;
+}
+
+bool
+ServerConnection::MayKeepAlive() const
+{
+  return mKeepAlive && !mListener->IsStopping() &&
+         (mExchange->mBodyEnded || BodyIsShort());
+}
+
+void
+ServerConnection::OnAnswerWritten(bool aComplete)
+{
+  if (!aComplete) {
+    Close();
+    return;
+  }
+  mKeepAlive = mExchange->mWriter->KeepsAlive();
+  mExchange->mAnswerWritten = true;
+  mExchange->mToken.reset();
+  mExchange->mCancellation->Clear();
+  EndCall();
+}
+
+void
+ServerConnection::EndCall()
+{
+  if (!mKeepAlive) {
+    Linger();
+    return;
+  }
+  if (!mExchange->mBodyEnded) {
+    // The rest of a short body is on its way; OnBody() comes back here.
+    Limit(mListener->Settings().mHeaderTimeout);
+    return;
+  }
+  mExchange.reset();
+  ReadHead();
+}
+
+void
+ServerConnection::Linger()
+{
+  Code code;
+  mSocket.shutdown(net::ip::tcp::socket::shutdown_send, code);
+  if (code) {
+    Close();
+    return;
+  }
+  mDraining = true;
+  Limit(kLingerTime);
+  EndBody(
+    core::MakeError(core::ErrorKind::BodyIncomplete, "the call has ended"));
+  // A read in flight goes on with Drain() in OnBody().
+  if (!mExchange->mReading) {
+    Drain();
+  }
+}
+
+void
+ServerConnection::Drain()
+{
+  if (mClosed || mDrained > kLingerBytes) {
+    Close();
+    return;
+  }
+  mBuffer.clear();
+  mSocket.async_read_some(
+    mBuffer.prepare(kChunkBytes),
+    [self = shared_from_this()](Code aCode, std::size_t aBytes) {
+      if (aCode) {
+        self->Close();
+        return;
+      }
+      self->mDrained += aBytes;
+      self->Drain();
+    });
+}
+
+} // namespace nutmegrock::transport::http
--- /dev/null
+++ b/src/nutmegrock/transport/http/ServerConnection.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "transport/Call.h"
+#include "transport/http/ServerExchange.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <memory>
+#include <optional>
+
+namespace nutmegrock::transport::http {
+
+class ListenerState;
+
+/// One keep-alive connection of a caller; serves one call at a time. All work
+/// runs on the strand of its socket.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+{
+public:
+  ServerConnection(boost::asio::ip::tcp::socket aSocket,
+                   std::shared_ptr<ListenerState> aListener);
+
+  /// Reads calls, or answers too_many_connections and closes.
+  void Start(bool aRefuse);
+  /// Closes an idle connection; otherwise the answer in flight is the last.
+  void Stop();
+  void Close();
+  /// Next chunk of the body of a call.
+  void NextChunk(std::uint64_t aExchange, ChunkHandler aHandler);
+
+private:
+  using Code = boost::system::error_code;
+  using Parser =
+    boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+
+  void ReadHead();
+  void OnHead(Code aCode);
+  void RefuseHead(Code aCode);
+  /// The call of the parsed head, or why it is refused.
+  core::Expected<CallHead> TakeHead();
+  void Continue();
+  void StartCall(CallHead aHead);
+  AnswerHandler MakeAnswerHandler();
+
+  void StartExchange();
+  void ReadBody();
+  void OnBody(Code aCode, std::size_t aBytes);
+  void OnBodyFailed(Code aCode);
+  void EndBody(core::Error aError);
+  void GiveChunk();
+  void WatchForClose();
+  void OnReadable();
+
+  void OnAnswer(std::uint64_t aExchange, core::Expected<Answer> aAnswer);
+  bool MayKeepAlive() const;
+  /// Whether the rest of the body is read without the handler's help.
+  bool BodyIsShort() const;
+  void OnAnswerWritten(bool aComplete);
+  void EndCall();
+
+  void CancelCall();
+  /// Ends sending, then reads and drops what the caller still sends for a
+  /// short time, so that a reset does not destroy the answer on its way.
+  void Linger();
+  void Drain();
+
+  /// Closes the connection if the present step lasts longer than this.
+  void Limit(core::Duration aTime);
+  void Tick();
+
+  boost::asio::ip::tcp::socket mSocket;
+  const std::shared_ptr<ListenerState> mListener;
+  boost::asio::steady_timer mTimer;
+  const core::Duration mTick;
+  boost::beast::flat_buffer mBuffer;
+  std::optional<Parser> mParser;
+  std::unique_ptr<ServerExchange> mExchange;
+  std::uint64_t mLastExchange = 0;
+  core::TimePoint mLimit = core::TimePoint::max();
+  std::size_t mDrained = 0;
+  bool mHeadStarted = false;
+  bool mWatching = false;
+  bool mKeepAlive = true;
+  bool mDraining = false;
+  bool mClosed = false;
+};
+
+} // namespace nutmegrock::transport::http
--- /dev/null
+++ b/tests/transport/Loop.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "core/Time.h"
+#include "transport/Call.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace nutmegrock::tests {
+
+/// Longest wait for anything; far above what a busy machine needs.
+constexpr auto kLongest = std::chrono::seconds(60);
+
+/// An io_context run by some threads until the end of a test.
+class Loop
+{
+public:
+  explicit Loop(unsigned aThreads = 2)
+  {
+    for (unsigned i = 0; i < aThreads; ++i) {
+      mThreads.emplace_back([this] { mIo.run(); });
+    }
+  }
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+  ~Loop()
+  {
+    mIo.stop();
+    for (auto& thread : mThreads) {
+      thread.join();
+    }
+  }
+
+  boost::asio::io_context& Io() { return mIo; }
+
+private:
+  boost::asio::io_context mIo;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    mWork{ mIo.get_executor() };
+  std::vector<std::thread> mThreads;
+};
+
+/// A value that another thread sets and the test waits for.
+template<class T>
+class Awaited
+{
+public:
+  void Set(T aValue)
+  {
+    const std::lock_guard lock(mMutex);
+    ++mTimes;
+    mValue.emplace(std::move(aValue));
+    mChanged.notify_all();
+  }
+  /// The value, or nothing after kLongest.
+  std::optional<T> Get()
+  {
+    std::unique_lock lock(mMutex);
+    mChanged.wait_for(lock, kLongest, [this] { return mValue.has_value(); });
+    return std::exchange(mValue, std::nullopt);
+  }
+  int Times()
+  {
+    const std::lock_guard lock(mMutex);
+    return mTimes;
+  }
+
+private:
+  std::mutex mMutex;
+  std::condition_variable mChanged;
+  std::optional<T> mValue;
+  int mTimes = 0;
+};
+
+/// Waits until a condition holds; false after kLongest.
+inline bool
+WaitUntil(const std::function<bool()>& aCondition)
+{
+  const auto end = std::chrono::steady_clock::now() + kLongest;
+  while (!aCondition()) {
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return true;
+}
+
+inline core::TimePoint
+FarDeadline()
+{
+  return core::Clock::now() + kLongest;
+}
+
+} // namespace nutmegrock::tests
