--- a/src/nutmegrock/membership/Codec.h
+++ b/src/nutmegrock/membership/Codec.h
@@ -1,13 +1,12 @@
 #pragma once
 
 #include "core/Error.h"
-#include "membership/MemberTable.h"
 #include "membership/Message.h"
+#include "membership/TablePage.h"
 
 #include <cstddef>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace nutmegrock::membership {
 
@@ -30,21 +29,6 @@
 core::Expected<Message>
 Decode(std::string_view aBytes);
 
-/// Argument of "members.pull".
-struct TablePull
-{
-  /// Digests of the asking node; empty asks for everything.
-  std::vector<std::uint64_t> mDigests;
-  std::size_t mBucket = 0;
-};
-
-/// Result of "members.pull".
-struct TablePage
-{
-  std::vector<Change> mChanges;
-  std::size_t mNextBucket = MemberTable::kBuckets;
-};
-
 std::string
 Encode(const TablePull& aPull);
 std::string
--- a/src/nutmegrock/membership/Member.h
+++ b/src/nutmegrock/membership/Member.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Address.h"
+#include "core/Error.h"
 #include "core/Incarnation.h"
 
 #include <cstdint>
@@ -51,6 +52,11 @@
   /// serving, or started when it does not serve yet.
   std::int64_t mJoinedMs = 0;
 
+  /// Whether a node may start with this record. Fails with InvalidSettings when
+  /// the incarnation is not set or a name is empty, longer than kMaxName or
+  /// contains '/', which separates the parts of a seed row's key.
+  core::Expected<bool> Check() const;
+
   bool operator==(const Member&) const = default;
 };
 
--- /dev/null
+++ b/src/nutmegrock/membership/MemberTable.cpp
@@ -0,0 +1,352 @@
+#include "membership/MemberTable.h"
+
+#include "core/Hash.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace nutmegrock::membership {
+
+namespace {
+
+std::uint64_t
+HashOfAddress(const core::Address& aAddress)
+{
+  return core::HashOf(aAddress.mIp, aAddress.mPort);
+}
+
+/// Suspicion is left out of the digest: it passes quickly and would make tables
+/// differ all the time.
+std::uint64_t
+DigestOf(const MemberTable::Entry& aEntry)
+{
+  std::array<std::uint64_t, 3> parts = { aEntry.mMember->mIncarnation.mBits,
+                                         0,
+                                         0 };
+  if (!aEntry.HasLeft()) {
+    const bool dead = aEntry.mLiveness == Liveness::Dead;
+    parts[1] = aEntry.mMember->mVersion;
+    parts[2] = aEntry.mRefutation * 2 + (dead ? 1 : 0) + 1;
+  }
+  return core::HashOf(
+    { reinterpret_cast<const char*>(parts.data()), sizeof(parts) });
+}
+
+} // namespace
+
+MemberTable::MemberTable(Member aOwn, const MembershipSettings& aSettings)
+  : mDeadRetention(aSettings.mDeadRetention)
+  , mLeftRetention(aSettings.mLeftRetention)
+  , mTombstoneRetention(aSettings.mTombstoneRetention)
+{
+  Entry entry;
+  entry.mMember = std::make_shared<const Member>(std::move(aOwn));
+  const core::Incarnation own = entry.mMember->mIncarnation;
+  mOwn = &mEntries.emplace(own.mBits, std::move(entry)).first->second;
+  mDigests.at(BucketOf(own)) ^= DigestOf(*mOwn);
+}
+
+void
+MemberTable::SetOwn(MemberPtr aMember)
+{
+  std::uint64_t& digest = mDigests.at(BucketOf(aMember->mIncarnation));
+  digest ^= DigestOf(*mOwn);
+  mOwn->mMember = std::move(aMember);
+  digest ^= DigestOf(*mOwn);
+}
+
+void
+MemberTable::Refute(std::uint64_t aRefutation)
+{
+  std::uint64_t& digest = mDigests.at(BucketOf(mOwn->mMember->mIncarnation));
+  digest ^= DigestOf(*mOwn);
+  mOwn->mRefutation = std::max(mOwn->mRefutation, aRefutation + 1);
+  digest ^= DigestOf(*mOwn);
+}
+
+MergeResult
+MemberTable::Merge(core::TimePoint aNow, const Change& aChange)
+{
+  const Member& record = *aChange.mMember;
+  const auto found = mEntries.find(record.mIncarnation.mBits);
+  if (found == mEntries.end()) {
+    return IsBuried(aChange) ? MergeResult{} : Insert(aNow, aChange);
+  }
+  Entry& entry = found->second;
+  MergeResult result;
+  if (&entry == mOwn) {
+    return result;
+  }
+  const bool wasPresent = entry.IsPresent();
+  const bool hadLeft = entry.HasLeft();
+  std::uint64_t& digest = mDigests.at(BucketOf(record.mIncarnation));
+  digest ^= DigestOf(entry);
+  // A run of a node keeps its address, so a record with another one is not its.
+  const bool newer = record.mVersion > entry.mMember->mVersion &&
+                     !entry.HasLeft() &&
+                     record.mAddress == entry.mMember->mAddress;
+  if (newer) {
+    entry.mMember = aChange.mMember;
+  }
+  const bool livenessChanged = MergeLiveness(aNow, aChange, entry);
+  digest ^= DigestOf(entry);
+  const bool isPresent = entry.IsPresent();
+  if (hadLeft != entry.HasLeft()) {
+    entry.mGoneSince = aNow - aChange.mAge;
+  }
+  if (wasPresent != isPresent || hadLeft != entry.HasLeft()) {
+    Unindex(entry);
+    Index(entry);
+  }
+  result.mChanged = newer || livenessChanged;
+  result.mViewChanged = wasPresent != isPresent || (newer && isPresent);
+  result.mAppeared = isPresent && !wasPresent;
+  return result;
+}
+
+bool
+MemberTable::MergeLiveness(core::TimePoint aNow,
+                           const Change& aChange,
+                           Entry& aEntry)
+{
+  const auto known = std::pair(aEntry.mRefutation, aEntry.mLiveness);
+  const auto told = std::pair(aChange.mRefutation, aChange.mLiveness);
+  if (told == known && aChange.mLiveness == Liveness::Suspect) {
+    aEntry.mAccuser = aChange.mAccuser;
+  }
+  if (told <= known) {
+    return false;
+  }
+  if (aChange.mLiveness == Liveness::Dead) {
+    aEntry.mGoneSince = aNow - aChange.mAge;
+  }
+  aEntry.mRefutation = aChange.mRefutation;
+  aEntry.mLiveness = aChange.mLiveness;
+  aEntry.mAccuser = aChange.mAccuser;
+  return true;
+}
+
+MergeResult
+MemberTable::Insert(core::TimePoint aNow, const Change& aChange)
+{
+  MergeResult result;
+  const Member& record = *aChange.mMember;
+  Entry entry;
+  entry.mMember = aChange.mMember;
+  entry.mRefutation = aChange.mRefutation;
+  entry.mLiveness = aChange.mLiveness;
+  entry.mAccuser = aChange.mAccuser;
+  entry.mGoneSince = aNow - aChange.mAge;
+  if (!entry.IsPresent()) {
+    const auto retention = entry.HasLeft() ? mLeftRetention : mDeadRetention;
+    if (aChange.mAge >= retention) {
+      return result;
+    }
+  } else if (const auto holder = HolderOf(record.mAddress); holder.IsKnown()) {
+    // The run that joined last holds the address. A clock that is wrong is
+    // corrected by the next probe, which shows who answers there.
+    const Entry& other = *Find(holder);
+    if (&other == mOwn || other.mMember->mJoinedMs > record.mJoinedMs) {
+      entry.mLiveness = Liveness::Dead;
+    } else {
+      result.mReplaced = holder;
+      Merge(aNow, { other.mMember, Liveness::Dead, other.mRefutation, {}, {} });
+    }
+  }
+  const auto placed = mEntries.emplace(record.mIncarnation.mBits, entry);
+  Entry& stored = placed.first->second;
+  mDigests.at(BucketOf(record.mIncarnation)) ^= DigestOf(stored);
+  Index(stored);
+  result.mChanged = true;
+  result.mAppeared = stored.IsPresent();
+  result.mViewChanged = result.mAppeared || result.mReplaced.IsKnown();
+  return result;
+}
+
+bool
+MemberTable::IsBuried(const Change& aChange)
+{
+  const auto found = mTombstones.find(aChange.mMember->mIncarnation.mBits);
+  if (found == mTombstones.end()) {
+    return false;
+  }
+  // Only the member itself raises its refutation counter, so a higher one
+  // shows that it is alive after all.
+  const bool returned = !found->second.mLeft && aChange.IsPresent() &&
+                        aChange.mRefutation > found->second.mRefutation;
+  if (returned) {
+    mTombstones.erase(found);
+  }
+  return !returned;
+}
+
+std::vector<MemberPtr>
+MemberTable::Expire(core::TimePoint aNow)
+{
+  std::erase_if(mTombstones,
+                [&](const auto& aItem) { return aItem.second.mUntil <= aNow; });
+  std::vector<MemberPtr> dead;
+  for (auto next = mEntries.begin(); next != mEntries.end();) {
+    Entry& entry = next->second;
+    const auto retention = entry.HasLeft() ? mLeftRetention : mDeadRetention;
+    if (&entry == mOwn || entry.IsPresent() ||
+        aNow - entry.mGoneSince < retention) {
+      ++next;
+      continue;
+    }
+    if (!entry.HasLeft()) {
+      dead.push_back(entry.mMember);
+    }
+    mTombstones[next->first] = { aNow + mTombstoneRetention,
+                                 entry.mRefutation,
+                                 entry.HasLeft() };
+    mDigests.at(BucketOf(entry.mMember->mIncarnation)) ^= DigestOf(entry);
+    Unindex(entry);
+    next = mEntries.erase(next);
+  }
+  return dead;
+}
+
+const MemberTable::Entry*
+MemberTable::Find(core::Incarnation aIncarnation) const
+{
+  const auto found = mEntries.find(aIncarnation.mBits);
+  return found == mEntries.end() ? nullptr : &found->second;
+}
+
+Change
+MemberTable::ChangeOf(core::TimePoint aNow, const Entry& aEntry)
+{
+  Change change{ aEntry.mMember, aEntry.mLiveness, aEntry.mRefutation, {}, {} };
+  if (!aEntry.IsPresent()) {
+    change.mAge = std::max(core::Duration{ 0 }, aNow - aEntry.mGoneSince);
+  }
+  if (aEntry.mLiveness == Liveness::Suspect) {
+    change.mAccuser = aEntry.mAccuser;
+  }
+  return change;
+}
+
+Change
+MemberTable::AccusationOf(core::TimePoint aNow,
+                          core::Incarnation aIncarnation) const
+{
+  if (const Entry* entry = Find(aIncarnation)) {
+    const bool accused =
+      entry->mLiveness != Liveness::Alive && !entry->HasLeft();
+    return accused ? ChangeOf(aNow, *entry) : Change{};
+  }
+  const auto buried = mTombstones.find(aIncarnation.mBits);
+  if (buried == mTombstones.end() || buried->second.mLeft) {
+    return {};
+  }
+  // The record is gone; the accused needs only its identity and the counter.
+  Member member;
+  member.mIncarnation = aIncarnation;
+  member.mAddress = mOwn->mMember->mAddress;
+  return { std::make_shared<const Member>(std::move(member)),
+           Liveness::Dead,
+           buried->second.mRefutation,
+           {},
+           {} };
+}
+
+bool
+MemberTable::IsForgottenLeaver(core::Incarnation aIncarnation) const
+{
+  const auto buried = mTombstones.find(aIncarnation.mBits);
+  return buried != mTombstones.end() && buried->second.mLeft;
+}
+
+std::vector<const MemberTable::Entry*>
+MemberTable::PickPresent(
+  Random& aRandom,
+  std::size_t aCount,
+  const std::function<bool(const Entry&)>& aAccepts) const
+{
+  // Below this size the list is shuffled; above it, members are drawn.
+  constexpr std::size_t kFew = 64;
+  std::vector<const Entry*> picked;
+  const auto take = [&](core::Incarnation aIncarnation) {
+    const Entry* entry = Find(aIncarnation);
+    if (aAccepts(*entry) &&
+        std::find(picked.begin(), picked.end(), entry) == picked.end()) {
+      picked.push_back(entry);
+    }
+  };
+  if (mPresent.size() <= kFew) {
+    std::vector<core::Incarnation> all = mPresent;
+    std::shuffle(all.begin(), all.end(), aRandom);
+    for (std::size_t i = 0; i < all.size() && picked.size() < aCount; ++i) {
+      take(all[i]);
+    }
+    return picked;
+  }
+  for (std::size_t i = 0; i < 8 * aCount && picked.size() < aCount; ++i) {
+    take(mPresent[aRandom.Below(mPresent.size())]);
+  }
+  return picked;
+}
+
+void
+MemberTable::ForEach(const std::function<void(const Entry&)>& aVisit) const
+{
+  for (const auto& item : mEntries) {
+    aVisit(item.second);
+  }
+}
+
+core::Incarnation
+MemberTable::HolderOf(const core::Address& aAddress) const
+{
+  if (mOwn->mMember->mAddress == aAddress) {
+    return mOwn->mMember->mIncarnation;
+  }
+  const auto found = mHolders.find(HashOfAddress(aAddress));
+  if (found == mHolders.end()) {
+    return {};
+  }
+  const Entry* entry = Find(found->second);
+  const bool holds = entry != nullptr && entry->IsPresent() &&
+                     entry->mMember->mAddress == aAddress;
+  return holds ? found->second : core::Incarnation{};
+}
+
+void
+MemberTable::Index(Entry& aEntry)
+{
+  if (aEntry.HasLeft()) {
+    return;
+  }
+  const core::Incarnation incarnation = aEntry.mMember->mIncarnation;
+  auto& list = aEntry.IsPresent() ? mPresent : mDead;
+  aEntry.mIndex = static_cast<std::uint32_t>(list.size());
+  list.push_back(incarnation);
+  if (aEntry.IsPresent()) {
+    mHolders[HashOfAddress(aEntry.mMember->mAddress)] = incarnation;
+  }
+}
+
+void
+MemberTable::Unindex(Entry& aEntry)
+{
+  constexpr auto kNone = std::numeric_limits<std::uint32_t>::max();
+  const core::Incarnation incarnation = aEntry.mMember->mIncarnation;
+  for (auto* list : { &mPresent, &mDead }) {
+    if (aEntry.mIndex != kNone && aEntry.mIndex < list->size() &&
+        (*list)[aEntry.mIndex] == incarnation) {
+      (*list)[aEntry.mIndex] = list->back();
+      mEntries.at(list->back().mBits).mIndex = aEntry.mIndex;
+      list->pop_back();
+      break;
+    }
+  }
+  aEntry.mIndex = kNone;
+  const auto held = mHolders.find(HashOfAddress(aEntry.mMember->mAddress));
+  if (held != mHolders.end() && held->second == incarnation) {
+    mHolders.erase(held);
+  }
+}
+
+} // namespace nutmegrock::membership
--- a/src/nutmegrock/membership/MemberTable.h
+++ b/src/nutmegrock/membership/MemberTable.h
@@ -61,6 +61,8 @@
   };
 
   MemberTable(Member aOwn, const MembershipSettings& aSettings);
+  MemberTable(const MemberTable&) = delete;
+  MemberTable& operator=(const MemberTable&) = delete;
 
   /// Entry of the own node; always alive.
   const Entry& Own() const { return *mOwn; }
@@ -87,6 +89,9 @@
   /// Whether the member was dropped after it had left.
   bool IsForgottenLeaver(core::Incarnation aIncarnation) const;
 
+  /// The present member at an address, the own node included; unknown when
+  /// there is none.
+  core::Incarnation HolderOf(const core::Address& aAddress) const;
   /// Other members that are present, in no order.
   const std::vector<core::Incarnation>& Present() const { return mPresent; }
   /// Other members found dead and not yet dropped, in no order.
@@ -121,7 +126,6 @@
                      const Change& aChange,
                      Entry& aEntry);
   bool IsBuried(const Change& aChange);
-  core::Incarnation HolderOf(const core::Address& aAddress) const;
   void Index(Entry& aEntry);
   void Unindex(Entry& aEntry);
 
--- a/src/nutmegrock/membership/MemberView.h
+++ b/src/nutmegrock/membership/MemberView.h
@@ -10,6 +10,8 @@
 
 namespace nutmegrock::membership {
 
+class MemberTable;
+
 /// Immutable snapshot of the members that are neither dead nor left, the own
 /// node included. Suspected members are in it: routing decides by its own
 /// observations whether to use them.
@@ -23,6 +25,10 @@
   /// state but Left.
   std::map<std::string, std::vector<MemberPtr>, std::less<>> mByService;
 
+  /// The snapshot of a table.
+  static std::shared_ptr<const MemberView> Of(const MemberTable& aTable,
+                                              std::uint64_t aNumber);
+
   /// Count of alive members, the own node included.
   std::size_t Alive() const { return mMembers.size(); }
   /// The members of a service; empty when there is none.
--- /dev/null
+++ b/src/nutmegrock/membership/Membership.cpp
@@ -0,0 +1,538 @@
+#include "membership/Membership.h"
+
+#include "membership/Codec.h"
+#include "membership/SeedRowDuty.h"
+#include "membership/TablePage.h"
+
+#include <algorithm>
+#include <memory>
+#include <spdlog/fmt/fmt.h>
+#include <utility>
+
+namespace nutmegrock::membership {
+
+namespace {
+
+/// Members told of a new profile version, as the design page states.
+constexpr std::size_t kNotified = 4;
+
+/// Members told directly by each call of Leave(). With the calls of the service
+/// a leaving node reaches 24 members without relying on a single datagram.
+constexpr std::size_t kToldOfLeave = 8;
+
+/// Seeds pinged at a time.
+constexpr std::size_t kSeedsAtOnce = 4;
+
+/// Pause between pings of one seed once other members are known. It joins
+/// meshes that formed while the seeds could not be reached.
+constexpr core::Duration kKnownSeedInterval = std::chrono::seconds(30);
+
+/// Pause between looks for members to drop, each of which visits all entries.
+constexpr core::Duration kExpiryInterval = std::chrono::seconds(10);
+
+/// Changes of one table comparison that are passed on as gossip too. Beyond
+/// them, as at join and after a long partition, the others' own comparisons are
+/// cheaper.
+constexpr std::size_t kPassedOn = 64;
+
+} // namespace
+
+Membership::Membership(MembershipSettings aSettings,
+                       Member aOwn,
+                       std::function<std::uint64_t()> aOwnVersion,
+                       std::uint64_t aSeed)
+  : mSettings(aSettings)
+  , mRandom(aSeed)
+  , mTable(std::move(aOwn), mSettings)
+  , mProber(mSettings)
+  , mSuspicions(mSettings)
+  , mSync(mSettings)
+  , mOutbox(mTable, mGossip, std::move(aOwnVersion))
+{
+  mGossip.Add(Own()->mIncarnation);
+}
+
+void
+Membership::AddSeeds(const std::vector<core::Address>& aSeeds)
+{
+  for (const core::Address& seed : aSeeds) {
+    if (seed != Own()->mAddress &&
+        std::find(mSeeds.begin(), mSeeds.end(), seed) == mSeeds.end()) {
+      mSeeds.push_back(seed);
+    }
+  }
+}
+
+Actions
+Membership::Contact(core::TimePoint aNow,
+                    const std::vector<core::Address>& aAddresses)
+{
+  Actions actions;
+  for (const core::Address& address : aAddresses) {
+    if (!mTable.HolderOf(address).IsKnown()) {
+      mOutbox.SendPing(aNow, actions, address, {}, Outbox::kNoSequence);
+    }
+  }
+  return actions;
+}
+
+Actions
+Membership::Handle(core::TimePoint aNow,
+                   const core::Address& aFrom,
+                   const Message& aMessage)
+{
+  Actions actions;
+  if (!aMessage.mSender.IsKnown() || aMessage.mSender == Own()->mIncarnation) {
+    return actions;
+  }
+  if (aMessage.mProfileVersion > mOutbox.OwnVersion()) {
+    actions.mNewerVersions.push_back({ aFrom, aMessage.mProfileVersion });
+  }
+  for (const Change& change : aMessage.mChanges) {
+    Merge(aNow, change, true, actions);
+  }
+  NoteSender(aNow, aFrom, aMessage, actions);
+  switch (aMessage.mKind) {
+    case MessageKind::Ping:
+      HandlePing(aNow, aFrom, aMessage, actions);
+      break;
+    case MessageKind::PingRequest:
+      Apply(aNow, mProber.Help(aNow, aFrom, aMessage), actions);
+      break;
+    case MessageKind::Ack:
+      HandleAck(aNow, aFrom, aMessage, actions);
+      break;
+    case MessageKind::Update:
+    case MessageKind::VersionNotice:
+      break;
+  }
+  return actions;
+}
+
+void
+Membership::NoteSender(core::TimePoint aNow,
+                       const core::Address& aFrom,
+                       const Message& aMessage,
+                       Actions& aActions)
+{
+  const bool isAck = aMessage.mKind == MessageKind::Ack;
+  const MemberTable::Entry* entry = mTable.Find(aMessage.mSender);
+  if (entry == nullptr) {
+    // An unknown node that answers is a seed or part of another mesh.
+    if (isAck && !aMessage.mNegative && mSync.MayStart(aNow) &&
+        !mTable.IsForgottenLeaver(aMessage.mSender)) {
+      RequestPage(mSync.Start(aNow, aFrom, aMessage.mSender), aActions);
+    }
+    return;
+  }
+  if (aMessage.mRefutation > entry->mRefutation) {
+    const Change alive{
+      entry->mMember, Liveness::Alive, aMessage.mRefutation, {}, {}
+    };
+    Merge(aNow, alive, true, aActions);
+  }
+  // A late ack shows that the suspect works; it is told, so that it refutes.
+  // Acks of such pings carry no sequence, which keeps this from repeating.
+  if (isAck && aMessage.mSequence != Outbox::kNoSequence &&
+      mTable.AccusationOf(aNow, aMessage.mSender).mMember) {
+    mOutbox.SendPing(
+      aNow, aActions, aFrom, aMessage.mSender, Outbox::kNoSequence);
+  }
+}
+
+void
+Membership::HandlePing(core::TimePoint aNow,
+                       const core::Address& aFrom,
+                       const Message& aMessage,
+                       Actions& aActions)
+{
+  Message ack = mOutbox.Make(MessageKind::Ack);
+  ack.mSequence = aMessage.mSequence;
+  ack.mTarget = Own()->mIncarnation;
+  const MemberTable::Entry* sender = mTable.Find(aMessage.mSender);
+  ack.mWantsRecord = sender == nullptr
+                       ? !mTable.IsForgottenLeaver(aMessage.mSender)
+                       : sender->mMember->mVersion < aMessage.mRecordVersion;
+  if (Change accusation = mTable.AccusationOf(aNow, aMessage.mSender);
+      accusation.mMember) {
+    ack.mChanges.push_back(std::move(accusation));
+  }
+  mOutbox.Send(aNow, aActions, aFrom, std::move(ack));
+}
+
+void
+Membership::HandleAck(core::TimePoint aNow,
+                      const core::Address& aFrom,
+                      const Message& aMessage,
+                      Actions& aActions)
+{
+  if (aMessage.mWantsRecord) {
+    mOutbox.SendOwnRecord(aNow, aActions, aFrom);
+  }
+  Apply(aNow, mProber.HandleAck(aMessage), aActions);
+}
+
+void
+Membership::Merge(core::TimePoint aNow,
+                  const Change& aChange,
+                  bool aPassOn,
+                  Actions& aActions)
+{
+  const core::Incarnation incarnation = aChange.mMember->mIncarnation;
+  if (incarnation == Own()->mIncarnation) {
+    RefuteIfAccused(aChange);
+    return;
+  }
+  const MergeResult result = mTable.Merge(aNow, aChange);
+  bool passOn = result.mChanged;
+  if (result.mAppeared) {
+    mProber.Insert(incarnation, mRandom);
+  }
+  if (result.mReplaced.IsKnown()) {
+    mSuspicions.Clear(result.mReplaced);
+    mGossip.Add(result.mReplaced);
+  }
+  const MemberTable::Entry* entry = mTable.Find(incarnation);
+  if (entry == nullptr || entry->mLiveness != Liveness::Suspect ||
+      entry->HasLeft()) {
+    mSuspicions.Clear(incarnation);
+  } else if (aChange.mLiveness == Liveness::Suspect &&
+             aChange.mRefutation == entry->mRefutation &&
+             mSuspicions.Accuse(
+               incarnation, aChange.mAccuser, aChange.mRefutation)) {
+    passOn = true;
+  }
+  if (passOn && aPassOn) {
+    mGossip.Add(incarnation);
+  }
+  if (result.mViewChanged) {
+    aActions.mViewChanged = true;
+    mView.reset();
+  }
+}
+
+void
+Membership::RefuteIfAccused(const Change& aChange)
+{
+  const MemberTable::Entry& own = mTable.Own();
+  if (aChange.mLiveness == Liveness::Alive ||
+      aChange.mRefutation < own.mRefutation || own.HasLeft()) {
+    return;
+  }
+  mTable.Refute(aChange.mRefutation);
+  mGossip.Add(own.mMember->mIncarnation);
+  mProber.Worsen();
+  ++mCounts.mRefuted;
+}
+
+void
+Membership::DeclareDead(core::TimePoint aNow,
+                        core::Incarnation aIncarnation,
+                        Actions& aActions)
+{
+  const MemberTable::Entry* entry = mTable.Find(aIncarnation);
+  if (entry == nullptr || !entry->IsPresent()) {
+    return;
+  }
+  ++mCounts.mDeclaredDead;
+  const Change dead{
+    entry->mMember, Liveness::Dead, entry->mRefutation, {}, {}
+  };
+  Merge(aNow, dead, true, aActions);
+}
+
+void
+Membership::Suspect(core::TimePoint aNow,
+                    core::Incarnation aIncarnation,
+                    Actions& aActions)
+{
+  const MemberTable::Entry* entry = mTable.Find(aIncarnation);
+  // An isolated node's failed probes say nothing about the others.
+  if (entry == nullptr || !entry->IsPresent() || mProber.IsIsolated()) {
+    return;
+  }
+  ++mCounts.mSuspected;
+  const Change suspect{ entry->mMember,
+                        Liveness::Suspect,
+                        entry->mRefutation,
+                        {},
+                        Own()->mIncarnation };
+  Merge(aNow, suspect, true, aActions);
+}
+
+void
+Membership::Apply(core::TimePoint aNow,
+                  const ProbeSteps& aSteps,
+                  Actions& aActions)
+{
+  if (aSteps.mFailed.IsKnown()) {
+    Suspect(aNow, aSteps.mFailed, aActions);
+  }
+  if (aSteps.mReplaced.IsKnown()) {
+    DeclareDead(aNow, aSteps.mReplaced, aActions);
+  }
+  for (const auto& ping : aSteps.mPings) {
+    mOutbox.SendPing(aNow, aActions, ping.mTo, ping.mTarget, ping.mSequence);
+  }
+  for (const auto& request : aSteps.mRequests) {
+    Message message = mOutbox.Make(MessageKind::PingRequest);
+    message.mTarget = request.mTarget;
+    message.mTargetAddress = request.mTargetAddress;
+    message.mSequence = request.mSequence;
+    mOutbox.Send(aNow, aActions, request.mHelper, std::move(message));
+  }
+  for (const auto& relay : aSteps.mRelays) {
+    Message message = mOutbox.Make(MessageKind::Ack);
+    message.mTarget = relay.mTarget;
+    message.mSequence = relay.mSequence;
+    message.mNegative = relay.mNegative;
+    mOutbox.Send(aNow, aActions, relay.mTo, std::move(message));
+  }
+}
+
+Actions
+Membership::Tick(core::TimePoint aNow)
+{
+  Actions actions;
+  if (Own()->mState == MemberState::Left) {
+    return actions;
+  }
+  TickSuspicions(aNow, actions);
+  Apply(aNow, mProber.Tick(aNow, mTable, mRandom), actions);
+  TickSeeds(aNow, actions);
+  TickSync(aNow, actions);
+  TickTable(aNow, actions);
+  return actions;
+}
+
+void
+Membership::TickSuspicions(core::TimePoint aNow, Actions& aActions)
+{
+  if (mLastTick == core::TimePoint{}) {
+    mLastTick = aNow;
+  }
+  core::Duration elapsed = aNow - std::exchange(mLastTick, aNow);
+  if (elapsed > mSettings.mPeriod) {
+    // This process was paused: the answers to its probe and the refutations of
+    // suspects came in meanwhile and were not read.
+    mProber.SkipProbe();
+    mProber.Worsen();
+    elapsed = core::Duration{ 0 };
+  }
+  if (mProber.IsIsolated()) {
+    mSuspicions.Restart();
+    return;
+  }
+  const std::size_t members = mTable.Present().size() + 1;
+  for (const auto suspect : mSuspicions.Advance(elapsed, members)) {
+    DeclareDead(aNow, suspect, aActions);
+  }
+}
+
+void
+Membership::TickSeeds(core::TimePoint aNow, Actions& aActions)
+{
+  if (aNow < mNextSeeds || mSeeds.empty()) {
+    return;
+  }
+  const bool alone = mTable.Present().empty();
+  mNextSeeds =
+    aNow + (alone ? mSettings.mSeedInterval : Jittered(kKnownSeedInterval));
+  std::shuffle(mSeeds.begin(), mSeeds.end(), mRandom);
+  const std::size_t count =
+    std::min(mSeeds.size(), alone ? kSeedsAtOnce : std::size_t{ 1 });
+  for (std::size_t i = 0; i < count; ++i) {
+    if (!mTable.HolderOf(mSeeds[i]).IsKnown()) {
+      mOutbox.SendPing(aNow, aActions, mSeeds[i], {}, Outbox::kNoSequence);
+    }
+  }
+}
+
+void
+Membership::TickSync(core::TimePoint aNow, Actions& aActions)
+{
+  mSync.Expire(aNow, mRandom);
+  if (!mSync.IsDue(aNow)) {
+    return;
+  }
+  const auto peers =
+    mTable.PickPresent(mRandom, 1, [](const MemberTable::Entry& aEntry) {
+      return aEntry.mLiveness == Liveness::Alive;
+    });
+  if (!peers.empty()) {
+    const Member& peer = *peers.front()->mMember;
+    RequestPage(mSync.Start(aNow, peer.mAddress, peer.mIncarnation), aActions);
+  }
+}
+
+void
+Membership::TickTable(core::TimePoint aNow, Actions& aActions)
+{
+  const auto& dead = mTable.Dead();
+  if (aNow >= mNextDeadProbe) {
+    mNextDeadProbe = aNow + Jittered(mSettings.mDeadProbeInterval);
+    if (!dead.empty()) {
+      const MemberTable::Entry& entry =
+        *mTable.Find(dead[mRandom.Below(dead.size())]);
+      mOutbox.SendPing(aNow,
+                       aActions,
+                       entry.mMember->mAddress,
+                       entry.mMember->mIncarnation,
+                       Outbox::kNoSequence);
+    }
+  }
+  if (aNow < mNextExpiry) {
+    return;
+  }
+  mNextExpiry = aNow + kExpiryInterval;
+  for (MemberPtr& member : mTable.Expire(aNow)) {
+    if (!mProber.IsIsolated() && RemovesSeedRowOf(mTable, *member)) {
+      aActions.mRowsToRemove.push_back(std::move(member));
+    }
+  }
+}
+
+void
+Membership::RequestPage(const Sync::Run& aRun, Actions& aActions)
+{
+  TablePull pull;
+  pull.mBucket = aRun.mBucket;
+  if (!mTable.Present().empty()) {
+    const auto& digests = mTable.BucketDigests();
+    pull.mDigests.assign(digests.begin(), digests.end());
+  }
+  aActions.mRequests.push_back({ aRun.mId,
+                                 aRun.mPeer,
+                                 aRun.mTarget,
+                                 std::string(kPullMethod),
+                                 Encode(pull) });
+}
+
+core::Expected<std::string>
+Membership::HandleControl(core::TimePoint aNow,
+                          std::string_view aMethod,
+                          std::string_view aArgument)
+{
+  if (aMethod != kPullMethod) {
+    return core::Fail(core::ErrorKind::NotFound,
+                      fmt::format("no control method \"{}\"", aMethod));
+  }
+  const auto pull = DecodePull(aArgument);
+  if (!pull) {
+    return tl::make_unexpected(pull.error());
+  }
+  return Encode(PageOf(aNow, mTable, *pull));
+}
+
+Actions
+Membership::HandleAnswer(core::TimePoint aNow,
+                         std::uint64_t aId,
+                         const core::Expected<std::string>& aAnswer)
+{
+  Actions actions;
+  if (!mSync.Current() || mSync.Current()->mId != aId) {
+    return actions;
+  }
+  const auto page =
+    aAnswer ? DecodePage(*aAnswer)
+            : core::Expected<TablePage>(tl::make_unexpected(aAnswer.error()));
+  if (!page) {
+    mSync.Abort(aNow, mRandom);
+    return actions;
+  }
+  const bool passOn =
+    mSync.HasCompleted() &&
+    mSync.Current()->mChanges + page->mChanges.size() <= kPassedOn;
+  for (const Change& change : page->mChanges) {
+    Merge(aNow, change, passOn, actions);
+  }
+  if (const Sync::Run* run = mSync.Continue(aNow,
+                                            page->mNextBucket,
+                                            aAnswer->size(),
+                                            page->mChanges.size(),
+                                            mRandom)) {
+    RequestPage(*run, actions);
+  }
+  return actions;
+}
+
+void
+Membership::Publish(const OwnState& aState)
+{
+  Member member = *Own();
+  member.mState = aState.mState;
+  member.mSlots = aState.mSlots;
+  member.mConnections = aState.mConnections;
+  member.mJoinedMs = aState.mJoinedMs;
+  if (member == *Own()) {
+    return;
+  }
+  ++member.mVersion;
+  mTable.SetOwn(std::make_shared<const Member>(std::move(member)));
+  mGossip.Add(Own()->mIncarnation);
+  mView.reset();
+}
+
+Actions
+Membership::SetOwnState(core::TimePoint /*aNow*/, const OwnState& aState)
+{
+  Actions actions;
+  const std::uint64_t before = Own()->mVersion;
+  if (Own()->mState != MemberState::Left) {
+    Publish(aState);
+  }
+  actions.mViewChanged = Own()->mVersion != before;
+  return actions;
+}
+
+Actions
+Membership::Leave(core::TimePoint aNow)
+{
+  Actions actions = SetOwnState(aNow,
+                                { MemberState::Left,
+                                  Own()->mSlots,
+                                  Own()->mConnections,
+                                  Own()->mJoinedMs });
+  const auto told = mTable.PickPresent(
+    mRandom, kToldOfLeave, [](const MemberTable::Entry&) { return true; });
+  for (const MemberTable::Entry* entry : told) {
+    mOutbox.SendOwnRecord(aNow, actions, entry->mMember->mAddress);
+  }
+  return actions;
+}
+
+Actions
+Membership::NotifyVersion(std::uint64_t aVersion)
+{
+  Actions actions;
+  const auto notified = mTable.PickPresent(
+    mRandom, kNotified, [](const MemberTable::Entry& aEntry) {
+      return aEntry.mLiveness == Liveness::Alive;
+    });
+  for (const MemberTable::Entry* entry : notified) {
+    Message notice = mOutbox.Make(MessageKind::VersionNotice);
+    notice.mProfileVersion = std::max(notice.mProfileVersion, aVersion);
+    actions.mDatagrams.push_back(
+      { entry->mMember->mAddress, std::move(notice) });
+  }
+  return actions;
+}
+
+MemberViewPtr
+Membership::View()
+{
+  if (mView) {
+    return mView;
+  }
+  mView = MemberView::Of(mTable, ++mViewNumber);
+  return mView;
+}
+
+core::Duration
+Membership::Jittered(core::Duration aMean)
+{
+  return std::chrono::duration_cast<core::Duration>(aMean *
+                                                    (0.5 + mRandom.Unit()));
+}
+
+} // namespace nutmegrock::membership
--- a/src/nutmegrock/membership/Membership.h
+++ b/src/nutmegrock/membership/Membership.h
@@ -8,7 +8,10 @@
 #include "membership/MemberView.h"
 #include "membership/MembershipCounts.h"
 #include "membership/MembershipSettings.h"
+#include "membership/Outbox.h"
 #include "membership/Prober.h"
+#include "membership/Random.h"
+#include "membership/Suspicions.h"
 #include "membership/Sync.h"
 
 #include <cstdint>
@@ -47,6 +50,8 @@
              Member aOwn,
              std::function<std::uint64_t()> aOwnVersion,
              std::uint64_t aSeed);
+  Membership(const Membership&) = delete;
+  Membership& operator=(const Membership&) = delete;
 
   /// Adds addresses that are pinged while no other member is known. The own
   /// address is left out.
@@ -89,20 +94,10 @@
   const MembershipCounts& Counts() const { return mCounts; }
 
 private:
-  Message MakeMessage(MessageKind aKind) const;
-  void Send(Actions& aActions, const core::Address& aTo, Message aMessage);
-  void SendPing(Actions& aActions,
-                const core::Address& aTo,
-                core::Incarnation aTarget,
-                std::uint64_t aSequence);
   void HandlePing(core::TimePoint aNow,
                   const core::Address& aFrom,
                   const Message& aMessage,
                   Actions& aActions);
-  void HandlePingRequest(core::TimePoint aNow,
-                         const core::Address& aFrom,
-                         const Message& aMessage,
-                         Actions& aActions);
   void HandleAck(core::TimePoint aNow,
                  const core::Address& aFrom,
                  const Message& aMessage,
@@ -111,37 +106,39 @@
                   const core::Address& aFrom,
                   const Message& aMessage,
                   Actions& aActions);
-  void MergeAll(core::TimePoint aNow,
-                const std::vector<Change>& aChanges,
-                core::Incarnation aFrom,
-                Actions& aActions);
-  void MergeOne(core::TimePoint aNow,
-                const Change& aChange,
-                core::Incarnation aFrom,
-                Actions& aActions);
-  void RefuteIfAccused(core::TimePoint aNow, const Change& aChange);
+  void Merge(core::TimePoint aNow,
+             const Change& aChange,
+             bool aPassOn,
+             Actions& aActions);
+  void RefuteIfAccused(const Change& aChange);
   void DeclareDead(core::TimePoint aNow,
                    core::Incarnation aIncarnation,
                    Actions& aActions);
+  void Suspect(core::TimePoint aNow,
+               core::Incarnation aIncarnation,
+               Actions& aActions);
   void Apply(core::TimePoint aNow, const ProbeSteps& aSteps, Actions& aActions);
+  void Publish(const OwnState& aState);
+  void TickSuspicions(core::TimePoint aNow, Actions& aActions);
   void TickSeeds(core::TimePoint aNow, Actions& aActions);
   void TickSync(core::TimePoint aNow, Actions& aActions);
   void TickTable(core::TimePoint aNow, Actions& aActions);
-  void Request(core::TimePoint aNow,
-               const core::Address& aTo,
-               core::Incarnation aTarget,
-               Actions& aActions);
-  bool RemovesRowOf(const Member& aMember) const;
+  void RequestPage(const Sync::Run& aRun, Actions& aActions);
+  core::Duration Jittered(core::Duration aMean);
 
   MembershipSettings mSettings;
-  std::function<std::uint64_t()> mOwnVersion;
   Random mRandom;
   MemberTable mTable;
   Prober mProber;
+  Suspicions mSuspicions;
   Gossip mGossip;
   Sync mSync;
+  Outbox mOutbox;
   std::vector<core::Address> mSeeds;
+  core::TimePoint mLastTick;
   core::TimePoint mNextSeeds;
+  core::TimePoint mNextDeadProbe;
+  core::TimePoint mNextExpiry;
   std::uint64_t mViewNumber = 0;
   MemberViewPtr mView;
   MembershipCounts mCounts;
--- a/src/nutmegrock/membership/Prober.h
+++ b/src/nutmegrock/membership/Prober.h
@@ -69,7 +69,14 @@
                   const core::Address& aFrom,
                   const Message& aRequest);
   /// Takes in an ack.
-  ProbeSteps HandleAck(core::TimePoint aNow, const Message& aAck);
+  ProbeSteps HandleAck(const Message& aAck);
+
+  /// Puts a new member at a random place of the current round, so that it does
+  /// not wait for the next one.
+  void Insert(core::Incarnation aIncarnation, Random& aRandom);
+  /// Drops what is in progress without a result, as after a pause of the
+  /// process in which no answer could be read.
+  void SkipProbe();
 
   /// Worsens the local health, after this node had to refute a suspicion or was
   /// paused.
--- a/src/nutmegrock/membership/Random.h
+++ b/src/nutmegrock/membership/Random.h
@@ -12,13 +12,15 @@
 class Random
 {
 public:
+  using result_type = std::uint64_t; // NOLINT: name required by the standard
+
   explicit Random(std::uint64_t aSeed)
     : mState(aSeed)
   {
   }
 
-  static constexpr std::uint64_t min() { return 0; } // NOLINT
-  static constexpr std::uint64_t max()               // NOLINT
+  static constexpr std::uint64_t min() { return 0; } // NOLINT: required name
+  static constexpr std::uint64_t max()               // NOLINT: required name
   {
     return std::numeric_limits<std::uint64_t>::max();
   }
