Add the parts of the load and experiment tool

The ideal gives slots to important work first, so that protecting it does not count as lost goodput.

--- /dev/null
+++ b/experiment/ClientOperation.cpp
@@ -0,0 +1,224 @@
+#include "experiment/ClientOperation.h"
+
+#include "experiment/LoadGenerator.h"
+
+namespace nutmegrock::experiment {
+
+namespace http = boost::beast::http;
+
+ClientOperation::ClientOperation(LoadGenerator& aLoad,
+                                 const ClientBehaviour& aBehaviour,
+                                 OperationRecord aRecord,
+                                 core::TimePoint aArrival)
+  : mLoad(aLoad)
+  , mBehaviour(aBehaviour)
+  , mArrival(aArrival)
+  , mTimer(aLoad.mContext)
+  , mRecord(std::move(aRecord))
+{
+  mRecord.mAllNotRun = true;
+}
+
+const RequestKind&
+ClientOperation::Kind() const
+{
+  return mLoad.mSettings.mSpec.mKinds.at(mRecord.mKind);
+}
+
+void
+ClientOperation::Start()
+{
+  if (Kind().mImportant && !mLoad.mSettings.mDirect) {
+    RequestKey();
+  } else {
+    Send();
+  }
+}
+
+void
+ClientOperation::RequestKey()
+{
+  HttpRequest request(http::verb::post, "/keys/" + Kind().mService, 11);
+  request.set(http::field::host, "client");
+  ++mRecord.mSends;
+  Exchange(mLoad.RandomEntry(),
+           std::move(request),
+           [self = shared_from_this()](const HttpResult& aResult) {
+             self->mKey = aResult.mError
+                            ? std::string()
+                            : std::string(aResult.mResponse["Nutmegrock-Key"]);
+             if (!self->mKey.empty()) {
+               self->mRecord.mHadKey = true;
+               self->mRecord.mSends = 0;
+               self->Send();
+             } else if (self->mRecord.mSends <= self->mBehaviour.mResends) {
+               self->RequestKey();
+             } else {
+               self->Classify(aResult);
+               self->mRecord.mReason = "key:" + self->mRecord.mReason;
+               self->Finish();
+             }
+           });
+}
+
+HttpRequest
+ClientOperation::MakeRequest() const
+{
+  const RequestKind& kind = Kind();
+  const std::string target = mLoad.mSettings.mDirect
+                               ? "/" + kind.mPath
+                               : "/call/" + kind.mService + "/" + kind.mPath;
+  HttpRequest request(http::verb::post, target, 11);
+  request.set(http::field::host, "client");
+  request.set("Nutmegrock-Request", mRecord.mId);
+  request.set("Nutmegrock-Profile", kind.mName);
+  request.set("X-Operation", mRecord.mId);
+  request.set("X-Body-Size", std::to_string(kind.mBodyBytes));
+  if (!kind.mPlan.mSteps.empty()) {
+    request.set("X-Plan", kind.mPlan.Text());
+  }
+  if (!mKey.empty()) {
+    request.set("Nutmegrock-Key", mKey);
+  }
+  request.body() = std::string(kind.mBodyBytes, 'x');
+  return request;
+}
+
+void
+ClientOperation::Send()
+{
+  ++mRecord.mSends;
+  if (mRecord.mSends == 1 && mBehaviour.mCopies > 0.0 &&
+      mLoad.Uniform() < mBehaviour.mCopies) {
+    ++mPending;
+    SendCopy();
+  }
+  Exchange(mLoad.RandomEntry(),
+           MakeRequest(),
+           [self = shared_from_this()](const HttpResult& aResult) {
+             self->OnAnswer(aResult);
+           });
+}
+
+void
+ClientOperation::SendCopy()
+{
+  mLoad.mClient->Send(mLoad.RandomEntry(),
+                      MakeRequest(),
+                      mBehaviour.mTimeout,
+                      [self = shared_from_this()](const HttpResult& aResult) {
+                        self->NoteRun(aResult);
+                        self->Finish();
+                      });
+}
+
+void
+ClientOperation::Exchange(const core::Address& aEntry,
+                          HttpRequest aRequest,
+                          HttpHandler aHandler)
+{
+  const core::Duration latency = mLoad.mSettings.mSpec.mClientLatency;
+  auto send = [self = shared_from_this(),
+               aEntry,
+               latency,
+               request = std::move(aRequest),
+               handler = std::move(aHandler)]() mutable {
+    self->mLoad.mClient->Send(
+      aEntry,
+      std::move(request),
+      self->mBehaviour.mTimeout,
+      [self, latency, handler](HttpResult aResult) {
+        auto shared = std::make_shared<HttpResult>(std::move(aResult));
+        self->After(latency,
+                    [handler, shared] { handler(std::move(*shared)); });
+      });
+  };
+  After(latency, std::move(send));
+}
+
+void
+ClientOperation::After(core::Duration aPause, std::function<void()> aNext)
+{
+  if (aPause <= core::Duration::zero()) {
+    aNext();
+    return;
+  }
+  mTimer.expires_after(aPause);
+  mTimer.async_wait([self = shared_from_this(), next = std::move(aNext)](
+                      boost::system::error_code aError) {
+    if (!aError) {
+      next();
+    }
+  });
+}
+
+void
+ClientOperation::NoteRun(const HttpResult& aResult)
+{
+  const bool not_run = aResult.mError
+                         ? !aResult.mConnected
+                         : aResult.mResponse["Nutmegrock-Run"] == "not-run";
+  const std::lock_guard lock(mMutex);
+  mRecord.mAllNotRun = mRecord.mAllNotRun && not_run;
+}
+
+void
+ClientOperation::Classify(const HttpResult& aResult)
+{
+  NoteRun(aResult);
+  const auto& response = aResult.mResponse;
+  if (aResult.mError) {
+    mRecord.mOutcome = OutcomeKind::Failed;
+    mRecord.mReason =
+      aResult.mError == boost::beast::error::timeout ? "timeout" : "connection";
+    return;
+  }
+  if (response.result_int() / 100 == 2) {
+    const std::string expected =
+      "{\"operation\":\"" + mRecord.mId +
+      "\",\"bytes\":" + std::to_string(Kind().mBodyBytes) + "}";
+    const bool whole = response.body() == expected;
+    mRecord.mOutcome = whole ? OutcomeKind::Completed : OutcomeKind::Mismatched;
+    mRecord.mReason = whole ? "" : "mismatch";
+    return;
+  }
+  mRecord.mOutcome = response["Nutmegrock-Run"] == "not-run"
+                       ? OutcomeKind::Refused
+                       : OutcomeKind::Failed;
+  for (const char* header :
+       { "X-Nested-Error", "Nutmegrock-Error", "X-Failure" }) {
+    if (response.count(header) > 0) {
+      mRecord.mReason = std::string(response[header]);
+      return;
+    }
+  }
+  mRecord.mReason = std::to_string(response.result_int());
+}
+
+void
+ClientOperation::OnAnswer(const HttpResult& aResult)
+{
+  Classify(aResult);
+  if (mRecord.mOutcome != OutcomeKind::Completed &&
+      mRecord.mSends <= mBehaviour.mResends) {
+    Send();
+    return;
+  }
+  Finish();
+}
+
+void
+ClientOperation::Finish()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    if (--mPending > 0) {
+      return;
+    }
+    mRecord.mLatency =
+      std::chrono::duration<double>(core::Clock::now() - mArrival).count();
+  }
+  mLoad.Finish(std::move(mRecord));
+}
+
+} // namespace nutmegrock::experiment
--- /dev/null
+++ b/experiment/DeploymentSpec.cpp
@@ -0,0 +1,148 @@
+#include "experiment/DeploymentSpec.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace nutmegrock::experiment {
+
+namespace {
+
+// Above 64 KiB, so that uploads take the streamed path between nodes.
+constexpr std::size_t kPhotoBytes = 72 * 1024;
+
+ServiceSpec
+Scaled(std::string aName,
+       std::size_t aServers,
+       double aSlots,
+       double aConnections,
+       double aMeanSeconds)
+{
+  const auto scale = [](double aSize) {
+    return static_cast<std::size_t>(std::ceil(aSize / DeploymentSpec::kScale));
+  };
+  return {
+    std::move(aName), aServers, scale(aSlots), scale(aConnections), aMeanSeconds
+  };
+}
+
+RequestKind
+Kind(std::string aName,
+     std::string aService,
+     std::string aPath,
+     std::string_view aPlan,
+     double aShare,
+     bool aImportant,
+     std::size_t aBodyBytes = 0)
+{
+  return { std::move(aName), std::move(aService),
+           std::move(aPath), *Plan::Parse(aPlan),
+           aShare,           aImportant,
+           aBodyBytes };
+}
+
+// The call graphs have no cycle: a run holds its slot during its nested calls,
+// and two services that wait for each other's slots would block for good. The
+// shares keep important work below the capacity in each overload case, at four
+// times the demand and at twice the demand with a slow deep service.
+DeploymentSpec
+Haufiku()
+{
+  DeploymentSpec spec;
+  spec.mName = "haufiku";
+  spec.mRegion = "khomas";
+  spec.mZones = { "khomas-a", "khomas-b", "khomas-c", "khomas-d" };
+  spec.mClientLatency = std::chrono::milliseconds(1);
+  spec.mServices = { Scaled("tracker", 6, 130, 850, 0.040),
+                     Scaled("till", 4, 190, 1250, 0.080),
+                     Scaled("assessor", 4, 190, 1250, 0.160),
+                     Scaled("dispatch", 4, 25, 250, 0.040) };
+  spec.mKinds = {
+    Kind("progress", "tracker", "progress", "assessor/state", 0.55, false),
+    Kind("photo", "assessor", "photo", "", 0.35, false, kPhotoBytes),
+    Kind("deposit",
+         "till",
+         "deposit",
+         "tracker/order(assessor/estimate)",
+         0.05,
+         true),
+    Kind("crew-booking",
+         "dispatch",
+         "booking",
+         "till/check+tracker/order",
+         0.05,
+         true)
+  };
+  spec.mDeepService = "assessor";
+  return spec;
+}
+
+DeploymentSpec
+Daugava()
+{
+  DeploymentSpec spec;
+  spec.mName = "daugava";
+  spec.mRegion = "vidzeme";
+  spec.mZones = { "vidzeme-a", "vidzeme-b", "vidzeme-c" };
+  spec.mClientLatency = std::chrono::milliseconds(8);
+  spec.mServices = { Scaled("depot-stock", 5, 170, 1100, 0.040),
+                     Scaled("reservations", 4, 200, 1400, 0.080),
+                     Scaled("inspections", 3, 300, 1800, 0.190),
+                     Scaled("dispatch", 3, 65, 500, 0.040) };
+  spec.mKinds = {
+    Kind(
+      "stock-check", "depot-stock", "check", "inspections/state", 0.55, false),
+    Kind(
+      "inspection-photo", "inspections", "photo", "", 0.35, false, kPhotoBytes),
+    Kind("reservation",
+         "reservations",
+         "reserve",
+         "depot-stock/lock(inspections/state)",
+         0.05,
+         true),
+    Kind("truck-dispatch",
+         "dispatch",
+         "truck",
+         "reservations/check+depot-stock/order",
+         0.05,
+         true)
+  };
+  spec.mDeepService = "inspections";
+  return spec;
+}
+
+} // namespace
+
+core::Expected<DeploymentSpec>
+DeploymentSpec::Named(std::string_view aName)
+{
+  if (aName == "haufiku") {
+    return Haufiku();
+  }
+  if (aName == "daugava") {
+    return Daugava();
+  }
+  return core::Fail(core::ErrorKind::NotFound,
+                    "no deployment " + std::string(aName));
+}
+
+const ServiceSpec*
+DeploymentSpec::Find(std::string_view aService) const
+{
+  const auto found = std::find_if(
+    mServices.begin(), mServices.end(), [aService](const ServiceSpec& aSpec) {
+      return aSpec.mName == aService;
+    });
+  return found == mServices.end() ? nullptr : &*found;
+}
+
+std::size_t
+DeploymentSpec::ServerCount() const
+{
+  std::size_t count = 0;
+  for (const ServiceSpec& service : mServices) {
+    count += service.mServers;
+  }
+  return count;
+}
+
+} // namespace nutmegrock::experiment
--- /dev/null
+++ b/experiment/LoadGenerator.cpp
@@ -0,0 +1,167 @@
+#include "experiment/LoadGenerator.h"
+
+#include "experiment/ClientOperation.h"
+
+#include <boost/asio/post.hpp>
+
+namespace nutmegrock::experiment {
+
+LoadGenerator::LoadGenerator(LoadSettings aSettings)
+  : mSettings(std::move(aSettings))
+  , mStarted(core::Clock::now())
+  , mContext(static_cast<int>(mSettings.mThreads))
+  , mGuard(mContext.get_executor())
+  , mClient(PooledClient::Create(mContext))
+  , mTimer(mContext)
+  , mArrivals(mSettings.mSeed, mStarted)
+  , mRandom(mSettings.mSeed + 1)
+  , mBehaviour(mSettings.mClient)
+  , mEntries(mSettings.mEntries)
+{
+  for (std::size_t i = 0; i < mSettings.mThreads; ++i) {
+    mThreads.emplace_back([this] { mContext.run(); });
+  }
+}
+
+LoadGenerator::~LoadGenerator()
+{
+  mContext.stop();
+  mThreads.clear();
+  mClient->CloseIdle();
+}
+
+void
+LoadGenerator::SetRate(double aRate)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mArrivals.SetRate(aRate, core::Clock::now());
+  }
+  boost::asio::post(mContext, [this] { Arm(); });
+}
+
+void
+LoadGenerator::SetClient(const ClientBehaviour& aClient)
+{
+  const std::lock_guard lock(mMutex);
+  mBehaviour = aClient;
+}
+
+void
+LoadGenerator::SetEntries(std::vector<core::Address> aEntries)
+{
+  const std::lock_guard lock(mMutex);
+  mEntries = std::move(aEntries);
+}
+
+std::size_t
+LoadGenerator::Ended() const
+{
+  const std::lock_guard lock(mMutex);
+  return mRecords.size();
+}
+
+double
+LoadGenerator::Seconds() const
+{
+  return std::chrono::duration<double>(core::Clock::now() - mStarted).count();
+}
+
+std::vector<OperationRecord>
+LoadGenerator::Records() const
+{
+  const std::lock_guard lock(mMutex);
+  return mRecords;
+}
+
+void
+LoadGenerator::Arm()
+{
+  const std::lock_guard lock(mMutex);
+  if (mArrivals.Next() == core::TimePoint::max()) {
+    mTimer.cancel();
+    return;
+  }
+  mTimer.expires_at(mArrivals.Next());
+  mTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      OnTimer();
+    }
+  });
+}
+
+void
+LoadGenerator::OnTimer()
+{
+  std::vector<core::TimePoint> due;
+  {
+    const std::lock_guard lock(mMutex);
+    const auto now = core::Clock::now();
+    while (mArrivals.Next() <= now) {
+      due.push_back(mArrivals.Next());
+      mArrivals.Advance();
+    }
+  }
+  for (const core::TimePoint arrival : due) {
+    StartOperation(arrival);
+  }
+  Arm();
+}
+
+void
+LoadGenerator::StartOperation(core::TimePoint aArrival)
+{
+  OperationRecord record;
+  ClientBehaviour behaviour;
+  {
+    const std::lock_guard lock(mMutex);
+    record.mId = mSettings.mPrefix + std::to_string(mCounter++);
+    behaviour = mBehaviour;
+  }
+  record.mKind = RandomKind();
+  record.mArrival = std::chrono::duration<double>(aArrival - mStarted).count();
+  ++mInProgress;
+  std::make_shared<ClientOperation>(
+    *this, behaviour, std::move(record), aArrival)
+    ->Start();
+}
+
+void
+LoadGenerator::Finish(OperationRecord aRecord)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mRecords.push_back(std::move(aRecord));
+  }
+  --mInProgress;
+}
+
+core::Address
+LoadGenerator::RandomEntry()
+{
+  const std::lock_guard lock(mMutex);
+  return mEntries.at(mRandom() % mEntries.size());
+}
+
+double
+LoadGenerator::Uniform()
+{
+  const std::lock_guard lock(mMutex);
+  return std::uniform_real_distribution<double>(0.0, 1.0)(mRandom);
+}
+
+std::size_t
+LoadGenerator::RandomKind()
+{
+  double left = Uniform();
+  const auto& kinds = mSettings.mSpec.mKinds;
+  for (std::size_t i = 0; i + 1 < kinds.size(); ++i) {
+    if (left < kinds[i].mShare) {
+      return i;
+    }
+    left -= kinds[i].mShare;
+  }
+  return kinds.size() - 1;
+}
+
+} // namespace nutmegrock::experiment
--- /dev/null
+++ b/experiment/LoadGenerator.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "experiment/ArrivalProcess.h"
+#include "experiment/LoadSettings.h"
+#include "experiment/Outcome.h"
+#include "experiment/PooledClient.h"
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <vector>
+
+namespace nutmegrock::experiment {
+
+/// Drives the customer requests of a deployment in an open loop and records
+/// what became of each. All functions are safe from any thread.
+class LoadGenerator
+{
+public:
+  explicit LoadGenerator(LoadSettings aSettings);
+  LoadGenerator(const LoadGenerator&) = delete;
+  LoadGenerator& operator=(const LoadGenerator&) = delete;
+  /// Drops the requests in progress.
+  ~LoadGenerator();
+
+  /// Customer requests/s from now on; zero stops the arrivals.
+  void SetRate(double aRate);
+  void SetClient(const ClientBehaviour& aClient);
+  void SetEntries(std::vector<core::Address> aEntries);
+  /// Requests arrived and not yet ended.
+  std::size_t InProgress() const { return mInProgress; }
+  std::size_t Ended() const;
+  /// Seconds since this load began; the clock of the records.
+  double Seconds() const;
+  /// All requests that have ended.
+  std::vector<OperationRecord> Records() const;
+
+private:
+  friend class ClientOperation;
+
+  void OnTimer();
+  void Arm();
+  void StartOperation(core::TimePoint aArrival);
+  void Finish(OperationRecord aRecord);
+  core::Address RandomEntry();
+  std::size_t RandomKind();
+  double Uniform();
+
+  const LoadSettings mSettings;
+  const core::TimePoint mStarted;
+  boost::asio::io_context mContext;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    mGuard;
+  std::shared_ptr<PooledClient> mClient;
+  boost::asio::steady_timer mTimer;
+  std::atomic<std::size_t> mInProgress = 0;
+
+  mutable std::mutex mMutex;
+  ArrivalProcess mArrivals;
+  std::mt19937_64 mRandom;
+  ClientBehaviour mBehaviour;
+  std::vector<core::Address> mEntries;
+  std::uint64_t mCounter = 0;
+  std::vector<OperationRecord> mRecords;
+
+  std::vector<std::jthread> mThreads;
+};
+
+} // namespace nutmegrock::experiment
--- /dev/null
+++ b/tests/experiment/IdealCapacityTest.cpp
@@ -0,0 +1,83 @@
+#include "experiment/IdealCapacity.h"
+
+#include <doctest/doctest.h>
+
+using namespace nutmegrock::experiment;
+using doctest::Approx;
+
+namespace {
+
+/// Front calls back; a run of front holds its slot for both service times.
+DeploymentSpec
+TwoServices()
+{
+  DeploymentSpec spec;
+  spec.mServices = { { "front", 2, 10, 100, 0.1 },
+                     { "back", 1, 10, 100, 0.3 } };
+  spec.mKinds = {
+    { "look", "front", "p", *Plan::Parse("back/p"), 0.5, false, 0 },
+    { "local", "front", "p", Plan{}, 0.25, false, 0 },
+    { "pay", "back", "p", Plan{}, 0.25, true, 0 },
+  };
+  return spec;
+}
+
+} // namespace
+
+TEST_SUITE("experiment/IdealCapacity")
+{
+  TEST_CASE("slot seconds include nested calls, and the longest parallel one")
+  {
+    const IdealCapacity ideal(TwoServices());
+    RequestKind kind{ "x", "front", "p", *Plan::Parse("back/p+front/p,back/q"),
+                      1,   false,   0 };
+    const auto seconds = ideal.SlotSeconds(kind);
+    CHECK(seconds.at("front") == Approx(0.1 + 0.3 + 0.3 + 0.1));
+    CHECK(seconds.at("back") == Approx(0.6));
+  }
+
+  TEST_CASE("capacity is that of the busiest service")
+  {
+    // Back: 10 slots / (0.75 x 0.3 s); front: 20 / (0.5 x 0.4 + 0.25 x 0.1).
+    CHECK(IdealCapacity(TwoServices()).Capacity() == Approx(10 / 0.225));
+    CHECK(IdealCapacity(TwoServices(), { { "back", 5.0 } }).Capacity() ==
+          Approx(10 / 1.125));
+  }
+
+  // Goodput measured against an ideal that treats all work alike would blame
+  // the node for protecting important work.
+  TEST_CASE("important kinds come first and unrelated kinds fill the rest")
+  {
+    const IdealCapacity ideal(TwoServices());
+    const double below = ideal.Capacity() / 2;
+    CHECK(ideal.Goodput(below) == Approx(below));
+    const auto over = ideal.Completed(100.0);
+    CHECK(over[2] == Approx(25.0));
+    CHECK(over[0] == Approx((10 - 25 * 0.3) / 0.3));
+    CHECK(over[1] == Approx(25.0));
+    const auto only_important = ideal.Completed(1000.0);
+    CHECK(only_important[2] == Approx(10 / 0.3));
+    CHECK(only_important[0] == Approx(0.0));
+  }
+
+  // The overload cases assume that important work alone fits.
+  TEST_CASE("important work of both deployments fits in every overload case")
+  {
+    for (const char* name : { "haufiku", "daugava" }) {
+      const auto spec = DeploymentSpec::Named(name);
+      REQUIRE(spec.has_value());
+      const double capacity = IdealCapacity(*spec).Capacity();
+      const IdealCapacity slow(*spec, { { spec->mDeepService, 5.0 } });
+      for (const auto& [ideal, demand] :
+           { std::pair{ IdealCapacity(*spec), 4.0 }, std::pair{ slow, 2.0 } }) {
+        const auto completed = ideal.Completed(demand * capacity);
+        for (std::size_t i = 0; i < spec->mKinds.size(); ++i) {
+          if (spec->mKinds[i].mImportant) {
+            CHECK(completed[i] ==
+                  Approx(demand * capacity * spec->mKinds[i].mShare));
+          }
+        }
+      }
+    }
+  }
+}
