--- a/experiment/Deployment.cpp
+++ b/experiment/Deployment.cpp
@@ -349,10 +349,13 @@
 }
 
 CountsByOperation
-Deployment::Counts() const
+Deployment::Counts(const std::string& aService) const
 {
   CountsByOperation counts;
   for (const ServiceSpec& service : mOptions.mSpec.mServices) {
+    if (!aService.empty() && service.mName != aService) {
+      continue;
+    }
     std::unordered_map<std::string, unsigned> service_runs;
     for (const core::Address& server : ServersOf(service.mName)) {
       std::istringstream lines(Get(server, "/counts/operations"));
--- a/experiment/Deployment.h
+++ b/experiment/Deployment.h
@@ -66,8 +66,9 @@
   /// the name is empty.
   void Control(const std::string& aService, const std::string& aJson);
   void ResetCounts();
-  /// Sums over the backend servers that are running.
-  CountsByOperation Counts() const;
+  /// Sums over the backend servers that are running, of one service or, if the
+  /// name is empty, of all.
+  CountsByOperation Counts(const std::string& aService = "") const;
   /// Processor time of the nodes and of all processes, in seconds.
   double NodeCpuSeconds() const;
   double AllCpuSeconds() const;
--- a/experiment/DeploymentSpec.cpp
+++ b/experiment/DeploymentSpec.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // Above 64 KiB, so that uploads take the streamed path between nodes.
-constexpr std::size_t kPhotoBytes = 72 * 1024;
+constexpr std::size_t kPhotoBytes = std::size_t{ 72 } * 1024;
 
 ServiceSpec
 Scaled(std::string aName,
--- /dev/null
+++ b/experiment/nutmegrock_experiment/Experiments.cpp
@@ -0,0 +1,20 @@
+#include "experiment/nutmegrock_experiment/Experiments.h"
+
+namespace nutmegrock::experiment {
+
+const std::vector<NamedExperiment>&
+AllExperiments()
+{
+  static const std::vector<NamedExperiment> sExperiments{
+    { "latency", "latency added by two nodes", RunLatency },
+    { "overload",
+      "goodput, important work and waste in overload, with a baseline",
+      RunOverload },
+    { "recovery",
+      "time to normal goodput after an overload, with a baseline",
+      RunRecovery },
+  };
+  return sExperiments;
+}
+
+} // namespace nutmegrock::experiment
--- /dev/null
+++ b/experiment/nutmegrock_experiment/OverloadExperiment.cpp
@@ -0,0 +1,239 @@
+#include "experiment/IdealCapacity.h"
+#include "experiment/Interrupt.h"
+#include "experiment/LoadSummary.h"
+#include "experiment/nutmegrock_experiment/Experiments.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace nutmegrock::experiment {
+
+namespace {
+
+constexpr unsigned kClientResends = 5;
+constexpr double kSlowdown = 5.0;
+// Time for limits and levels to adapt, and for the backend servers' counts to
+// be collected, in seconds per case.
+constexpr double kRampSeconds = 2.0;
+constexpr double kOverheadSeconds = 6.0;
+constexpr std::chrono::seconds kSettleLimit{ 4 };
+constexpr double kStartSeconds = 12.0;
+
+struct OverloadCase
+{
+  std::string mName;
+  /// Offered rate as a multiple of the capacity without faults.
+  double mDemand = 1.0;
+  double mSlowdown = 1.0;
+  bool mRetryingClients = false;
+  /// Fault switches of all backend servers, beside the slowdown.
+  std::string mFaults = "{}";
+  /// All requests to the deep service are shed.
+  bool mDeepFails = false;
+};
+
+const std::vector<OverloadCase>&
+Cases()
+{
+  static const std::vector<OverloadCase> sCases{
+    { "normal", 0.7 },
+    { "demand_1.5x", 1.5 },
+    { "demand_2x", 2.0 },
+    { "demand_4x", 4.0 },
+    { "slow_deep_5x", 0.9, kSlowdown },
+    { "retrying_clients", 1.5, 1.0, true },
+    { "all_together", 2.0, kSlowdown, true },
+    { "load_reports_zero", 2.0, 1.0, false, R"({"lie_load":"zero"})" },
+    { "load_reports_times3", 2.0, 1.0, false, R"({"lie_load":"times3"})" },
+    { "full_failure", 0.5, 1.0, false, "{}", true },
+  };
+  return sCases;
+}
+
+std::string
+Switch(const std::string& aName, double aValue)
+{
+  return "{\"" + aName + "\":" + std::to_string(aValue) + "}";
+}
+
+struct CaseResult
+{
+  double mGoodput = 0.0;
+  double mIdeal = 0.0;
+  double mImportant = 0.0;
+  double mWasted = 0.0;
+  double mAttemptsPerHop = 0.0;
+  double mMostExtraAttempts = 0.0;
+  double mMismatched = 0.0;
+  double mCores = 0.0;
+};
+
+/// Slot time of requests that did not complete, as a share of all slot time.
+double
+WastedShare(const CountsByOperation& aCounts,
+            const std::vector<OperationRecord>& aRecords)
+{
+  std::unordered_set<std::string> completed;
+  for (const OperationRecord& record : aRecords) {
+    if (record.mOutcome == OutcomeKind::Completed) {
+      completed.insert(record.mId);
+    }
+  }
+  double all = 0.0;
+  double wasted = 0.0;
+  for (const auto& [operation, counts] : aCounts) {
+    all += counts.mSlotSeconds;
+    wasted += completed.contains(operation) ? 0.0 : counts.mSlotSeconds;
+  }
+  return all > 0.0 ? wasted / all : 0.0;
+}
+
+/// Attempts at the servers of one service for each request that reached it.
+double
+AttemptsPerRequest(const CountsByOperation& aCounts)
+{
+  double attempts = 0.0;
+  double requests = 0.0;
+  for (const auto& [operation, counts] : aCounts) {
+    attempts += counts.mAttempts;
+    requests += counts.mAttempts > 0 ? 1.0 : 0.0;
+  }
+  return requests > 0.0 ? attempts / requests : 0.0;
+}
+
+/// The largest number of attempts beyond the calls of the plan for one send of
+/// a client.
+double
+MostExtraAttempts(const DeploymentSpec& aSpec,
+                  const CountsByOperation& aCounts,
+                  const std::vector<OperationRecord>& aRecords)
+{
+  double most = 0.0;
+  for (const OperationRecord& record : aRecords) {
+    const auto found = aCounts.find(record.mId);
+    if (found == aCounts.end() || record.mSends == 0) {
+      continue;
+    }
+    const double planned =
+      1.0 +
+      static_cast<double>(aSpec.mKinds.at(record.mKind).mPlan.CallCount());
+    most =
+      std::max(most, found->second.mAttempts / double(record.mSends) - planned);
+  }
+  return most;
+}
+
+CaseResult
+RunCase(const RunContext& aContext,
+        Deployment& aDeployment,
+        const OverloadCase& aCase,
+        double aSeconds)
+{
+  const DeploymentSpec& spec = aDeployment.Spec();
+  const double rate = aCase.mDemand * IdealCapacity(spec).Capacity();
+  aDeployment.Control("", aCase.mFaults);
+  aDeployment.Control(spec.mDeepService, Switch("slowdown", aCase.mSlowdown));
+  if (aCase.mDeepFails) {
+    aDeployment.Control(spec.mDeepService, Switch("shed", 1.0));
+  }
+  LoadSettings settings = aContext.Load(aDeployment, aCase.mName);
+  settings.mClient.mResends = aCase.mRetryingClients ? kClientResends : 0;
+  LoadGenerator load(settings);
+  load.SetRate(rate);
+  Pause(std::chrono::duration_cast<core::Duration>(
+    std::chrono::duration<double>(kRampSeconds)));
+  const double from = load.Seconds();
+  const double cpu = aDeployment.AllCpuSeconds();
+  Pause(std::chrono::duration_cast<core::Duration>(
+    std::chrono::duration<double>(aSeconds)));
+  const double to = load.Seconds();
+  CaseResult result;
+  result.mCores = (aDeployment.AllCpuSeconds() - cpu) / (to - from);
+  Settle(load, kSettleLimit);
+  const auto records = load.Records();
+  const auto counts = aDeployment.Counts();
+  const LoadSummary summary(spec.mKinds, records, from, to);
+  const IdealCapacity ideal(spec, { { spec.mDeepService, aCase.mSlowdown } });
+  result.mGoodput = summary.Goodput();
+  result.mIdeal = ideal.Goodput(rate);
+  result.mImportant = summary.ImportantCompleted();
+  result.mMismatched = static_cast<double>(summary.Mismatched());
+  result.mWasted = WastedShare(counts, records);
+  result.mMostExtraAttempts = MostExtraAttempts(spec, counts, records);
+  result.mAttemptsPerHop =
+    AttemptsPerRequest(aDeployment.Counts(spec.mDeepService));
+  aDeployment.Control("", R"({"slowdown":1,"shed":0,"lie_load":"true"})");
+  aDeployment.ResetCounts();
+  Pause(std::chrono::seconds(1));
+  return result;
+}
+
+void
+AddCase(FigureTable& aTable,
+        const OverloadCase& aCase,
+        const CaseResult& aResult,
+        bool aBaseline)
+{
+  const std::string prefix = aCase.mName + (aBaseline ? ".baseline." : ".");
+  const auto target = [aBaseline](Comparison aComparison, double aValue) {
+    return aBaseline ? std::nullopt
+                     : std::optional(Target{ aComparison, aValue });
+  };
+  if (aCase.mDeepFails) {
+    aTable.Add(prefix + "attempts_per_hop",
+               aResult.mAttemptsPerHop,
+               "",
+               target(Comparison::AtMost, 1.1));
+  } else {
+    aTable.Add(prefix + "goodput_share",
+               aResult.mGoodput / aResult.mIdeal,
+               "of ideal",
+               target(Comparison::AtLeast, 0.95));
+    aTable.Add(prefix + "goodput", aResult.mGoodput, "1/s");
+    aTable.Add(prefix + "important_completed",
+               aResult.mImportant,
+               "share",
+               target(Comparison::AtLeast, 0.99));
+    aTable.Add(prefix + "wasted_slot_time",
+               aResult.mWasted,
+               "share",
+               target(Comparison::AtMost, 0.05));
+  }
+  aTable.Add(
+    prefix + "most_extra_attempts", aResult.mMostExtraAttempts, "per send");
+  aTable.Add(prefix + "cores", aResult.mCores, "of nodes and stand-ins");
+  if (aResult.mMismatched > 0) {
+    aTable.Add(prefix + "mismatched_answers",
+               aResult.mMismatched,
+               "requests",
+               Target{ Comparison::AtMost, 0 });
+  }
+}
+
+} // namespace
+
+FigureTable
+RunOverload(const RunContext& aContext)
+{
+  const double per_case =
+    (static_cast<double>(aContext.mBound.count()) - 2 * kStartSeconds) /
+      static_cast<double>(2 * Cases().size()) -
+    kOverheadSeconds;
+  const double seconds = std::clamp(per_case, 2.0, 20.0);
+  FigureTable table = aContext.Table("overload");
+  table.Add("capacity", IdealCapacity(aContext.mSpec).Capacity(), "1/s");
+  table.Add("scale", DeploymentSpec::kScale, "divisor of slots");
+  table.Add("case_length", seconds, "s");
+  for (const bool baseline : { false, true }) {
+    Deployment deployment(baseline ? aContext.Baseline()
+                                   : aContext.Protected());
+    for (const OverloadCase& one : Cases()) {
+      Say((baseline ? "baseline, " : "") + one.mName);
+      AddCase(
+        table, one, RunCase(aContext, deployment, one, seconds), baseline);
+    }
+  }
+  return table;
+}
+
+} // namespace nutmegrock::experiment
--- /dev/null
+++ b/experiment/nutmegrock_experiment/RunContext.cpp
@@ -0,0 +1,70 @@
+#include "experiment/nutmegrock_experiment/RunContext.h"
+
+#include "experiment/Interrupt.h"
+
+#include <cstdio>
+
+namespace nutmegrock::experiment {
+
+namespace {
+
+constexpr unsigned kBaselineRetries = 3;
+constexpr std::chrono::milliseconds kSettleStep{ 50 };
+
+} // namespace
+
+DeploymentOptions
+RunContext::Protected() const
+{
+  DeploymentOptions options;
+  options.mSpec = mSpec;
+  options.mSeed = mSeed;
+  options.mProgramFolder = mProgramFolder;
+  options.mProfilesFile = mProfilesFile;
+  return options;
+}
+
+DeploymentOptions
+RunContext::Baseline() const
+{
+  DeploymentOptions options = Protected();
+  options.mOverloadEnabled = false;
+  options.mUnboundedRetries = kBaselineRetries;
+  return options;
+}
+
+LoadSettings
+RunContext::Load(const Deployment& aDeployment,
+                 const std::string& aPrefix) const
+{
+  LoadSettings settings;
+  settings.mSpec = aDeployment.Spec();
+  settings.mEntries = aDeployment.Entries();
+  settings.mSeed = mSeed;
+  settings.mPrefix = aPrefix + "-" + std::to_string(mSeed) + "-";
+  return settings;
+}
+
+FigureTable
+RunContext::Table(const std::string& aExperiment) const
+{
+  return { aExperiment, mSpec.mName, mSeed, {} };
+}
+
+void
+Say(const std::string& aLine)
+{
+  std::fprintf(stderr, "%s\n", aLine.c_str());
+}
+
+void
+Settle(LoadGenerator& aLoad, std::chrono::seconds aLimit)
+{
+  aLoad.SetRate(0.0);
+  const auto end = core::Clock::now() + aLimit;
+  while (aLoad.InProgress() > 0 && core::Clock::now() < end) {
+    Pause(kSettleStep);
+  }
+}
+
+} // namespace nutmegrock::experiment
--- /dev/null
+++ b/experiment/nutmegrock_experiment/RunContext.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "experiment/Deployment.h"
+#include "experiment/FigureTable.h"
+#include "experiment/LoadGenerator.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace nutmegrock::experiment {
+
+/// What one experiment is run with.
+struct RunContext
+{
+  DeploymentSpec mSpec;
+  std::uint64_t mSeed = 1;
+  /// Bound of the whole experiment; each experiment divides it over its cases.
+  std::chrono::seconds mBound{ 120 };
+  std::string mProgramFolder;
+  std::string mProfilesFile;
+
+  /// Options of a deployment with overload control.
+  DeploymentOptions Protected() const;
+  /// Options of the baseline: no overload control, three further attempts at
+  /// each hop.
+  DeploymentOptions Baseline() const;
+  /// Settings of patient clients that send to all nodes of a deployment.
+  LoadSettings Load(const Deployment& aDeployment,
+                    const std::string& aPrefix) const;
+  /// An empty result of an experiment.
+  FigureTable Table(const std::string& aExperiment) const;
+};
+
+/// Progress lines go to stderr; stdout holds only the result.
+void
+Say(const std::string& aLine);
+
+/// Ends the arrivals and waits until the requests in progress have ended, at
+/// most for the given time.
+void
+Settle(LoadGenerator& aLoad, std::chrono::seconds aLimit);
+
+} // namespace nutmegrock::experiment
--- a/standins/standin_backend/main.cpp
+++ b/standins/standin_backend/main.cpp
@@ -10,20 +10,20 @@
 using standin_backend::Distribution;
 using standin_backend::Settings;
 
+core::Expected<core::Address>
+AddressOrNone(const std::string& aText)
+{
+  return aText.empty() ? core::Address{} : core::Address::Parse(aText);
+}
+
 core::Expected<Settings>
 ReadArguments(int aCount, char** aArguments)
 {
   TCLAP::CmdLine line("Stand-in backend server for experiments.");
   TCLAP::ValueArg<std::string> listen(
     "", "listen", "address to listen on", true, "", "IP:PORT", line);
-  TCLAP::ValueArg<std::string> node("",
-                                    "node",
-                                    "backend listener of the node; none by "
-                                    "default",
-                                    false,
-                                    "",
-                                    "IP:PORT",
-                                    line);
+  TCLAP::ValueArg<std::string> node(
+    "", "node", "backend listener of the node", false, "", "IP:PORT", line);
   TCLAP::ValueArg<std::string> service(
     "", "service", "service name", true, "", "NAME", line);
   TCLAP::ValueArg<unsigned> slots(
@@ -51,17 +51,13 @@
 
   Settings settings;
   const auto address = core::Address::Parse(listen.getValue());
-  if (!address) {
-    return tl::make_unexpected(address.error());
+  const auto node_address = AddressOrNone(node.getValue());
+  if (!address || !node_address) {
+    return tl::make_unexpected(address ? node_address.error()
+                                       : address.error());
   }
   settings.mListen = *address;
-  if (!node.getValue().empty()) {
-    const auto node_address = core::Address::Parse(node.getValue());
-    if (!node_address) {
-      return tl::make_unexpected(node_address.error());
-    }
-    settings.mNode = *node_address;
-  }
+  settings.mNode = *node_address;
   settings.mService = service.getValue();
   settings.mSlots = slots.getValue();
   settings.mConnections = connections.getValue();
