Carry calls between nodes in multiplexed Thrift frames

The node wiring needs calls between nodes with answers in any order, streamed bodies and a certain verdict on what was sent. Adds PeerClient and PeerServer: one connection per address, Hello with protocol, incarnation and an optional proof of a shared secret, calls told apart by id, bodies beyond 64 KiB in chunks within a credit window of 256 KiB, Cancel, deadlines, idle close and reconnecting with a bounded pause. PeerCodec checks all values from the wire. The Hello struct gains nonce and proof (thrift/peer.thrift). The listening socket moves to transport::tcp::Acceptor, which both servers use.

build/test_transport: bodies of 0 to 5,000,000 bytes arrive whole in both directions; control requests for another run are refused.

--- a/src/nutmegrock/gen/peer_types.cpp
+++ b/src/nutmegrock/gen/peer_types.cpp
@@ -886,6 +886,14 @@
 void Hello::__set_profile_version(const int64_t val) {
   this->profile_version = val;
 }
+
+void Hello::__set_nonce(const std::string& val) {
+  this->nonce = val;
+}
+
+void Hello::__set_proof(const std::string& val) {
+  this->proof = val;
+}
 std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
@@ -938,6 +946,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->nonce);
+          this->__isset.nonce = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->proof);
+          this->__isset.proof = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -967,6 +991,14 @@
   xfer += oprot->writeI64(this->profile_version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("nonce", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->nonce);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proof", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->proof);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -977,25 +1009,33 @@
   swap(a.protocol, b.protocol);
   swap(a.incarnation, b.incarnation);
   swap(a.profile_version, b.profile_version);
+  swap(a.nonce, b.nonce);
+  swap(a.proof, b.proof);
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other20) noexcept {
+Hello::Hello(const Hello& other20) {
   protocol = other20.protocol;
   incarnation = other20.incarnation;
   profile_version = other20.profile_version;
+  nonce = other20.nonce;
+  proof = other20.proof;
   __isset = other20.__isset;
 }
 Hello::Hello(Hello&& other21) noexcept {
   protocol = other21.protocol;
   incarnation = other21.incarnation;
   profile_version = other21.profile_version;
+  nonce = std::move(other21.nonce);
+  proof = std::move(other21.proof);
   __isset = other21.__isset;
 }
-Hello& Hello::operator=(const Hello& other22) noexcept {
+Hello& Hello::operator=(const Hello& other22) {
   protocol = other22.protocol;
   incarnation = other22.incarnation;
   profile_version = other22.profile_version;
+  nonce = other22.nonce;
+  proof = other22.proof;
   __isset = other22.__isset;
   return *this;
 }
@@ -1003,6 +1043,8 @@
   protocol = other23.protocol;
   incarnation = other23.incarnation;
   profile_version = other23.profile_version;
+  nonce = std::move(other23.nonce);
+  proof = std::move(other23.proof);
   __isset = other23.__isset;
   return *this;
 }
@@ -1012,6 +1054,8 @@
   out << "protocol=" << to_string(protocol);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "profile_version=" << to_string(profile_version);
+  out << ", " << "nonce=" << to_string(nonce);
+  out << ", " << "proof=" << to_string(proof);
   out << ")";
 }
 
--- a/src/nutmegrock/gen/peer_types.h
+++ b/src/nutmegrock/gen/peer_types.h
@@ -387,29 +387,35 @@
 std::ostream& operator<<(std::ostream& out, const WireError& obj);
 
 typedef struct _Hello__isset {
-  _Hello__isset() : protocol(false), incarnation(false), profile_version(false) {}
+  _Hello__isset() : protocol(false), incarnation(false), profile_version(false), nonce(false), proof(false) {}
   bool protocol :1;
   bool incarnation :1;
   bool profile_version :1;
+  bool nonce :1;
+  bool proof :1;
 } _Hello__isset;
 
 class Hello : public virtual ::apache::thrift::TBase {
  public:
 
-  Hello(const Hello&) noexcept;
+  Hello(const Hello&);
   Hello(Hello&&) noexcept;
-  Hello& operator=(const Hello&) noexcept;
+  Hello& operator=(const Hello&);
   Hello& operator=(Hello&&) noexcept;
   Hello() noexcept
         : protocol(0),
           incarnation(0),
-          profile_version(0) {
+          profile_version(0),
+          nonce(),
+          proof() {
   }
 
   virtual ~Hello() noexcept;
   int32_t protocol;
   int64_t incarnation;
   int64_t profile_version;
+  std::string nonce;
+  std::string proof;
 
   _Hello__isset __isset;
 
@@ -419,6 +425,10 @@
 
   void __set_profile_version(const int64_t val);
 
+  void __set_nonce(const std::string& val);
+
+  void __set_proof(const std::string& val);
+
   bool operator == (const Hello & rhs) const
   {
     if (!(protocol == rhs.protocol))
@@ -427,6 +437,10 @@
       return false;
     if (!(profile_version == rhs.profile_version))
       return false;
+    if (!(nonce == rhs.nonce))
+      return false;
+    if (!(proof == rhs.proof))
+      return false;
     return true;
   }
   bool operator != (const Hello &rhs) const {
--- a/src/nutmegrock/transport/http/CallListener.cpp
+++ b/src/nutmegrock/transport/http/CallListener.cpp
@@ -21,7 +21,6 @@
   if (auto opened = state->Open(); !opened) {
     return tl::make_unexpected(std::move(opened.error()));
   }
-  state->Accept();
   return std::unique_ptr<CallListener>(new CallListener(std::move(state)));
 }
 
--- a/src/nutmegrock/transport/http/HttpBackendClient.cpp
+++ b/src/nutmegrock/transport/http/HttpBackendClient.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/http/BackendExchange.h"
 #include "transport/http/ConnectionPool.h"
+#include "transport/tcp/Acceptor.h"
 
 #include <utility>
 
@@ -16,21 +17,15 @@
 HttpBackendClient::Create(boost::asio::io_context& aIo,
                           const HttpBackendClientSettings& aSettings)
 {
-  boost::system::error_code code;
-  const auto ip = boost::asio::ip::make_address(aSettings.mAddress.mIp, code);
-  if (code || aSettings.mAddress.mPort == 0) {
-    return core::Fail(core::ErrorKind::InvalidSettings,
-                      aSettings.mAddress.Text() +
-                        " is not the address of a backend server");
+  const auto endpoint = tcp::EndpointOf(aSettings.mAddress);
+  if (!endpoint) {
+    return tl::make_unexpected(endpoint.error());
   }
   if (aSettings.mMaxConnections == 0) {
     return core::Fail(core::ErrorKind::InvalidSettings,
                       "the backend server needs at least one connection");
   }
-  auto pool = std::make_shared<ConnectionPool>(
-    aIo,
-    aSettings,
-    boost::asio::ip::tcp::endpoint(ip, aSettings.mAddress.mPort));
+  auto pool = std::make_shared<ConnectionPool>(aIo, aSettings, *endpoint);
   return std::unique_ptr<HttpBackendClient>(
     new HttpBackendClient(std::move(pool)));
 }
--- a/src/nutmegrock/transport/http/ListenerState.cpp
+++ b/src/nutmegrock/transport/http/ListenerState.cpp
@@ -2,103 +2,42 @@
 
 #include "transport/http/ServerConnection.h"
 
-#include <boost/asio/dispatch.hpp>
-#include <boost/asio/strand.hpp>
-#include <spdlog/fmt/fmt.h>
 #include <utility>
 
 namespace nutmegrock::transport::http {
 
 namespace {
 
-namespace net = boost::asio;
-using tcp = net::ip::tcp;
-
 // Refused connections stay open only to read their 503; beyond this number
 // further ones are closed without one, so that refusals are bounded as well.
 constexpr std::size_t kMaxRefusing = 64;
 
-// Pause before accepting again when the process is out of descriptors.
-constexpr auto kAcceptPause = std::chrono::milliseconds(50);
-
 } // namespace
 
-ListenerState::ListenerState(net::io_context& aIo,
+ListenerState::ListenerState(boost::asio::io_context& aIo,
                              const CallListenerSettings& aSettings,
                              CallHandler aHandler)
   : mSettings(aSettings)
   , mHandler(std::move(aHandler))
-  , mIo(aIo)
-  , mAcceptor(net::make_strand(aIo))
-  , mAcceptTimer(mAcceptor.get_executor())
+  , mAcceptor(std::make_shared<tcp::Acceptor>(aIo))
 {
 }
 
 core::Expected<void>
 ListenerState::Open()
 {
-  boost::system::error_code code;
-  const auto ip = net::ip::make_address(mSettings.mAddress.mIp, code);
-  const tcp::endpoint endpoint(ip, mSettings.mAddress.mPort);
-  if (!code) {
-    mAcceptor.open(endpoint.protocol(), code);
-  }
-  if (!code) {
-    mAcceptor.set_option(tcp::acceptor::reuse_address(true), code);
-  }
-  if (!code) {
-    mAcceptor.bind(endpoint, code);
-  }
-  if (!code) {
-    mAcceptor.listen(net::socket_base::max_listen_connections, code);
-  }
-  tcp::endpoint local;
-  if (!code) {
-    local = mAcceptor.local_endpoint(code);
-  }
-  if (code) {
-    return core::Fail(core::ErrorKind::InvalidSettings,
-                      fmt::format("cannot listen on {}: {}",
-                                  mSettings.mAddress.Text(),
-                                  code.message()));
-  }
-  mLocalAddress = { local.address().to_string(), local.port() };
-  return {};
-}
-
-void
-ListenerState::Accept()
-{
-  mAcceptor.async_accept(
-    net::make_strand(mIo),
-    [self = shared_from_this()](boost::system::error_code aCode,
-                                tcp::socket aSocket) {
-      if (self->mStopping || aCode == net::error::operation_aborted) {
-        return;
-      }
-      if (aCode) {
-        self->AcceptLater();
-        return;
-      }
-      self->OnAccepted(std::move(aSocket));
-      self->Accept();
-    });
-}
-
-void
-ListenerState::AcceptLater()
-{
-  mAcceptTimer.expires_after(kAcceptPause);
-  mAcceptTimer.async_wait(
-    [self = shared_from_this()](boost::system::error_code aCode) {
-      if (!aCode && !self->mStopping) {
-        self->Accept();
-      }
-    });
+  return mAcceptor->Listen(mSettings.mAddress).map([this] {
+    mAcceptor->Start(
+      [weak = weak_from_this()](boost::asio::ip::tcp::socket aSocket) {
+        if (const auto self = weak.lock()) {
+          self->OnAccepted(std::move(aSocket));
+        }
+      });
+  });
 }
 
 void
-ListenerState::OnAccepted(tcp::socket aSocket)
+ListenerState::OnAccepted(boost::asio::ip::tcp::socket aSocket)
 {
   std::shared_ptr<ServerConnection> connection;
   bool refused = false;
@@ -166,10 +105,7 @@
   if (mStopping.exchange(true)) {
     return;
   }
-  net::dispatch(mAcceptor.get_executor(), [self = shared_from_this()] {
-    boost::system::error_code ignored;
-    self->mAcceptor.close(ignored);
-    self->mAcceptTimer.cancel();
+  mAcceptor->Close([self = shared_from_this()] {
     for (const auto& connection : self->All()) {
       connection->Stop();
     }
@@ -179,8 +115,8 @@
 void
 ListenerState::Close()
 {
-  Stop();
-  net::dispatch(mAcceptor.get_executor(), [self = shared_from_this()] {
+  mStopping = true;
+  mAcceptor->Close([self = shared_from_this()] {
     for (const auto& connection : self->All()) {
       connection->Close();
     }
--- a/src/nutmegrock/transport/http/ListenerState.h
+++ b/src/nutmegrock/transport/http/ListenerState.h
@@ -2,11 +2,11 @@
 
 #include "transport/Call.h"
 #include "transport/http/CallListenerSettings.h"
+#include "transport/tcp/Acceptor.h"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -25,16 +25,18 @@
                 const CallListenerSettings& aSettings,
                 CallHandler aHandler);
 
-  /// Binds and listens. Fails with InvalidSettings.
+  /// Listens and accepts. Fails with InvalidSettings.
   core::Expected<void> Open();
-  void Accept();
   /// Closes the listening socket and tells each connection to finish.
   void Stop();
   /// Closes the listening socket and all connections.
   void Close();
 
   const CallListenerSettings& Settings() const { return mSettings; }
-  const core::Address& LocalAddress() const { return mLocalAddress; }
+  const core::Address& LocalAddress() const
+  {
+    return mAcceptor->LocalAddress();
+  }
   void Handle(Call aCall, AnswerHandler aAnswer) const;
   bool IsStopping() const { return mStopping; }
 
@@ -48,15 +50,11 @@
 
 private:
   void OnAccepted(boost::asio::ip::tcp::socket aSocket);
-  void AcceptLater();
   std::vector<std::shared_ptr<ServerConnection>> All() const;
 
   const CallListenerSettings mSettings;
   const CallHandler mHandler;
-  boost::asio::io_context& mIo;
-  boost::asio::ip::tcp::acceptor mAcceptor;
-  boost::asio::steady_timer mAcceptTimer;
-  core::Address mLocalAddress;
+  const std::shared_ptr<tcp::Acceptor> mAcceptor;
   std::atomic<bool> mStopping{ false };
   std::atomic<std::size_t> mInFlight{ 0 };
   std::atomic<std::uint64_t> mRefused{ 0 };
--- /dev/null
+++ b/src/nutmegrock/transport/peer/ClientCall.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "peer_types.h"
+#include "transport/Call.h"
+#include "transport/peer/BodyReceiver.h"
+#include "transport/peer/BodySender.h"
+#include "transport/peer/PeerClient.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace nutmegrock::transport::peer {
+
+/// A call or control request of a PeerLink, used on the link's strand only.
+struct ClientCall
+{
+  explicit ClientCall(boost::asio::any_io_executor aExecutor)
+    : mTimer(std::move(aExecutor))
+  {
+  }
+
+  /// Call id on the connection; 0 until the frame was handed to the socket.
+  std::int64_t mId = 0;
+  core::TimePoint mDeadline;
+  boost::asio::steady_timer mTimer;
+  bool mEnded = false;
+
+  std::optional<PeerCall> mCall;
+  PeerResultHandler mHandler;
+  /// First bytes of the call's body, taken before the frame is sent.
+  BodyChunk mFirst;
+  std::shared_ptr<BodySender> mSender;
+  std::weak_ptr<BodyReceiver> mReceiver;
+  bool mAnswered = false;
+
+  gen::ControlRequest mControl;
+  ControlAnswerHandler mControlHandler;
+};
+
+using ClientCallPtr = std::shared_ptr<ClientCall>;
+
+} // namespace nutmegrock::transport::peer
--- /dev/null
+++ b/src/nutmegrock/transport/peer/PeerSession.cpp
@@ -0,0 +1,495 @@
+#include "transport/peer/PeerSession.h"
+
+#include "transport/peer/PeerCodec.h"
+#include "transport/peer/PeerLimits.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace nutmegrock::transport::peer {
+
+namespace {
+
+namespace net = boost::asio;
+using core::ErrorKind;
+using core::MakeError;
+
+} // namespace
+
+PeerSession::PeerSession(net::ip::tcp::socket aSocket,
+                         std::shared_ptr<PeerServerState> aServer)
+  : mServer(std::move(aServer))
+  , mConnection(std::make_shared<FrameConnection>(std::move(aSocket),
+                                                  mServer->Counts(),
+                                                  kMaxUnsentBytes))
+  , mTimer(mConnection->Executor())
+  , mAuthenticator(mServer->Settings().mSecret)
+{
+}
+
+void
+PeerSession::Start()
+{
+  net::dispatch(mConnection->Executor(), [self = shared_from_this()] {
+    self->mLastUse = core::Clock::now();
+    self->WatchTime();
+    // The timer keeps the session alive while the connection is open.
+    self->mConnection->Start(
+      [weak = self->weak_from_this()](gen::PeerFrame aFrame) {
+        if (const auto session = weak.lock()) {
+          session->OnFrame(aFrame);
+        }
+      },
+      [weak = self->weak_from_this()](PeerEvent, const std::string&) {
+        if (const auto session = weak.lock()) {
+          session->OnClosed();
+        }
+      });
+  });
+}
+
+void
+PeerSession::Close()
+{
+  net::dispatch(mConnection->Executor(), [self = shared_from_this()] {
+    self->mConnection->Close(PeerEvent::ClosedHere, "closing down");
+  });
+}
+
+void
+PeerSession::WatchTime()
+{
+  const PeerServerSettings& settings = mServer->Settings();
+  mTimer.expires_at(mLastUse +
+                    (mReady ? settings.mIdleTime : settings.mHelloTimeout));
+  mTimer.async_wait(
+    [self = shared_from_this()](boost::system::error_code aCode) {
+      if (!aCode) {
+        self->OnTimer();
+      }
+    });
+}
+
+void
+PeerSession::OnTimer()
+{
+  const core::TimePoint now = core::Clock::now();
+  if (now >= mTimer.expiry() && !mReady) {
+    mConnection->Close(PeerEvent::HelloFailed, "no Hello in time");
+  } else if (!mCalls.empty() || mControls > 0) {
+    mLastUse = now;
+  } else if (now - mLastUse >= mServer->Settings().mIdleTime) {
+    mConnection->Close(PeerEvent::ClosedHere, "idle");
+  }
+  if (mConnection->IsOpen()) {
+    WatchTime();
+  }
+}
+
+void
+PeerSession::OnClosed()
+{
+  mTimer.cancel();
+  mServer->Remove(this);
+  for (const auto& [id, call] : std::exchange(mCalls, {})) {
+    call->mCancellation->Cancel();
+    if (const auto receiver = call->mReceiver.lock()) {
+      receiver->Fail(MakeError(ErrorKind::BodyIncomplete,
+                               "the connection of the peer was lost"));
+    }
+    if (call->mSender) {
+      call->mSender->Stop();
+    }
+  }
+}
+
+void
+PeerSession::OnFrame(gen::PeerFrame& aFrame)
+{
+  const auto& set = aFrame.payload.__isset;
+  if (set.hello) {
+    OnHello(aFrame.payload.hello);
+  } else if (!mReady) {
+    mConnection->Close(mGreeted ? PeerEvent::AuthenticationFailed
+                                : PeerEvent::HelloFailed,
+                       "a frame before the end of the Hello exchange");
+  } else if (set.call) {
+    OnCall(aFrame.call, aFrame.payload.call);
+  } else if (set.chunk) {
+    OnChunk(aFrame.call, aFrame.payload.chunk);
+  } else if (set.credit) {
+    OnCredit(aFrame.call, aFrame.payload.credit);
+  } else if (set.cancel) {
+    OnCancel(aFrame.call);
+  } else if (set.control) {
+    OnControl(aFrame.call, aFrame.payload.control);
+  } else {
+    mConnection->Close(PeerEvent::FrameUnexpected,
+                       "a frame that only a server sends");
+  }
+}
+
+void
+PeerSession::OnHello(const gen::Hello& aHello)
+{
+  if (mReady || aHello.protocol != kProtocol) {
+    mConnection->Close(PeerEvent::HelloFailed,
+                       "a second Hello, or one of another protocol");
+  } else if (!mGreeted) {
+    mGreeted = true;
+    AnswerHello(aHello);
+    mReady = !mAuthenticator.IsRequired();
+  } else if (mAuthenticator.AcceptsCaller(aHello.proof)) {
+    mReady = true;
+  } else {
+    mConnection->Close(PeerEvent::AuthenticationFailed, "wrong proof");
+  }
+}
+
+void
+PeerSession::AnswerHello(const gen::Hello& aHello)
+{
+  mCaller = { static_cast<std::uint64_t>(aHello.incarnation) };
+  const core::Incarnation own = mServer->Settings().mIncarnation;
+  gen::Hello hello;
+  hello.protocol = kProtocol;
+  hello.incarnation = static_cast<std::int64_t>(own.mBits);
+  if (mAuthenticator.IsRequired()) {
+    hello.nonce = PeerAuthenticator::MakeNonce();
+  }
+  mAuthenticator.SetCaller(aHello.nonce, mCaller);
+  mAuthenticator.SetServer(hello.nonce, own);
+  hello.proof = mAuthenticator.ServerProof();
+  gen::PeerFrame frame;
+  frame.payload.__set_hello(hello);
+  mConnection->Send(frame);
+}
+
+bool
+PeerSession::IsForUs(std::int64_t aTarget) const
+{
+  const core::Incarnation target{ static_cast<std::uint64_t>(aTarget) };
+  return !target.IsKnown() || target == mServer->Settings().mIncarnation;
+}
+
+bool
+PeerSession::TakeId(std::int64_t aId)
+{
+  if (aId <= mLastId) {
+    mConnection->Close(PeerEvent::FrameUnexpected, "a call id used before");
+    return false;
+  }
+  mLastId = aId;
+  mLastUse = core::Clock::now();
+  return true;
+}
+
+void
+PeerSession::OnCall(std::int64_t aId, gen::CallStart& aStart)
+{
+  if (!TakeId(aId)) {
+    return;
+  }
+  if (aStart.first_bytes.size() > kChunkBytes) {
+    mConnection->Close(PeerEvent::FrameUnexpected, "too many first bytes");
+    return;
+  }
+  auto peer_call = PeerCodec::FromWire(aStart, core::Clock::now());
+  if (!peer_call) {
+    SendError(aId, peer_call.error(), {}, {});
+    return;
+  }
+  if (!IsForUs(aStart.target)) {
+    core::CallFeedback feedback;
+    feedback.mBudgetReturned = peer_call->mContext.mRetryBudget;
+    SendError(aId,
+              MakeError(ErrorKind::WrongIncarnation,
+                        "the call is for another run of this node"),
+              feedback,
+              {});
+    return;
+  }
+  auto call = std::make_shared<ServerCall>();
+  call->mId = aId;
+  call->mCancellation = std::make_shared<Cancellation>();
+  call->mToken = mServer->StartCall();
+  mCalls.emplace(aId, call);
+  peer_call->mCall.mCancellation = call->mCancellation;
+  peer_call->mCall.mBody = MakeBody(call, aStart);
+  mServer->Calls()(std::move(*peer_call),
+                   [self = shared_from_this(), call, token = call->mToken](
+                     PeerResult aResult) {
+                     net::dispatch(
+                       self->mConnection->Executor(),
+                       [self, call, result = std::move(aResult)]() mutable {
+                         self->OnResult(call, std::move(result));
+                       });
+                   });
+}
+
+BodyReaderPtr
+PeerSession::MakeBody(const ServerCallPtr& aCall, gen::CallStart& aStart)
+{
+  if (aStart.last) {
+    return WholeBody(std::move(aStart.first_bytes));
+  }
+  const auto receiver = std::make_shared<BodyReceiver>(
+    std::move(aStart.first_bytes),
+    [weak = weak_from_this(), id = aCall->mId](std::size_t aBytes) {
+      const auto self = weak.lock();
+      if (!self) {
+        return;
+      }
+      net::post(self->mConnection->Executor(), [self, id, aBytes] {
+        gen::BodyCredit credit;
+        credit.bytes = static_cast<std::int32_t>(aBytes);
+        gen::PeerFrame frame;
+        frame.call = id;
+        frame.payload.__set_credit(credit);
+        if (self->mCalls.contains(id)) {
+          self->mConnection->Send(frame);
+        }
+      });
+    },
+    std::function<void()>());
+  aCall->mReceiver = receiver;
+  return receiver;
+}
+
+void
+PeerSession::OnChunk(std::int64_t aId, gen::BodyChunk& aChunk)
+{
+  const auto found = mCalls.find(aId);
+  if (found == mCalls.end()) {
+    mServer->Counts()->Add(PeerEvent::LateFrame);
+    return;
+  }
+  const auto receiver = found->second->mReceiver.lock();
+  if (!receiver) {
+    // The handler does not want the body.
+    return;
+  }
+  if (aChunk.__isset.error) {
+    receiver->Fail(PeerCodec::FromWire(aChunk.error));
+  } else if (!receiver->Push({ std::move(aChunk.bytes), aChunk.last })) {
+    mConnection->Close(PeerEvent::CreditExceeded, "a body beyond its credit");
+  }
+}
+
+void
+PeerSession::OnCredit(std::int64_t aId, const gen::BodyCredit& aCredit)
+{
+  const auto found = mCalls.find(aId);
+  if (found == mCalls.end()) {
+    mServer->Counts()->Add(PeerEvent::LateFrame);
+  } else if (!found->second->mSender ||
+             !found->second->mSender->AddCredit(aCredit.bytes)) {
+    mConnection->Close(PeerEvent::CreditExceeded, "credit beyond the window");
+  }
+}
+
+void
+PeerSession::OnCancel(std::int64_t aId)
+{
+  const auto found = mCalls.find(aId);
+  if (found == mCalls.end()) {
+    mServer->Counts()->Add(PeerEvent::LateFrame);
+    return;
+  }
+  const ServerCallPtr call = found->second;
+  End(call);
+  call->mCancellation->Cancel();
+}
+
+void
+PeerSession::OnControl(std::int64_t aId, gen::ControlRequest& aRequest)
+{
+  if (!TakeId(aId)) {
+    return;
+  }
+  if (!IsForUs(aRequest.target)) {
+    SendControlAnswer(aId,
+                      core::Fail(ErrorKind::WrongIncarnation,
+                                 "the request is for another run of this "
+                                 "node"));
+    return;
+  }
+  ++mControls;
+  mServer->Controls()(
+    mCaller,
+    std::move(aRequest.method),
+    std::move(aRequest.argument),
+    [self = shared_from_this(), aId](core::Expected<std::string> aResult) {
+      net::dispatch(self->mConnection->Executor(),
+                    [self, aId, result = std::move(aResult)]() mutable {
+                      --self->mControls;
+                      self->mLastUse = core::Clock::now();
+                      self->SendControlAnswer(aId, std::move(result));
+                    });
+    });
+}
+
+void
+PeerSession::OnResult(const ServerCallPtr& aCall, PeerResult aResult)
+{
+  if (aCall->mAnswered || !mCalls.contains(aCall->mId)) {
+    return;
+  }
+  aCall->mAnswered = true;
+  aCall->mFeedback = aResult.mFeedback;
+  if (aResult.mAnswer) {
+    aCall->mAnswer = std::move(*aResult.mAnswer);
+    PullFirst(aCall);
+    return;
+  }
+  SendError(
+    aCall->mId, aResult.mAnswer.error(), aCall->mFeedback, aCall->mToken);
+  End(aCall);
+}
+
+void
+PeerSession::PullFirst(const ServerCallPtr& aCall)
+{
+  const BodyReaderPtr body = aCall->mAnswer.mBody;
+  if (!body) {
+    SendAnswer(aCall, { {}, true });
+    return;
+  }
+  body->Next(
+    [self = shared_from_this(), aCall](core::Expected<BodyChunk> aChunk) {
+      net::dispatch(self->mConnection->Executor(),
+                    [self, aCall, chunk = std::move(aChunk)]() mutable {
+                      if (!self->mCalls.contains(aCall->mId)) {
+                        return;
+                      }
+                      if (!chunk) {
+                        self->SendError(aCall->mId,
+                                        chunk.error(),
+                                        aCall->mFeedback,
+                                        aCall->mToken);
+                        self->End(aCall);
+                        return;
+                      }
+                      self->SendAnswer(aCall, std::move(*chunk));
+                    });
+    });
+}
+
+void
+PeerSession::SendAnswer(const ServerCallPtr& aCall, BodyChunk aFirst)
+{
+  if (!aFirst.mLast || aFirst.mBytes.size() > kChunkBytes) {
+    aCall->mSender = std::make_shared<BodySender>(
+      mConnection->Executor(),
+      std::move(aCall->mAnswer.mBody),
+      [weak = weak_from_this(),
+       weak_call = std::weak_ptr(aCall)](core::Expected<BodyChunk> aChunk) {
+        const auto self = weak.lock();
+        const auto call = weak_call.lock();
+        if (self && call) {
+          self->SendChunk(call, std::move(aChunk));
+        }
+      });
+    aFirst = aCall->mSender->TakeFirst(std::move(aFirst));
+  }
+  gen::AnswerStart answer = PeerCodec::ToWire(aCall->mAnswer.mHead);
+  answer.feedback = PeerCodec::ToWire(aCall->mFeedback);
+  answer.first_bytes = std::move(aFirst.mBytes);
+  answer.last = aFirst.mLast;
+  gen::PeerFrame frame;
+  frame.call = aCall->mId;
+  frame.payload.__set_answer(answer);
+  const bool fits = aCall->mAnswer.mHead.mHeaders.size() <= kMaxHeaders;
+  if (!fits || !mConnection->Send(frame, [token = aCall->mToken] {})) {
+    SendError(aCall->mId,
+              MakeError(ErrorKind::BackendProtocol,
+                        "the headers of the answer are too large for a frame"),
+              aCall->mFeedback,
+              aCall->mToken);
+    End(aCall);
+  } else if (aFirst.mLast) {
+    End(aCall);
+  } else {
+    aCall->mSender->Start();
+  }
+}
+
+void
+PeerSession::SendChunk(const ServerCallPtr& aCall,
+                       core::Expected<BodyChunk> aChunk)
+{
+  gen::BodyChunk chunk;
+  if (aChunk) {
+    chunk.bytes = std::move(aChunk->mBytes);
+    chunk.last = aChunk->mLast;
+  } else {
+    chunk.__set_error(PeerCodec::ToWire(aChunk.error()));
+  }
+  const bool ends = !aChunk || chunk.last;
+  gen::PeerFrame frame;
+  frame.call = aCall->mId;
+  frame.payload.__set_chunk(chunk);
+  mConnection->Send(frame, [token = aCall->mToken] {});
+  if (ends) {
+    End(aCall);
+  }
+}
+
+void
+PeerSession::SendError(std::int64_t aId,
+                       const core::Error& aError,
+                       const core::CallFeedback& aFeedback,
+                       std::shared_ptr<void> aToken)
+{
+  gen::AnswerStart answer;
+  answer.status = static_cast<std::int32_t>(core::RowOf(aError.mKind).mStatus);
+  answer.body_size = 0;
+  answer.last = true;
+  answer.feedback = PeerCodec::ToWire(aFeedback);
+  answer.__set_error(PeerCodec::ToWire(aError));
+  gen::PeerFrame frame;
+  frame.call = aId;
+  frame.payload.__set_answer(answer);
+  mConnection->Send(frame, [token = std::move(aToken)] {});
+}
+
+void
+PeerSession::SendControlAnswer(std::int64_t aId,
+                               core::Expected<std::string> aResult)
+{
+  gen::PeerFrame frame;
+  frame.call = aId;
+  gen::ControlAnswer answer;
+  if (aResult) {
+    answer.result = std::move(*aResult);
+    frame.payload.__set_control_answer(answer);
+    if (mConnection->Send(frame)) {
+      return;
+    }
+    aResult =
+      core::Fail(ErrorKind::Internal, "the result is too large for a frame");
+    answer.result.clear();
+  }
+  answer.__set_error(PeerCodec::ToWire(aResult.error()));
+  frame.payload.__set_control_answer(answer);
+  mConnection->Send(frame);
+}
+
+void
+PeerSession::End(const ServerCallPtr& aCall)
+{
+  mCalls.erase(aCall->mId);
+  mLastUse = core::Clock::now();
+  aCall->mToken.reset();
+  if (aCall->mSender) {
+    aCall->mSender->Stop();
+  }
+  // The caller sends no more of the body once it has the whole answer.
+  if (const auto receiver = aCall->mReceiver.lock()) {
+    receiver->Fail(MakeError(ErrorKind::BodyIncomplete, "the call has ended"));
+  }
+  aCall->mAnswer = {};
+}
+
+} // namespace nutmegrock::transport::peer
--- /dev/null
+++ b/tests/transport/PeerCallTest.cpp
@@ -0,0 +1,77 @@
+#include "tests/transport/Peers.h"
+
+using namespace nutmegrock;
+using namespace nutmegrock::tests;
+using namespace nutmegrock::transport;
+
+namespace {
+
+// Answers each call with a body of the size of the call's body.
+void
+EchoSize(const PeerCall& aCall, const PeerResultHandler& aAnswer)
+{
+  ReadWhole(aCall.mCall.mBody, 1 << 30, [aCall, aAnswer](const auto& aText) {
+    if (!aText) {
+      aAnswer({ tl::make_unexpected(aText.error()), {} });
+      return;
+    }
+    Answer answer;
+    answer.mHead.mStatus = 201;
+    answer.mHead.mHeaders = { { "X-Profile", aCall.mContext.mProfile } };
+    answer.mBody = std::make_shared<MadeBody>(aText->size(), 10000);
+    core::CallFeedback feedback;
+    feedback.mBudgetReturned = aCall.mContext.mRetryBudget;
+    feedback.mLevel = { core::Importance::High, 5 };
+    aAnswer({ std::move(answer), feedback });
+  });
+}
+
+} // namespace
+
+TEST_SUITE("transport/peer")
+{
+  // Guards against lost or merged bodies at the sizes where a body starts to
+  // need chunks and credit.
+  TEST_CASE("peers carry calls and answers of all sizes")
+  {
+    Loop loop;
+    const auto server = ServePeers(loop, EchoSize);
+    const auto client = MakePeerClient(loop);
+    for (const std::size_t size : { 0, 1, 65536, 65537, 262144, 5000000 }) {
+      for (const std::size_t chunk : { 7000, 300000 }) {
+        CAPTURE(size);
+        const auto result = ResultOf(
+          SendPeer(*client,
+                   server->LocalAddress(),
+                   MakePeerCall(std::make_shared<MadeBody>(size, chunk))));
+        REQUIRE(result.mAnswer.has_value());
+        CHECK(result.mAnswer->mHead.mStatus == 201);
+        CHECK(result.mAnswer->mHead.mHeaders ==
+              Headers{ { "X-Profile", "deposit" } });
+        CHECK(result.mFeedback.mBudgetReturned == 3);
+        CHECK(result.mFeedback.mLevel ==
+              core::Level{ core::Importance::High, 5 });
+        const auto text = Whole(result.mAnswer->mBody);
+        REQUIRE(text.has_value());
+        CHECK(text->size() == size);
+      }
+    }
+    CHECK(server->Connections() == 1);
+    CHECK(WaitUntil([&] { return server->InFlight() == 0; }));
+  }
+
+  TEST_CASE("control requests reach the run that they are meant for")
+  {
+    Loop loop;
+    const auto server = ServePeers(loop, EchoSize);
+    const auto client = MakePeerClient(loop);
+    const auto& address = server->LocalAddress();
+    const auto good = ControlAndWait(*client, address, kServerRun, "7");
+    REQUIRE(good.has_value());
+    CHECK(*good == kClientRun.Text() + " pull 7");
+    CHECK(ControlAndWait(*client, address, {}, "8").has_value());
+    const auto wrong = ControlAndWait(*client, address, { 1 }, "9");
+    REQUIRE_FALSE(wrong.has_value());
+    CHECK(wrong.error().mKind == core::ErrorKind::WrongIncarnation);
+  }
+}
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -45,6 +45,10 @@
   2: i64 incarnation
   // Highest profile version the sender has in force.
   3: i64 profile_version
+  // With a shared secret: the caller sends a nonce, the server a nonce and its
+  // proof, and the caller a second Hello with its proof.
+  4: binary nonce
+  5: binary proof
 }
 
 struct CallStart {
