Cover the fault cases of the membership and measure its cost

A suspicion whose time is up while most of the own probes since its start failed now starts again, and an accuser pings its suspect every two periods. Before, a node cut off from 17 others declared 4 of them dead, since its window of 10 probes needed 6 failures, and a node with 20% of lost datagrams around it was declared dead 4 times in 10 minutes. Both fault tables pass. perf_membership prints cost per node over in-memory instances.

--- /dev/null
+++ b/perf/perf_membership/main.cpp
@@ -0,0 +1,296 @@
+// Cost of the membership on in-memory instances that exchange messages
+// directly: bytes per node and second, CPU per tick and message, memory per
+// member, and the time until a change is known to all.
+//
+// Usage: perf_membership [SIZE...]
+
+#include "tests/membership/Mesh.h"
+
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <malloc.h>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+using namespace nutmegrock;
+using namespace nutmegrock::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Figures of one mesh size.
+struct Figures
+{
+  std::size_t mNodes = 0;
+  double mQuietBytes = 0;
+  double mChurnBytes = 0;
+  double mPullBytes = 0;
+  double mMessages = 0;
+  double mCpuShare = 0;
+  double mMemberBytes = 0;
+  double mSpreadPeriods = 0;
+  double mDetectSeconds = 0;
+};
+
+double
+CpuSeconds()
+{
+  timespec now{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) +
+         static_cast<double>(now.tv_nsec) * 1e-9;
+}
+
+/// Sum over the nodes, for figures per node.
+struct Totals
+{
+  double mBytes = 0;
+  double mPulls = 0;
+  double mDatagrams = 0;
+};
+
+Totals
+TotalsOf(Mesh& aMesh)
+{
+  Totals totals;
+  for (std::size_t i = 0; i < aMesh.Size(); ++i) {
+    const auto& node = aMesh.At(i);
+    totals.mBytes += static_cast<double>(node.mBytes);
+    totals.mPulls += static_cast<double>(node.mControlBytes);
+    totals.mDatagrams += static_cast<double>(node.mDatagrams);
+  }
+  return totals;
+}
+
+/// Adds aCount members to the table of one node, as a first table exchange
+/// does.
+void
+Fill(Membership& aMembership, const std::vector<MemberPtr>& aMembers)
+{
+  for (const MemberPtr& member : aMembers) {
+    if (member->mIncarnation != aMembership.Own()->mIncarnation) {
+      Message update;
+      update.mKind = MessageKind::Update;
+      update.mSender = member->mIncarnation;
+      update.mChanges = { { member, Liveness::Alive, 0, {}, {} } };
+      aMembership.Handle(core::TimePoint(1h), member->mAddress, update);
+    }
+  }
+}
+
+/// A mesh whose nodes know each other and have nothing left to pass on.
+std::unique_ptr<Mesh>
+Formed(std::size_t aNodes)
+{
+  auto mesh = std::make_unique<Mesh>(aNodes);
+  std::vector<MemberPtr> members;
+  for (std::size_t i = 0; i < aNodes; ++i) {
+    mesh->Add(i);
+    members.push_back(mesh->Of(i).Own());
+  }
+  for (std::size_t i = 0; i < aNodes; ++i) {
+    Fill(mesh->Of(i), members);
+  }
+  return mesh;
+}
+
+/// Bytes of one entry with a record of its own, as received from others.
+double
+MemberBytes(std::size_t aNodes)
+{
+  Mesh mesh(1);
+  mesh.Add(0);
+  const auto before = mallinfo2().uordblks;
+  std::vector<MemberPtr> members;
+  for (std::size_t i = 1; i <= aNodes; ++i) {
+    Member member = *mesh.Of(0).Own();
+    member.mIncarnation = { 0x9e3779b97f4a7c15ULL * i };
+    member.mAddress = Mesh::AddressOf(i);
+    members.push_back(std::make_shared<const Member>(std::move(member)));
+  }
+  Fill(mesh.Of(0), members);
+  mesh.Advance(120s);
+  members = {};
+  const auto after = mallinfo2().uordblks;
+  return static_cast<double>(after - before) / static_cast<double>(aNodes);
+}
+
+/// Periods until a changed record of one node is in all tables.
+double
+SpreadPeriods(Mesh& aMesh)
+{
+  const std::size_t changed = aMesh.Size() / 2;
+  const Member& own = *aMesh.Of(changed).Own();
+  aMesh.Perform(
+    changed,
+    aMesh.Of(changed).SetOwnState(
+      aMesh.Now(),
+      { MemberState::Draining, own.mSlots, own.mConnections, own.mJoinedMs }));
+  const auto id = aMesh.IdOf(changed);
+  const auto version = aMesh.Of(changed).Own()->mVersion;
+  const auto start = aMesh.Now();
+  const auto known = [&] {
+    for (std::size_t i = 0; i < aMesh.Size(); ++i) {
+      const auto* entry = aMesh.Of(i).Table().Find(id);
+      if (entry == nullptr || entry->mMember->mVersion != version) {
+        return false;
+      }
+    }
+    return true;
+  };
+  while (!known() && aMesh.Now() - start < 120s) {
+    aMesh.Advance(100ms);
+  }
+  return std::chrono::duration<double>(aMesh.Now() - start).count();
+}
+
+double
+DetectSeconds(Mesh& aMesh)
+{
+  aMesh.Kill(1);
+  const auto start = aMesh.Now();
+  const auto id = aMesh.IdOf(1);
+  const auto found = [&] {
+    for (std::size_t i = 0; i < aMesh.Size(); ++i) {
+      const auto* entry = aMesh.Of(i).Table().Find(id);
+      if (i != 1 && entry != nullptr && entry->IsPresent()) {
+        return false;
+      }
+    }
+    return true;
+  };
+  while (!found() && aMesh.Now() - start < 120s) {
+    aMesh.Advance(100ms);
+  }
+  return std::chrono::duration<double>(aMesh.Now() - start).count();
+}
+
+Figures
+Measure(std::size_t aNodes)
+{
+  constexpr double kQuiet = 120;
+  Figures figures;
+  figures.mNodes = aNodes;
+  figures.mMemberBytes = MemberBytes(aNodes);
+  const auto mesh = Formed(aNodes);
+  // The first records, each of which every node passes on, have to be through.
+  while (!mesh->IsQuiet()) {
+    mesh->Advance(10s);
+  }
+  const auto nodes = static_cast<double>(aNodes);
+  const Totals before = TotalsOf(*mesh);
+  const double cpu = CpuSeconds();
+  mesh->Advance(std::chrono::seconds(static_cast<int>(kQuiet)));
+  figures.mCpuShare = (CpuSeconds() - cpu) / kQuiet / nodes;
+  const Totals after = TotalsOf(*mesh);
+  // What one node sends another receives.
+  figures.mQuietBytes = 2 * (after.mBytes - before.mBytes) / kQuiet / nodes;
+  figures.mPullBytes = 2 * (after.mPulls - before.mPulls) / kQuiet / nodes;
+  figures.mMessages =
+    2 * (after.mDatagrams - before.mDatagrams) / kQuiet / nodes;
+  figures.mSpreadPeriods = SpreadPeriods(*mesh);
+  mesh->Advance(30s);
+  // One change per second is 360 times the ordinary 240 a day.
+  const Totals calm = TotalsOf(*mesh);
+  constexpr int kChanges = 60;
+  for (int i = 0; i < kChanges; ++i) {
+    const std::size_t changed = static_cast<std::size_t>(i) % aNodes;
+    const Member& own = *mesh->Of(changed).Own();
+    mesh->Perform(changed,
+                  mesh->Of(changed).SetOwnState(mesh->Now(),
+                                                { MemberState::Serving,
+                                                  own.mSlots + 1,
+                                                  own.mConnections,
+                                                  own.mJoinedMs }));
+    mesh->Advance(1s);
+  }
+  figures.mChurnBytes =
+    2 * (TotalsOf(*mesh).mBytes - calm.mBytes) / kChanges / nodes;
+  mesh->Advance(30s);
+  figures.mDetectSeconds = DetectSeconds(*mesh);
+  return figures;
+}
+
+/// Exponent of the growth of a figure with the number of nodes.
+double
+Slope(const Figures& aSmall, const Figures& aLarge, double Figures::*aFigure)
+{
+  return std::log(aLarge.*aFigure / aSmall.*aFigure) /
+         std::log(static_cast<double>(aLarge.mNodes) /
+                  static_cast<double>(aSmall.mNodes));
+}
+
+void
+PrintSlopes(const Figures& aSmall, const Figures& aLarge)
+{
+  struct Row
+  {
+    const char* mName;
+    double Figures::*mFigure;
+  };
+  std::printf("\ngrowth from %zu to %zu nodes as an exponent of the size\n",
+              aSmall.mNodes,
+              aLarge.mNodes);
+  for (const Row& row :
+       { Row{ "quiet bytes/s", &Figures::mQuietBytes },
+         Row{ "bytes/s at one change/s", &Figures::mChurnBytes },
+         Row{ "table comparison bytes/s", &Figures::mPullBytes },
+         Row{ "CPU", &Figures::mCpuShare },
+         Row{ "bytes per member", &Figures::mMemberBytes },
+         Row{ "spreading", &Figures::mSpreadPeriods },
+         Row{ "detection", &Figures::mDetectSeconds } }) {
+    std::printf(
+      "  %-26s %6.2f\n", row.mName, Slope(aSmall, aLarge, row.mFigure));
+  }
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  std::vector<std::size_t> sizes;
+  for (int i = 1; i < aCount; ++i) {
+    sizes.push_back(std::strtoul(aArguments[i], nullptr, 10));
+  }
+  if (sizes.empty()) {
+    sizes = { 25, 50, 100, 200, 400, 3800 };
+  }
+  std::printf("per node, sent and received; CPU includes the loop that carries "
+              "the messages\n");
+  std::printf("%6s %9s %9s %9s %8s %9s %9s %8s %8s\n",
+              "nodes",
+              "B/s",
+              "B/s@1/s",
+              "pull B/s",
+              "msg/s",
+              "CPU %core",
+              "B/member",
+              "spread s",
+              "detect s");
+  std::optional<Figures> first;
+  std::optional<Figures> last;
+  for (const std::size_t size : sizes) {
+    const Figures figures = Measure(size);
+    std::printf("%6zu %9.0f %9.0f %9.1f %8.2f %9.4f %9.0f %8.1f %8.1f\n",
+                figures.mNodes,
+                figures.mQuietBytes,
+                figures.mChurnBytes,
+                figures.mPullBytes,
+                figures.mMessages,
+                figures.mCpuShare * 100,
+                figures.mMemberBytes,
+                figures.mSpreadPeriods,
+                figures.mDetectSeconds);
+    std::fflush(stdout);
+    first = first ? first : figures;
+    last = figures;
+  }
+  if (sizes.size() > 1) {
+    PrintSlopes(*first, *last);
+  }
+  return 0;
+}
--- a/src/nutmegrock/membership/Membership.cpp
+++ b/src/nutmegrock/membership/Membership.cpp
@@ -45,7 +45,8 @@
   , mRandom(aSeed)
   , mTable(std::move(aOwn), mSettings)
   , mProber(mSettings)
-  , mSuspicions(mSettings)
+  , mSuspicions(mSettings, Own()->mIncarnation)
+  , mMerger(mTable, mProber, mSuspicions, mGossip, mRandom)
   , mSync(mSettings)
   , mOutbox(mTable, mGossip, std::move(aOwnVersion))
 {
@@ -178,86 +179,16 @@
                   bool aPassOn,
                   Actions& aActions)
 {
-  const core::Incarnation incarnation = aChange.mMember->mIncarnation;
-  if (incarnation == Own()->mIncarnation) {
-    RefuteIfAccused(aChange);
-    return;
-  }
-  const MergeResult result = mTable.Merge(aNow, aChange);
-  bool passOn = result.mChanged;
-  if (result.mAppeared) {
-    mProber.Insert(incarnation, mRandom);
-  }
-  if (result.mReplaced.IsKnown()) {
-    mSuspicions.Clear(result.mReplaced);
-    mGossip.Add(result.mReplaced);
-  }
-  const MemberTable::Entry* entry = mTable.Find(incarnation);
-  if (entry == nullptr || entry->mLiveness != Liveness::Suspect ||
-      entry->HasLeft()) {
-    mSuspicions.Clear(incarnation);
-  } else if (aChange.mLiveness == Liveness::Suspect &&
-             aChange.mRefutation == entry->mRefutation &&
-             mSuspicions.Accuse(
-               incarnation, aChange.mAccuser, aChange.mRefutation)) {
-    passOn = true;
-  }
-  if (passOn && aPassOn) {
-    mGossip.Add(incarnation);
-  }
-  if (result.mViewChanged) {
-    aActions.mViewChanged = true;
-    mView.reset();
-  }
+  NoteView(mMerger.Merge(aNow, aChange, aPassOn), aActions);
 }
 
 void
-Membership::RefuteIfAccused(const Change& aChange)
+Membership::NoteView(bool aChanged, Actions& aActions)
 {
-  const MemberTable::Entry& own = mTable.Own();
-  if (aChange.mLiveness == Liveness::Alive ||
-      aChange.mRefutation < own.mRefutation || own.HasLeft()) {
-    return;
-  }
-  mTable.Refute(aChange.mRefutation);
-  mGossip.Add(own.mMember->mIncarnation);
-  mProber.Worsen();
-  ++mCounts.mRefuted;
-}
-
-void
-Membership::DeclareDead(core::TimePoint aNow,
-                        core::Incarnation aIncarnation,
-                        Actions& aActions)
-{
-  const MemberTable::Entry* entry = mTable.Find(aIncarnation);
-  if (entry == nullptr || !entry->IsPresent()) {
-    return;
-  }
-  ++mCounts.mDeclaredDead;
-  const Change dead{
-    entry->mMember, Liveness::Dead, entry->mRefutation, {}, {}
-  };
-  Merge(aNow, dead, true, aActions);
-}
-
-void
-Membership::Suspect(core::TimePoint aNow,
-                    core::Incarnation aIncarnation,
-                    Actions& aActions)
-{
-  const MemberTable::Entry* entry = mTable.Find(aIncarnation);
-  // An isolated node's failed probes say nothing about the others.
-  if (entry == nullptr || !entry->IsPresent() || mProber.IsIsolated()) {
-    return;
+  if (aChanged) {
+    aActions.mViewChanged = true;
+    mView.reset();
   }
-  ++mCounts.mSuspected;
-  const Change suspect{ entry->mMember,
-                        Liveness::Suspect,
-                        entry->mRefutation,
-                        {},
-                        Own()->mIncarnation };
-  Merge(aNow, suspect, true, aActions);
 }
 
 void
@@ -266,10 +197,11 @@
                   Actions& aActions)
 {
   if (aSteps.mFailed.IsKnown()) {
-    Suspect(aNow, aSteps.mFailed, aActions);
+    mMerger.Suspect(aNow, aSteps.mFailed);
+    TellSuspect(aNow, aSteps.mFailed, aActions);
   }
   if (aSteps.mReplaced.IsKnown()) {
-    DeclareDead(aNow, aSteps.mReplaced, aActions);
+    NoteView(mMerger.DeclareDead(aNow, aSteps.mReplaced), aActions);
   }
   for (const auto& ping : aSteps.mPings) {
     mOutbox.SendPing(aNow, aActions, ping.mTo, ping.mTarget, ping.mSequence);
@@ -317,15 +249,31 @@
     // suspects came in meanwhile and were not read.
     mProber.SkipProbe();
     mProber.Worsen();
-    elapsed = core::Duration{ 0 };
-  }
-  if (mProber.IsIsolated()) {
     mSuspicions.Restart();
-    return;
+    elapsed = core::Duration{ 0 };
   }
   const std::size_t members = mTable.Present().size() + 1;
-  for (const auto suspect : mSuspicions.Advance(elapsed, members)) {
-    DeclareDead(aNow, suspect, aActions);
+  const SuspicionSteps steps = mSuspicions.Advance(elapsed, members, mProber);
+  for (const core::Incarnation suspect : steps.mExpired) {
+    NoteView(mMerger.DeclareDead(aNow, suspect), aActions);
+  }
+  for (const core::Incarnation suspect : steps.mReminded) {
+    TellSuspect(aNow, suspect, aActions);
+  }
+}
+
+void
+Membership::TellSuspect(core::TimePoint aNow,
+                        core::Incarnation aIncarnation,
+                        Actions& aActions)
+{
+  const MemberTable::Entry* entry = mTable.Find(aIncarnation);
+  if (entry != nullptr && entry->mLiveness == Liveness::Suspect) {
+    mOutbox.SendPing(aNow,
+                     aActions,
+                     entry->mMember->mAddress,
+                     aIncarnation,
+                     Outbox::kNoSequence);
   }
 }
 
--- a/src/nutmegrock/membership/Membership.h
+++ b/src/nutmegrock/membership/Membership.h
@@ -6,8 +6,8 @@
 #include "membership/Gossip.h"
 #include "membership/MemberTable.h"
 #include "membership/MemberView.h"
-#include "membership/MembershipCounts.h"
 #include "membership/MembershipSettings.h"
+#include "membership/Merger.h"
 #include "membership/Outbox.h"
 #include "membership/Prober.h"
 #include "membership/Random.h"
@@ -90,8 +90,10 @@
   const MemberPtr& Own() const { return mTable.Own().mMember; }
   /// Whether most of the own recent probes failed.
   bool IsIsolated() const { return mProber.IsIsolated(); }
+  /// Number of changes still to be passed on.
+  std::size_t PendingGossip() const { return mGossip.Size(); }
   const MemberTable& Table() const { return mTable; }
-  const MembershipCounts& Counts() const { return mCounts; }
+  const MembershipCounts& Counts() const { return mMerger.Counts(); }
 
 private:
   void HandlePing(core::TimePoint aNow,
@@ -110,16 +112,13 @@
              const Change& aChange,
              bool aPassOn,
              Actions& aActions);
-  void RefuteIfAccused(const Change& aChange);
-  void DeclareDead(core::TimePoint aNow,
-                   core::Incarnation aIncarnation,
-                   Actions& aActions);
-  void Suspect(core::TimePoint aNow,
-               core::Incarnation aIncarnation,
-               Actions& aActions);
+  void NoteView(bool aChanged, Actions& aActions);
   void Apply(core::TimePoint aNow, const ProbeSteps& aSteps, Actions& aActions);
   void Publish(const OwnState& aState);
   void TickSuspicions(core::TimePoint aNow, Actions& aActions);
+  void TellSuspect(core::TimePoint aNow,
+                   core::Incarnation aIncarnation,
+                   Actions& aActions);
   void TickSeeds(core::TimePoint aNow, Actions& aActions);
   void TickSync(core::TimePoint aNow, Actions& aActions);
   void TickTable(core::TimePoint aNow, Actions& aActions);
@@ -132,6 +131,7 @@
   Prober mProber;
   Suspicions mSuspicions;
   Gossip mGossip;
+  Merger mMerger;
   Sync mSync;
   Outbox mOutbox;
   std::vector<core::Address> mSeeds;
@@ -141,7 +141,6 @@
   core::TimePoint mNextExpiry;
   std::uint64_t mViewNumber = 0;
   MemberViewPtr mView;
-  MembershipCounts mCounts;
 };
 
 } // namespace nutmegrock::membership
--- a/src/nutmegrock/membership/Prober.cpp
+++ b/src/nutmegrock/membership/Prober.cpp
@@ -83,7 +83,7 @@
                    Random& aRandom,
                    ProbeSteps& aSteps)
 {
-  const auto stretch = static_cast<core::Duration::rep>(mHealth + 1);
+  const auto stretch = core::Duration::rep{ mHealth } + 1;
   mPeriodEnd = aNow + mPeriod * stretch;
   const MemberTable::Entry* target = NextTarget(aTable, aRandom);
   if (target == nullptr) {
@@ -216,9 +216,19 @@
          static_cast<std::size_t>(failed) * 2 > mRecent.size();
 }
 
+bool
+Prober::MostlyFailedSince(std::uint64_t aCount) const
+{
+  const auto count = static_cast<std::ptrdiff_t>(
+    std::min<std::uint64_t>(mRecent.size(), EndedSince(aCount)));
+  const auto failed = std::count(mRecent.end() - count, mRecent.end(), true);
+  return failed - (count - failed) >= 2;
+}
+
 void
 Prober::NoteResult(bool aFailed)
 {
+  ++mEnded;
   mRecent.push_back(aFailed);
   if (mRecent.size() > mWindow) {
     mRecent.pop_front();
--- a/src/nutmegrock/membership/Prober.h
+++ b/src/nutmegrock/membership/Prober.h
@@ -84,6 +84,16 @@
   /// Whether more than half of the recent probes failed, of at least 3. Such a
   /// node assumes that it is cut off itself.
   bool IsIsolated() const;
+  /// Count of own probes that ended.
+  std::uint64_t Ended() const { return mEnded; }
+  std::uint64_t EndedSince(std::uint64_t aCount) const
+  {
+    return mEnded - aCount;
+  }
+  /// Whether of the recent probes that ended after the first aCount, at least
+  /// two more failed than succeeded. One more is not enough: with one of two
+  /// other members dead, half of the probes fail in any order.
+  bool MostlyFailedSince(std::uint64_t aCount) const;
   /// 0 when this node works well, up to the maximum of the settings.
   unsigned Health() const { return mHealth; }
   std::uint64_t NextSequence() { return ++mSequence; }
@@ -132,6 +142,7 @@
   /// Targets of this round, probed from the back.
   std::vector<core::Incarnation> mRound;
   std::unordered_map<std::uint64_t, Errand> mErrands;
+  std::uint64_t mEnded = 0;
   /// Recent probes, true for failed.
   std::deque<bool> mRecent;
 };
--- a/src/nutmegrock/membership/Suspicions.cpp
+++ b/src/nutmegrock/membership/Suspicions.cpp
@@ -5,8 +5,22 @@
 
 namespace nutmegrock::membership {
 
-Suspicions::Suspicions(const MembershipSettings& aSettings)
-  : mPeriod(aSettings.mPeriod)
+namespace {
+
+/// Periods between two pings that tell a suspect of an own accusation. Other
+/// members reach it through gossip.
+constexpr int kReminderPeriods = 2;
+
+/// Own probes that must have ended since a suspicion began before a member is
+/// declared dead; fewer do not tell whether this node is isolated.
+constexpr std::uint64_t kFewestProbes = 3;
+
+} // namespace
+
+Suspicions::Suspicions(const MembershipSettings& aSettings,
+                       core::Incarnation aOwn)
+  : mOwn(aOwn)
+  , mPeriod(aSettings.mPeriod)
   , mFactor(aSettings.mSuspicionFactor)
   , mSpread(aSettings.mSuspicionSpread)
   , mConfirmations(aSettings.mConfirmations)
@@ -16,13 +30,16 @@
 bool
 Suspicions::Accuse(core::Incarnation aSuspect,
                    core::Incarnation aAccuser,
-                   std::uint64_t aRefutation)
+                   std::uint64_t aRefutation,
+                   std::uint64_t aProbes)
 {
   Suspect& suspect = mSuspects[aSuspect.mBits];
-  if (aRefutation > suspect.mRefutation) {
+  if (suspect.mAccusers.empty() || aRefutation > suspect.mRefutation) {
     suspect = Suspect{};
     suspect.mRefutation = aRefutation;
+    suspect.mProbes = aProbes;
   }
+  suspect.mAccusedHere = suspect.mAccusedHere || aAccuser == mOwn;
   auto& accusers = suspect.mAccusers;
   if (accusers.size() > mConfirmations ||
       std::find(accusers.begin(), accusers.end(), aAccuser) != accusers.end()) {
@@ -53,7 +70,8 @@
     std::log10(static_cast<double>(std::max<std::size_t>(aMembers, 10)));
   const double shortest = mFactor * decades;
   // Besides the suspect and the first accuser, the others can confirm.
-  const std::size_t others = aMembers > 2 ? aMembers - 2 : 0;
+  // Where nobody can, the time is the longest.
+  const std::size_t others = aMembers > 3 ? aMembers - 2 : 1;
   const std::size_t wanted = std::min(mConfirmations, others);
   double periods = shortest;
   if (aConfirmations < wanted) {
@@ -64,23 +82,35 @@
   return std::chrono::duration_cast<core::Duration>(mPeriod * periods);
 }
 
-std::vector<core::Incarnation>
-Suspicions::Advance(core::Duration aElapsed, std::size_t aMembers)
+SuspicionSteps
+Suspicions::Advance(core::Duration aElapsed,
+                    std::size_t aMembers,
+                    const Prober& aProber)
 {
-  std::vector<core::Incarnation> expired;
+  SuspicionSteps steps;
   for (auto next = mSuspects.begin(); next != mSuspects.end();) {
     Suspect& suspect = next->second;
     suspect.mElapsed += aElapsed;
-    const std::size_t confirmations =
-      suspect.mAccusers.empty() ? 0 : suspect.mAccusers.size() - 1;
-    if (suspect.mElapsed >= TimeoutFor(aMembers, confirmations)) {
-      expired.push_back({ next->first });
-      next = mSuspects.erase(next);
-    } else {
+    suspect.mSinceReminder += aElapsed;
+    if (suspect.mAccusedHere &&
+        suspect.mSinceReminder >= mPeriod * kReminderPeriods) {
+      suspect.mSinceReminder = core::Duration{ 0 };
+      steps.mReminded.push_back({ next->first });
+    }
+    const bool due =
+      suspect.mElapsed >= TimeoutFor(aMembers, suspect.mAccusers.size() - 1);
+    if (!due || aProber.EndedSince(suspect.mProbes) < kFewestProbes) {
+      ++next;
+    } else if (aProber.MostlyFailedSince(suspect.mProbes)) {
+      suspect.mElapsed = core::Duration{ 0 };
+      suspect.mProbes = aProber.Ended();
       ++next;
+    } else {
+      steps.mExpired.push_back({ next->first });
+      next = mSuspects.erase(next);
     }
   }
-  return expired;
+  return steps;
 }
 
 } // namespace nutmegrock::membership
--- a/src/nutmegrock/membership/Suspicions.h
+++ b/src/nutmegrock/membership/Suspicions.h
@@ -3,6 +3,7 @@
 #include "core/Incarnation.h"
 #include "core/Time.h"
 #include "membership/MembershipSettings.h"
+#include "membership/Prober.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -11,26 +12,37 @@
 
 namespace nutmegrock::membership {
 
+/// What the suspicion timers want done.
+struct SuspicionSteps
+{
+  /// Suspects whose time is up: they are dead.
+  std::vector<core::Incarnation> mExpired;
+  /// Suspects to tell of the suspicion, so that they can refute it.
+  std::vector<core::Incarnation> mReminded;
+};
+
 /// Timers of the suspected members. The time until a suspect is declared dead
 /// shrinks with each further member that accuses it (Lifeguard, Dadgar et al.
 /// 2018, section IV-B), so that one node with bad links of its own needs longer
-/// than several that agree.
+/// than several that agree. A suspicion whose time is up while most of the own
+/// probes since its start failed starts again: then this node is isolated.
 class Suspicions
 {
 public:
-  explicit Suspicions(const MembershipSettings& aSettings);
+  Suspicions(const MembershipSettings& aSettings, core::Incarnation aOwn);
 
   /// Notes an accusation. Returns whether it is worth passing on: the first
-  /// ones by different members are.
+  /// ones by different members are. aProbes is the count of own probes so far.
   bool Accuse(core::Incarnation aSuspect,
               core::Incarnation aAccuser,
-              std::uint64_t aRefutation);
+              std::uint64_t aRefutation,
+              std::uint64_t aProbes);
   /// Ends the suspicion of a member.
   void Clear(core::Incarnation aSuspect);
-  /// Adds aElapsed to all timers and returns the suspects whose time is up
-  /// among that many members.
-  std::vector<core::Incarnation> Advance(core::Duration aElapsed,
-                                         std::size_t aMembers);
+  /// Adds aElapsed to all timers, among that many members.
+  SuspicionSteps Advance(core::Duration aElapsed,
+                         std::size_t aMembers,
+                         const Prober& aProber);
   /// Starts all timers again.
   void Restart();
 
@@ -43,10 +55,16 @@
   struct Suspect
   {
     core::Duration mElapsed{ 0 };
+    /// Since the suspect was told of an own accusation.
+    core::Duration mSinceReminder{ 0 };
     std::uint64_t mRefutation = 0;
+    /// Count of own probes at the start.
+    std::uint64_t mProbes = 0;
+    bool mAccusedHere = false;
     std::vector<core::Incarnation> mAccusers;
   };
 
+  core::Incarnation mOwn;
   core::Duration mPeriod;
   double mFactor;
   double mSpread;
--- a/tests/membership/MembershipServiceTest.cpp
+++ b/tests/membership/MembershipServiceTest.cpp
@@ -73,7 +73,7 @@
     Node* raw = node.get();
     MembershipHooks hooks;
     hooks.mOwnVersion = [raw] { return raw->mVersion.load(); };
-    hooks.mNewerVersion = [raw](core::Address, std::uint64_t aVersion) {
+    hooks.mNewerVersion = [raw](const core::Address&, std::uint64_t aVersion) {
       raw->mSeenVersion = aVersion;
     };
     hooks.mViewChanged = [raw](const MemberViewPtr&) { ++raw->mViews; };
@@ -151,6 +151,7 @@
     Group group;
     auto& one = group.Add({});
     std::vector<Group::Node*> others;
+    others.reserve(4);
     for (int i = 0; i < 4; ++i) {
       others.push_back(&group.Add({ one.mService->LocalAddress() }));
     }
--- a/tests/membership/Mesh.h
+++ b/tests/membership/Mesh.h
@@ -3,6 +3,7 @@
 #include "membership/Codec.h"
 #include "membership/Membership.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -72,7 +73,7 @@
     own.mSlots = 130;
     own.mConnections = 850;
     own.mState = MemberState::Serving;
-    own.mJoinedMs = 1'700'000'000'000 + mElapsed / std::chrono::milliseconds(1);
+    own.mJoinedMs = (mWallClock + mElapsed) / std::chrono::milliseconds(1);
     auto node = std::make_unique<Node>();
     node->mAddress = aAddress;
     Node* raw = node.get();
@@ -80,8 +81,10 @@
       mSettings, own, [raw] { return raw->mProfileVersion; }, mRandom());
     mByAddress[aAddress.Text()] = index;
     mNodes.push_back(std::move(node));
-    if (aSeed != index) {
-      At(index).mMembership->AddSeeds({ At(aSeed).mAddress });
+    if (aSeed != index && mKeepsSeeds) {
+      Of(index).AddSeeds({ At(aSeed).mAddress });
+    } else if (aSeed != index) {
+      Perform(index, Of(index).Contact(Now(), { At(aSeed).mAddress }));
     }
     return index;
   }
@@ -148,6 +151,13 @@
     }
     return true;
   }
+  /// Whether no node has a change left to pass on.
+  bool IsQuiet() const
+  {
+    return std::all_of(mNodes.begin(), mNodes.end(), [](const auto& aNode) {
+      return aNode->mMembership->PendingGossip() == 0;
+    });
+  }
   std::uint64_t DeclaredDead()
   {
     std::uint64_t count = 0;
@@ -226,6 +236,10 @@
     }
   }
 
+  /// Whether nodes ping their seed now and then, or only when they start.
+  bool mKeepsSeeds = true;
+  /// Wall-clock time at the start.
+  core::Duration mWallClock = std::chrono::hours(480'000);
   static constexpr core::Duration kTick = std::chrono::milliseconds(100);
   Link mLink = [](std::size_t, std::size_t) {
     return std::vector<core::Duration>{ std::chrono::milliseconds(2) };
