--- a/src/nutmegrock/membership/Prober.cpp
+++ b/src/nutmegrock/membership/Prober.cpp
@@ -69,11 +69,11 @@
     return;
   }
   // Negative answers show that the own links work and the target is at fault.
-  const std::size_t missing =
-    probe.mHelpers - std::min(probe.mHelpers, probe.mNegatives);
-  const std::size_t worse = probe.mHelpers == 0 ? 1 : missing;
-  mHealth =
-    static_cast<unsigned>(std::min<std::size_t>(mMaxHealth, mHealth + worse));
+  // Lifeguard counts each missing one; counting one for each probe keeps the
+  // period short until enough probes failed to see that this node is isolated.
+  if (probe.mHelpers == 0 || probe.mNegatives < probe.mHelpers) {
+    Worsen();
+  }
   aSteps.mFailed = probe.mTarget;
 }
 
@@ -83,7 +83,7 @@
                    Random& aRandom,
                    ProbeSteps& aSteps)
 {
-  const auto stretch = static_cast<core::Duration::rep>(mHealth + 1);
+  const auto stretch = core::Duration::rep{ mHealth } + 1;
   mPeriodEnd = aNow + mPeriod * stretch;
   const MemberTable::Entry* target = NextTarget(aTable, aRandom);
   if (target == nullptr) {
@@ -216,9 +216,19 @@
          static_cast<std::size_t>(failed) * 2 > mRecent.size();
 }
 
+bool
+Prober::MostlyFailedSince(std::uint64_t aCount) const
+{
+  const auto count = static_cast<std::ptrdiff_t>(
+    std::min<std::uint64_t>(mRecent.size(), EndedSince(aCount)));
+  const auto failed = std::count(mRecent.end() - count, mRecent.end(), true);
+  return failed - (count - failed) >= 2;
+}
+
 void
 Prober::NoteResult(bool aFailed)
 {
+  ++mEnded;
   mRecent.push_back(aFailed);
   if (mRecent.size() > mWindow) {
     mRecent.pop_front();
