Add the HTTP platform client and the stand-in platform

One contract test suite per port runs against an in-memory fake and against the adapters with the stand-in server.

A trial with one shared cpprestsdk client showed that it sends a PUT again when the server closes a reused connection: the test server received the PUT twice and the second copy was answered 412, which the adapter reported as VersionConflict for a write that may have taken effect.

--- a/src/nutmegrock/admin/AdminServer.h
+++ b/src/nutmegrock/admin/AdminServer.h
@@ -38,7 +38,7 @@
   {
     core::Address mListen;
     /// Longest request body, in bytes.
-    std::size_t mMaxBody = 2 * 1024 * 1024;
+    std::size_t mMaxBody = std::size_t{ 2 } * 1024 * 1024;
     std::size_t mWorkers = 2;
     /// Requests waiting for a worker before further ones are refused.
     std::size_t mMaxWaiting = 32;
--- a/src/nutmegrock/platform/http/HttpObjectStore.h
+++ b/src/nutmegrock/platform/http/HttpObjectStore.h
@@ -11,7 +11,7 @@
 class HttpObjectStore : public ObjectStore
 {
 public:
-  /// Fails with InvalidSettings when the URL is not an HTTP URL of a host.
+  /// Fails with InvalidSettings when the URL is not "http://IP:PORT".
   static core::Expected<std::unique_ptr<HttpObjectStore>> Make(
     const StoreSettings& aSettings);
 
--- /dev/null
+++ b/src/nutmegrock/platform/http/StoreClient.cpp
@@ -0,0 +1,166 @@
+#include "platform/http/StoreClient.h"
+
+#include "core/Address.h"
+
+#include <cpprest/http_client.h>
+#include <future>
+#include <mutex>
+#include <pplx/threadpool.h>
+#include <spdlog/fmt/fmt.h>
+#include <stdexcept>
+
+namespace nutmegrock::platform::http {
+
+namespace {
+
+using web::http::http_request;
+using web::http::http_response;
+using web::http::client::http_client;
+using web::http::client::http_client_config;
+using Answer = StoreClient::Answer;
+
+http_client_config
+ConfigOf(const StoreSettings& aSettings)
+{
+  http_client_config config;
+  // cpprestsdk's own limit is on inactivity. Send() waits for the whole answer
+  // by its own limit; this one ends a request that Send() gave up.
+  config.set_timeout(aSettings.mTimeout);
+  config.set_max_redirects(0);
+  return config;
+}
+
+std::string
+ETagOf(const http_response& aResponse)
+{
+  const auto found = aResponse.headers().find("ETag");
+  return found == aResponse.headers().end() ? "" : found->second;
+}
+
+/// Reads the body whole; a body cut off fails the task.
+pplx::task<Answer>
+ReadAnswer(const http_response& aResponse, std::size_t aMaxBytes)
+{
+  if (aResponse.headers().content_length() > aMaxBytes) {
+    throw std::runtime_error(
+      fmt::format("the answer is longer than {} bytes", aMaxBytes));
+  }
+  return aResponse.extract_vector().then(
+    [aResponse](const std::vector<unsigned char>& aBytes) {
+      return Answer{ aResponse.status_code(),
+                     ETagOf(aResponse),
+                     std::string(aBytes.begin(), aBytes.end()) };
+    });
+}
+
+http_request
+MessageOf(const StoreClient::Request& aRequest)
+{
+  http_request message(aRequest.mMethod);
+  message.set_request_uri(web::uri(aRequest.mPath));
+  for (const auto& [name, value] : aRequest.mHeaders) {
+    message.headers().add(name, value);
+  }
+  if (aRequest.mMethod == "PUT") {
+    message.set_body(aRequest.mBody, "application/octet-stream");
+  }
+  return message;
+}
+
+} // namespace
+
+core::Expected<StoreClient>
+StoreClient::Make(const StoreSettings& aSettings)
+{
+  InitializePool();
+  try {
+    // Checked here since web::uri accepts a port that is not a number.
+    constexpr std::string_view kScheme = "http://";
+    std::string_view host = aSettings.mUrl;
+    if (!host.starts_with(kScheme)) {
+      throw std::invalid_argument("must start with http://");
+    }
+    host.remove_prefix(kScheme.size());
+    if (host.ends_with('/')) {
+      host.remove_suffix(1);
+    }
+    if (const auto address = core::Address::Parse(host); !address) {
+      throw std::invalid_argument(address.error().mMessage);
+    }
+    const web::uri uri(aSettings.mUrl);
+    StoreClient client;
+    client.mSettings = aSettings;
+    client.mReader = std::make_shared<http_client>(uri, ConfigOf(aSettings));
+    return client;
+  } catch (const std::exception& exception) {
+    return core::Fail(
+      core::ErrorKind::InvalidSettings,
+      fmt::format("platform URL \"{}\": {}", aSettings.mUrl, exception.what()));
+  }
+}
+
+core::Expected<StoreClient::Answer>
+StoreClient::Send(const Request& aRequest) const
+{
+  const auto failed = [&aRequest](std::string_view aReason) {
+    return core::Fail(
+      core::ErrorKind::StoreUnavailable,
+      fmt::format("{} {}: {}", aRequest.mMethod, aRequest.mPath, aReason));
+  };
+  const auto promise = std::make_shared<std::promise<core::Expected<Answer>>>();
+  auto future = promise->get_future();
+  pplx::cancellation_token_source cancellation;
+  try {
+    // cpprestsdk sends a request again when a reused connection turns out to
+    // be closed. The first copy may have taken effect, after which the second
+    // copy of a conditional write would give a false conflict. A client of its
+    // own has no connection to reuse, so a write is sent once.
+    const auto client = aRequest.mMethod == "GET"
+                          ? mReader
+                          : std::make_shared<http_client>(mReader->base_uri(),
+                                                          ConfigOf(mSettings));
+    client->request(MessageOf(aRequest), cancellation.get_token())
+      .then([limit = mSettings.mMaxAnswer](const http_response& aResponse) {
+        return ReadAnswer(aResponse, limit);
+      })
+      .then([promise, client](const pplx::task<Answer>& aTask) {
+        try {
+          promise->set_value(aTask.get());
+        } catch (const std::exception& exception) {
+          promise->set_value(
+            core::Fail(core::ErrorKind::StoreUnavailable, exception.what()));
+        }
+      });
+    if (future.wait_for(mSettings.mTimeout) != std::future_status::ready) {
+      cancellation.cancel();
+      return failed(
+        fmt::format("no answer within {} ms", mSettings.mTimeout.count()));
+    }
+    auto answer = future.get();
+    return answer ? std::move(answer) : failed(answer.error().mMessage);
+  } catch (const std::exception& exception) {
+    return failed(exception.what());
+  }
+}
+
+std::string
+EncodeSegment(const std::string& aText)
+{
+  return web::uri::encode_data_string(aText);
+}
+
+void
+InitializePool(std::size_t aThreads)
+{
+  static std::once_flag sOnce;
+  std::call_once(sOnce, [aThreads] {
+    try {
+      crossplat::threadpool::initialize_with_threads(aThreads);
+    } catch (const std::exception&) {
+      // Another part of the process initialised it first.
+      return;
+    }
+  });
+}
+
+} // namespace nutmegrock::platform::http
--- a/src/nutmegrock/platform/http/StoreClient.h
+++ b/src/nutmegrock/platform/http/StoreClient.h
@@ -16,12 +16,12 @@
 /// How the platform is reached.
 struct StoreSettings
 {
-  /// Such as "http://127.0.0.1:6000".
+  /// "http://IP:PORT".
   std::string mUrl;
   /// Longest time for one request with its whole answer.
   std::chrono::milliseconds mTimeout{ 2000 };
   /// Longest answer accepted, in bytes.
-  std::size_t mMaxAnswer = 8 * 1024 * 1024;
+  std::size_t mMaxAnswer = std::size_t{ 8 } * 1024 * 1024;
 };
 
 /// Sends one request at a time to the platform and waits for its answer. Safe
@@ -46,7 +46,7 @@
     std::string mBody;
   };
 
-  /// Fails with InvalidSettings.
+  /// Fails with InvalidSettings when the URL is not "http://IP:PORT".
   static core::Expected<StoreClient> Make(const StoreSettings& aSettings);
 
   /// The answer, or StoreUnavailable when it did not arrive whole in time. A
--- a/src/nutmegrock/profiles/ProfileDocument.h
+++ b/src/nutmegrock/profiles/ProfileDocument.h
@@ -18,7 +18,7 @@
 {
 public:
   /// Longest document accepted, in bytes.
-  static constexpr std::size_t kMaxBytes = 1024 * 1024;
+  static constexpr std::size_t kMaxBytes = std::size_t{ 1024 } * 1024;
 
   /// What reading a document gave.
   struct Outcome
--- /dev/null
+++ b/tests/platform/FakePlatform.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "platform/ObjectStore.h"
+#include "platform/TableService.h"
+#include "standins/standin_platform/PlatformState.h"
+
+namespace nutmegrock::tests {
+
+/// Both ports over a PlatformState in this process, with its fault switches. A
+/// delay of a second or more counts as an answer that comes too late.
+class FakePlatform
+  : public platform::TableService
+  , public platform::ObjectStore
+{
+public:
+  using Faults = standins::PlatformFaults;
+
+  standins::PlatformState& State() { return mState; }
+
+  core::Expected<std::optional<platform::Row>> Read(
+    const std::string& aKey) override
+  {
+    return Answer<std::optional<platform::Row>>(
+      false, [&] { return mState.ReadRow(aKey); });
+  }
+  core::Expected<std::vector<platform::Row>> Scan(const std::string& aPrefix,
+                                                  const std::string& aFrom,
+                                                  std::size_t aLimit) override
+  {
+    return Answer<std::vector<platform::Row>>(
+      false, [&] { return mState.ScanRows(aPrefix, aFrom, aLimit); });
+  }
+  core::Expected<std::uint64_t> Write(const std::string& aKey,
+                                      const std::string& aValue,
+                                      std::uint64_t aExpected) override
+  {
+    if (mState.Faults().mDown) {
+      return Unavailable();
+    }
+    const auto result = mState.WriteRow(aKey, aValue, aExpected);
+    if (!result.mWritten) {
+      return core::Fail(core::ErrorKind::VersionConflict, aKey);
+    }
+    return Answer<std::uint64_t>(true, [&] { return result.mVersion; });
+  }
+  core::Expected<bool> Remove(const std::string& aKey) override
+  {
+    return Answer<bool>(true, [&] {
+      mState.RemoveRow(aKey);
+      return true;
+    });
+  }
+  core::Expected<std::optional<std::string>> Get(
+    const std::string& aName) override
+  {
+    return Answer<std::optional<std::string>>(
+      false, [&] { return mState.ReadObject(aName); });
+  }
+  core::Expected<bool> Put(const std::string& aName,
+                           const std::string& aBytes) override
+  {
+    return Answer<bool>(true, [&] {
+      mState.WriteObject(aName, aBytes);
+      return true;
+    });
+  }
+
+private:
+  static tl::unexpected<core::Error> Unavailable()
+  {
+    return core::Fail(core::ErrorKind::StoreUnavailable, "fake");
+  }
+
+  template<class T, class Effect>
+  core::Expected<T> Answer(bool aIsWrite, const Effect& aEffect)
+  {
+    const Faults faults = mState.Faults();
+    if (faults.mDown) {
+      return Unavailable();
+    }
+    T result = aEffect();
+    if ((aIsWrite && mState.TakeLostAnswer()) ||
+        faults.mDelay >= std::chrono::seconds(1)) {
+      return Unavailable();
+    }
+    return result;
+  }
+
+  standins::PlatformState mState;
+};
+
+} // namespace nutmegrock::tests
