Add profile publication, dissemination and the administration API

ProfileDocument lists every fault with line and key; ProfilePublisher settles lost answers by a conditional write with a publication id; ProfileReader finds any version through a chain of records with skip links; ProfileSync polls the store and pulls sets from members; AdminServer runs handlers on its own worker threads, because a handler that waits for the store on a thread of cpprestsdk's pool would hold the thread that the store's answer needs.

--- a/src/nutmegrock/admin/AdminServer.h
+++ b/src/nutmegrock/admin/AdminServer.h
@@ -1,29 +1,16 @@
 #pragma once
 
-#include "admin/AdminAnswer.h"
-#include "admin/AdminRequest.h"
+#include "admin/RouteTable.h"
 #include "core/Address.h"
 #include "core/Error.h"
 
 #include <cstddef>
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace nutmegrock::admin {
 
-/// One entry of the table of routes.
-struct AdminRoute
-{
-  /// "GET", "PUT", "POST" or "DELETE".
-  std::string mMethod;
-  /// Path below the API version, such as "/profiles/versions/{version}".
-  std::string mPattern;
-  /// Runs on a worker thread of the server and may block.
-  std::function<AdminAnswer(const AdminRequest&)> mHandler;
-};
-
 /// HTTP server of the administration API, below the versioned path /v1.
 /// Handlers run on worker threads of the server: on the threads of cpprestsdk's
 /// pool a handler that waits for the store would hold the threads which the
@@ -58,9 +45,10 @@
 private:
   class Implementation;
 
-  explicit AdminServer(std::unique_ptr<Implementation> aImplementation);
+  explicit AdminServer(std::shared_ptr<Implementation> aImplementation);
 
-  std::unique_ptr<Implementation> mImplementation;
+  /// Shared with the continuations of cpprestsdk's tasks, which may end late.
+  std::shared_ptr<Implementation> mImplementation;
 };
 
 } // namespace nutmegrock::admin
--- a/src/nutmegrock/admin/ProfileRoutes.h
+++ b/src/nutmegrock/admin/ProfileRoutes.h
@@ -33,6 +33,9 @@
     const profiles::ProfileHolder& mHolder;
     /// Called with each accepted publication, before it is answered.
     std::function<void(const profiles::PublishedSet&)> mOnPublished;
+    /// Waits between tries of a store call; see ProfilePublisher. By default
+    /// 200 ms times the number of the try.
+    std::function<void(unsigned)> mPause;
   };
 
   /// The routes; what aSettings refers to must outlive the server.
--- /dev/null
+++ b/src/nutmegrock/admin/RouteTable.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "admin/AdminAnswer.h"
+#include "admin/AdminRequest.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace nutmegrock::admin {
+
+/// One entry of the table of routes.
+struct AdminRoute
+{
+  /// "GET", "PUT", "POST" or "DELETE".
+  std::string mMethod;
+  /// Path below the API version, such as "/profiles/versions/{version}".
+  std::string mPattern;
+  /// Runs on a worker thread of the server and may block.
+  std::function<AdminAnswer(const AdminRequest&)> mHandler;
+};
+
+/// Finds the route of a request and runs it.
+class RouteTable
+{
+public:
+  /// Routes below aPrefix. The first that matches is taken.
+  RouteTable(std::string aPrefix, std::vector<AdminRoute> aRoutes);
+
+  /// The handler's answer; NotFound when no route matches, and Internal when
+  /// the handler throws.
+  AdminAnswer Serve(AdminRequest aRequest) const;
+
+private:
+  std::string mPrefix;
+  std::vector<AdminRoute> mRoutes;
+};
+
+} // namespace nutmegrock::admin
--- a/src/nutmegrock/platform/http/StoreClient.cpp
+++ b/src/nutmegrock/platform/http/StoreClient.cpp
@@ -61,7 +61,7 @@
   for (const auto& [name, value] : aRequest.mHeaders) {
     message.headers().add(name, value);
   }
-  if (aRequest.mMethod == "PUT") {
+  if (aRequest.mMethod == "PUT" || aRequest.mMethod == "POST") {
     message.set_body(aRequest.mBody, "application/octet-stream");
   }
   return message;
--- /dev/null
+++ b/src/nutmegrock/profiles/DocumentFault.cpp
@@ -0,0 +1,16 @@
+#include "profiles/DocumentFault.h"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace nutmegrock::profiles {
+
+std::string
+DocumentFault::Text() const
+{
+  if (mKey.empty()) {
+    return fmt::format("line {}: {}", mLine, mMessage);
+  }
+  return fmt::format("line {}: {}: {}", mLine, mKey, mMessage);
+}
+
+} // namespace nutmegrock::profiles
--- a/src/nutmegrock/profiles/DocumentFault.h
+++ b/src/nutmegrock/profiles/DocumentFault.h
@@ -8,8 +8,8 @@
 /// One fault of a profile document.
 struct DocumentFault
 {
-  /// Line of the document, from 1; 0 when the fault has no line.
-  std::size_t mLine = 0;
+  /// Line of the document, from 1.
+  std::size_t mLine = 1;
   /// Path of the key, such as "profiles.deposit.timeout_ms".
   std::string mKey;
   std::string mMessage;
--- a/src/nutmegrock/profiles/ProfileHolder.h
+++ b/src/nutmegrock/profiles/ProfileHolder.h
@@ -38,7 +38,14 @@
   void OnChange(ChangeHook aHook);
 
 private:
-  std::atomic<std::shared_ptr<const PublishedSet>> mPublished;
+  std::shared_ptr<const PublishedSet> Published() const;
+
+  /// A lock of its own rather than std::atomic<std::shared_ptr>, in whose load
+  /// ThreadSanitizer reports a data race with libstdc++ 12.
+  mutable std::mutex mMutex;
+  std::shared_ptr<const PublishedSet> mPublished;
+  /// Lets the path of calls see an unchanged version without the lock.
+  std::atomic<std::uint64_t> mVersion{ 0 };
   /// Orders adoptions and their hooks.
   std::mutex mAdoption;
   std::vector<ChangeHook> mHooks;
--- a/src/nutmegrock/profiles/ProfilePublisher.h
+++ b/src/nutmegrock/profiles/ProfilePublisher.h
@@ -64,16 +64,21 @@
 
 private:
   using Result = tl::expected<PublishedSet, PublishRefusal>;
+  using Current = std::optional<ProfileReader::Current>;
 
-  Result Settle(const PublishRequest& aRequest, std::uint64_t aNewerThan);
+  /// Reads until the row shows at least aVersion, since a read may be stale.
+  core::Expected<Current> ReadAtLeast(std::uint64_t aVersion) const;
+  /// Decides a publication when another version than the expected one is, or
+  /// may be, current.
+  Result Settle(const PublishRequest& aRequest) const;
+  Result SettleBy(const PublishRequest& aRequest, const CurrentRow& aRow) const;
+  core::Expected<bool> PutObject(const std::string& aName,
+                                 const std::string& aBytes) const;
   Result WriteRow(const PublishRequest& aRequest,
-                  const PublishedSet& aPublished,
+                  PublishedSet aPublished,
                   const CurrentRow& aRow,
-                  std::uint64_t aRowVersion);
-  core::Expected<bool> PutObject(const std::string& aName,
-                                 const std::string& aBytes);
-  core::Expected<std::optional<ProfileReader::Current>> ReadCurrent();
-  RecordLink SkipFor(const CurrentRow& aPrevious);
+                  std::uint64_t aRowVersion) const;
+  RecordLink SkipAfter(const CurrentRow& aPrevious) const;
   void Pause(unsigned aAttempt) const;
 
   platform::TableService& mTable;
--- a/src/nutmegrock/profiles/ProfileReader.h
+++ b/src/nutmegrock/profiles/ProfileReader.h
@@ -3,6 +3,7 @@
 #include "core/Error.h"
 #include "platform/ObjectStore.h"
 #include "platform/TableService.h"
+#include "profiles/ProfileDifference.h"
 #include "profiles/ProfileRecord.h"
 
 #include <cstdint>
@@ -48,7 +49,18 @@
     std::size_t aLimit,
     std::uint64_t aBefore) const;
 
+  /// What differs between two versions; version 0 is the empty set.
+  core::Expected<std::vector<ProfileChange>> Difference(
+    std::uint64_t aFrom,
+    std::uint64_t aTo) const;
+  /// The same from a version to a set that is not published.
+  core::Expected<std::vector<ProfileChange>> Difference(
+    std::uint64_t aFrom,
+    const ProfileSet& aTo) const;
+
 private:
+  core::Expected<ProfileSet> SetOf(std::uint64_t aVersion) const;
+
   platform::TableService& mTable;
   platform::ObjectStore& mObjects;
 };
--- a/src/nutmegrock/profiles/ProfileRecord.h
+++ b/src/nutmegrock/profiles/ProfileRecord.h
@@ -79,6 +79,8 @@
   /// Reads a record's bytes and its document. Fails with InvalidProfiles, so a
   /// damaged or invalid set from a peer or the store is never adopted.
   static core::Expected<PublishedSet> Read(std::string_view aBytes);
+  /// Reads the document of a record. Fails with InvalidProfiles.
+  static core::Expected<PublishedSet> Of(ProfileRecord aRecord);
 
   bool operator==(const PublishedSet&) const = default;
 };
--- /dev/null
+++ b/src/nutmegrock/profiles/ProfileSync.cpp
@@ -0,0 +1,227 @@
+#include "profiles/ProfileSync.h"
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <random>
+#include <spdlog/spdlog.h>
+#include <utility>
+
+namespace nutmegrock::profiles {
+
+/// What the threads and the callbacks of pulls share.
+struct ProfileSync::Shared
+{
+  struct Pulled
+  {
+    core::Address mFrom;
+    core::Expected<std::string> mResult;
+  };
+
+  explicit Shared(ProfileExchange::Settings aSettings)
+    : mExchange(aSettings)
+  {
+  }
+
+  std::mutex mMutex;
+  std::condition_variable mChanged;
+  bool mStopped = false;
+  ProfileExchange mExchange;
+  std::deque<Pulled> mPulled;
+  Counts mCounts;
+};
+
+ProfileSync::ProfileSync(platform::TableService& aTable,
+                         platform::ObjectStore& aObjects,
+                         ProfileHolder& aHolder,
+                         Hooks aHooks,
+                         Settings aSettings)
+  : mReader(aTable, aObjects)
+  , mHolder(aHolder)
+  , mHooks(std::move(aHooks))
+  , mSettings(aSettings)
+  , mShared(std::make_shared<Shared>(aSettings.mExchange))
+{
+}
+
+ProfileSync::~ProfileSync()
+{
+  Stop();
+}
+
+void
+ProfileSync::Start()
+{
+  mPollThread = std::thread([this] { PollLoop(); });
+  mWorkThread = std::thread([this] { WorkLoop(); });
+}
+
+void
+ProfileSync::Stop()
+{
+  {
+    const std::scoped_lock lock(mShared->mMutex);
+    mShared->mStopped = true;
+  }
+  mShared->mChanged.notify_all();
+  for (std::thread* thread : { &mPollThread, &mWorkThread }) {
+    if (thread->joinable()) {
+      thread->join();
+    }
+  }
+}
+
+void
+ProfileSync::OnVersionSeen(const core::Address& aFrom, std::uint64_t aVersion)
+{
+  const std::uint64_t inForce = mHolder.Version();
+  if (aVersion <= inForce) {
+    return;
+  }
+  {
+    const std::scoped_lock lock(mShared->mMutex);
+    if (mShared->mStopped || !mShared->mExchange.OnVersionSeen(
+                               aFrom, aVersion, inForce, core::Clock::now())) {
+      return;
+    }
+    ++mShared->mCounts.mPulls;
+  }
+  // The callback may come long after this object is gone.
+  mHooks.mPull(aFrom,
+               [shared = std::weak_ptr<Shared>(mShared),
+                aFrom](core::Expected<std::string> aResult) {
+                 if (const auto alive = shared.lock()) {
+                   const std::scoped_lock lock(alive->mMutex);
+                   alive->mPulled.push_back({ aFrom, std::move(aResult) });
+                   alive->mChanged.notify_all();
+                 }
+               });
+}
+
+void
+ProfileSync::OnPublished(PublishedSet aPublished)
+{
+  Adopt(std::move(aPublished));
+}
+
+core::Expected<std::string>
+ProfileSync::AnswerPull() const
+{
+  return ProfileExchange::Answer(mHolder);
+}
+
+ProfileSync::Counts
+ProfileSync::CountsSoFar() const
+{
+  const std::scoped_lock lock(mShared->mMutex);
+  return mShared->mCounts;
+}
+
+void
+ProfileSync::PollLoop()
+{
+  PollSchedule schedule(mSettings.mPoll);
+  std::mt19937_64 engine(mSettings.mSeed);
+  std::uniform_real_distribution<double> random(0.0, 1.0);
+  bool succeeded = true;
+  while (true) {
+    const bool now = PollOnce();
+    if (now != succeeded) {
+      succeeded = now;
+      if (now) {
+        spdlog::info("the store can be read again");
+      }
+    }
+    schedule.OnRead(now);
+    const core::TimePoint next =
+      schedule.Next(core::Clock::now(), mHooks.mMembers(), random(engine));
+    std::unique_lock lock(mShared->mMutex);
+    ++mShared->mCounts.mPolls;
+    mShared->mCounts.mPollFailures += now ? 0 : 1;
+    if (mShared->mChanged.wait_until(
+          lock, next, [this] { return mShared->mStopped; })) {
+      return;
+    }
+  }
+}
+
+bool
+ProfileSync::PollOnce()
+{
+  const auto current = mReader.ReadCurrent();
+  if (!current) {
+    spdlog::debug("polling the profiles: {}", current.error().mMessage);
+    return false;
+  }
+  if (!*current) {
+    return true;
+  }
+  const CurrentRow& row = (*current)->mRow;
+  if (row.mRecord.mVersion <= mHolder.Version()) {
+    if (row.mRecord.mVersion < mHolder.Version()) {
+      const std::scoped_lock lock(mShared->mMutex);
+      ++mShared->mCounts.mOlder;
+    }
+    return true;
+  }
+  auto record = mReader.ReadRecord(row.mRecord);
+  auto published = record ? PublishedSet::Of(std::move(*record))
+                          : tl::make_unexpected(record.error());
+  if (!published) {
+    spdlog::warn("profiles version {} of the store cannot be used: {}",
+                 row.mRecord.mVersion,
+                 published.error().mMessage);
+    return false;
+  }
+  Adopt(std::move(*published));
+  return true;
+}
+
+void
+ProfileSync::WorkLoop()
+{
+  while (true) {
+    std::unique_lock lock(mShared->mMutex);
+    mShared->mChanged.wait(
+      lock, [this] { return mShared->mStopped || !mShared->mPulled.empty(); });
+    if (mShared->mStopped) {
+      return;
+    }
+    const Shared::Pulled pulled = std::move(mShared->mPulled.front());
+    mShared->mPulled.pop_front();
+    lock.unlock();
+    // Parsing takes milliseconds, so it is done without the lock that
+    // OnVersionSeen() needs.
+    auto published = ProfileExchange::Check(pulled.mResult);
+    if (published) {
+      Adopt(std::move(*published));
+    } else {
+      spdlog::warn("profiles pulled from {} cannot be used: {}",
+                   pulled.mFrom.Text(),
+                   published.error().mMessage);
+    }
+    lock.lock();
+    mShared->mCounts.mPullFailures += published ? 0 : 1;
+    mShared->mExchange.OnPulled(
+      pulled.mFrom, published.has_value(), core::Clock::now());
+  }
+}
+
+void
+ProfileSync::Adopt(PublishedSet aPublished)
+{
+  const std::uint64_t version = aPublished.mSet.mVersion;
+  const std::uint64_t before = mHolder.Version();
+  const bool adopted = mHolder.Adopt(std::move(aPublished));
+  {
+    const std::scoped_lock lock(mShared->mMutex);
+    mShared->mCounts.mAdopted += adopted ? 1 : 0;
+    mShared->mCounts.mOlder += version < before ? 1 : 0;
+  }
+  if (adopted) {
+    spdlog::info("profiles version {} is in force", version);
+    mHooks.mNotify(version);
+  }
+}
+
+} // namespace nutmegrock::profiles
--- a/src/nutmegrock/profiles/ProfileSync.h
+++ b/src/nutmegrock/profiles/ProfileSync.h
@@ -7,13 +7,11 @@
 #include "profiles/PollSchedule.h"
 #include "profiles/ProfileExchange.h"
 #include "profiles/ProfileHolder.h"
+#include "profiles/ProfileReader.h"
 
-#include <atomic>
-#include <condition_variable>
 #include <cstdint>
-#include <deque>
 #include <functional>
-#include <mutex>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -92,13 +90,11 @@
 
   void PollLoop();
   void WorkLoop();
+  /// False when the store failed or holds a set that cannot be used.
   bool PollOnce();
   void Adopt(PublishedSet aPublished);
-  void OnPulled(const core::Address& aFrom,
-                const core::Expected<std::string>& aResult);
 
-  platform::TableService& mTable;
-  platform::ObjectStore& mObjects;
+  ProfileReader mReader;
   ProfileHolder& mHolder;
   Hooks mHooks;
   Settings mSettings;
