Add the command line and the at-most-once ledgers

The binary gets its subcommands node, status, settings and version. once/ holds keys, the owner's and the executor's records and ledgers: only the node run that issued a key dispatches it, and an executor fences what it refuses.

--- a/programs/nutmegrock/main.cpp
+++ b/programs/nutmegrock/main.cpp
@@ -1,8 +1,12 @@
-#include <cstdio>
+#include "cli/Program.h"
+
+#include <iostream>
+#include <string>
+#include <vector>
 
 int
-main()
+main(int aCount, char** aArguments)
 {
-  std::puts("nutmegrock " NUTMEGROCK_VERSION);
-  return 0;
+  const std::vector<std::string> arguments(aArguments + 1, aArguments + aCount);
+  return nutmegrock::cli::RunProgram(arguments, std::cout, std::cerr);
 }
--- /dev/null
+++ b/src/nutmegrock/cli/NodeCommand.cpp
@@ -0,0 +1,64 @@
+#include "cli/NodeCommand.h"
+
+#include "cli/ParseArguments.h"
+#include "cli/ProfileCommand.h"
+#include "node/NodeRuntime.h"
+#include "settings/SettingsFile.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace nutmegrock::cli {
+
+namespace {
+
+void
+SetUpLog(const std::string& aLevel)
+{
+  auto logger = spdlog::stderr_logger_mt("nutmegrock");
+  logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e level=%l %v");
+  logger->set_level(spdlog::level::from_str(aLevel));
+  logger->flush_on(spdlog::level::info);
+  spdlog::set_default_logger(logger);
+}
+
+} // namespace
+
+int
+RunNodeCommand(const std::vector<std::string>& aArguments,
+               std::ostream& aOut,
+               std::ostream& aErr)
+{
+  TCLAP::CmdLine command(
+    "Runs the process beside a backend server.", ' ', NUTMEGROCK_VERSION);
+  TCLAP::ValueArg<std::string> file(
+    "s", "settings", "YAML settings of the node", true, "", "FILE", command);
+  if (const auto code =
+        ParseArguments(command, "nutmegrock node", aArguments, aOut, aErr)) {
+    return *code;
+  }
+  const auto settings = settings::LoadNodeSettings(file.getValue());
+  if (!settings) {
+    aErr << settings.error().mMessage << "\n";
+    return static_cast<int>(ExitCode::Refused);
+  }
+  SetUpLog(settings->mLogLevel);
+  // The signals are taken over before any thread starts, so that a stop during
+  // start-up is not lost.
+  boost::asio::io_context signals_context;
+  boost::asio::signal_set signals(signals_context, SIGTERM, SIGINT);
+  signals.async_wait([](const boost::system::error_code&, int) {});
+  const auto runtime = node::NodeRuntime::Start(*settings);
+  if (!runtime) {
+    aErr << "nutmegrock node: " << runtime.error().mMessage << "\n";
+    return static_cast<int>(ExitCode::Refused);
+  }
+  signals_context.run_one();
+  const std::size_t left = (*runtime)->Drain();
+  return static_cast<int>(left == 0 ? ExitCode::Ok : ExitCode::Refused);
+}
+
+} // namespace nutmegrock::cli
--- a/src/nutmegrock/node/NodeParts.cpp
+++ b/src/nutmegrock/node/NodeParts.cpp
@@ -348,13 +348,12 @@
 core::Expected<bool>
 NodeRuntime::Parts::OpenAdmin()
 {
-  std::vector<admin::AdminRoute> routes =
-    admin::ProfileRoutes::Make({ *mTable,
-                                 *mObjects,
-                                 mProfiles,
-                                 [this](const profiles::PublishedSet& aSet) {
-                                   mSync->OnPublished(aSet);
-                                 } });
+  std::vector<admin::AdminRoute> routes = admin::ProfileRoutes::Make(
+    { *mTable,
+      *mObjects,
+      mProfiles,
+      [this](const profiles::PublishedSet& aSet) { mSync->OnPublished(aSet); },
+      {} });
   routes.push_back({ "GET", "/status", [this](const admin::AdminRequest&) {
                       return StatusAnswer();
                     } });
@@ -457,14 +456,13 @@
 admin::AdminAnswer
 NodeRuntime::Parts::StatusAnswer() const
 {
-  return admin::AdminAnswer::Json(
-    StatusJson({ mSettings.mService,
-                 mSettings.mAvailabilityZone,
-                 mSelf,
-                 mProfiles.Version(),
-                 mServing->Status(),
-                 mRouter->Ejected(mEnvironment.mNow()),
-                 mMembership->View() }));
+  return admin::AdminAnswer::Json(StatusJson({ mSettings.mService,
+                                               mSettings.mAvailabilityZone,
+                                               mSelf,
+                                               mProfiles.Version(),
+                                               mServing->Status(),
+                                               mRouter->Ejections().mEjected,
+                                               mMembership->View() }));
 }
 
 } // namespace nutmegrock::node
--- /dev/null
+++ b/src/nutmegrock/once/Dispatch.cpp
@@ -0,0 +1,37 @@
+#include "once/Dispatch.h"
+
+#include <charconv>
+#include <spdlog/fmt/fmt.h>
+#include <utility>
+
+namespace nutmegrock::once {
+
+std::string
+Dispatch::Text(std::string_view aSecret) const
+{
+  return fmt::format("{}#{}", mKey.Text(aSecret), mNumber);
+}
+
+core::Expected<Dispatch>
+Dispatch::Parse(std::string_view aText, std::string_view aSecret)
+{
+  const auto mark = aText.rfind('#');
+  const std::string_view digits =
+    mark == std::string_view::npos ? "" : aText.substr(mark + 1);
+  Dispatch dispatch;
+  const char* const last = digits.data() + digits.size();
+  const auto [end, status] =
+    std::from_chars(digits.data(), last, dispatch.mNumber);
+  if (digits.empty() || status != std::errc{} || end != last) {
+    return core::Fail(core::ErrorKind::KeyInvalid,
+                      "the key of a call between nodes has no number");
+  }
+  auto key = OnceKey::Parse(aText.substr(0, mark), aSecret);
+  if (!key) {
+    return tl::make_unexpected(key.error());
+  }
+  dispatch.mKey = std::move(*key);
+  return dispatch;
+}
+
+} // namespace nutmegrock::once
--- /dev/null
+++ b/src/nutmegrock/once/Dispatch.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "once/OnceKey.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace nutmegrock::once {
+
+/// One sending of a key by its owner to an executor. The owner numbers them, so
+/// that an executor that refused one may still run a later one.
+struct Dispatch
+{
+  OnceKey mKey;
+  /// Starts at 1.
+  std::uint32_t mNumber = 0;
+
+  /// The key's text with the number.
+  std::string Text(std::string_view aSecret) const;
+  /// Reads and verifies what Text() writes. Fails with KeyInvalid.
+  static core::Expected<Dispatch> Parse(std::string_view aText,
+                                        std::string_view aSecret);
+
+  auto operator<=>(const Dispatch&) const = default;
+};
+
+} // namespace nutmegrock::once
--- /dev/null
+++ b/tests/node/Fakes.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "node/Environment.h"
+#include "transport/Call.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace nutmegrock::test {
+
+/// Time and timers that only move when a test says so.
+class FakeTime
+{
+public:
+  node::Environment MakeEnvironment()
+  {
+    node::Environment environment;
+    environment.mNow = [this] { return mNow; };
+    environment.mAt = [this](core::TimePoint aTime,
+                             std::function<void()> aFunction) {
+      mTimers.emplace(aTime, std::move(aFunction));
+    };
+    environment.mRandom = [this] { return ++mRandom; };
+    return environment;
+  }
+
+  core::TimePoint Now() const { return mNow; }
+
+  /// Moves the time forward and runs the timers that are due, in order.
+  void Advance(core::Duration aDuration)
+  {
+    const core::TimePoint end = mNow + aDuration;
+    while (!mTimers.empty() && mTimers.begin()->first <= end) {
+      mNow = std::max(mNow, mTimers.begin()->first);
+      auto function = std::move(mTimers.begin()->second);
+      mTimers.erase(mTimers.begin());
+      function();
+    }
+    mNow = end;
+  }
+
+private:
+  core::TimePoint mNow{ std::chrono::hours(1) };
+  std::multimap<core::TimePoint, std::function<void()>> mTimers;
+  std::uint64_t mRandom = 0;
+};
+
+/// A backend server that answers when a test says so.
+class FakeBackend final : public transport::BackendClient
+{
+public:
+  struct Sent
+  {
+    transport::Call mCall;
+    transport::AnswerHandler mHandler;
+  };
+
+  void Send(transport::Call aCall,
+            core::TimePoint,
+            transport::AnswerHandler aHandler) override
+  {
+    mSent.push_back({ std::move(aCall), std::move(aHandler) });
+  }
+
+  /// Answers the call of that number with a status and whole body.
+  void Answer(std::size_t aIndex,
+              unsigned aStatus,
+              const std::string& aBody = "ok")
+  {
+    transport::Answer answer;
+    answer.mHead.mStatus = aStatus;
+    answer.mBody = transport::WholeBody(aBody);
+    std::exchange(mSent.at(aIndex).mHandler, nullptr)(std::move(answer));
+  }
+  void Fail(std::size_t aIndex, core::ErrorKind aKind)
+  {
+    std::exchange(mSent.at(aIndex).mHandler,
+                  nullptr)(core::Fail(aKind, "fake"));
+  }
+
+  std::vector<Sent> mSent;
+};
+
+/// Reads an answer's whole body; empty after an error.
+inline std::string
+BodyOf(const transport::Answer& aAnswer)
+{
+  std::string body;
+  transport::ReadWhole(
+    aAnswer.mBody, 1 << 20, [&body](core::Expected<std::string> aBody) {
+      body = aBody.value_or("");
+    });
+  return body;
+}
+
+} // namespace nutmegrock::test
