--- /dev/null
+++ b/src/nutmegrock/cli/AdminClient.cpp
@@ -0,0 +1,61 @@
+#include "cli/AdminClient.h"
+
+#include "admin/AdminServer.h"
+
+#include <utility>
+
+namespace nutmegrock::cli {
+
+namespace {
+
+/// Longer than the node's own tries of the store during one publication: three
+/// of each of five store calls with 2 s each, and the pauses between them.
+constexpr std::chrono::seconds kTimeout{ 60 };
+
+} // namespace
+
+std::string
+AdminClient::Answer::Text(const std::string& aField) const
+{
+  return mBody.is_object() && mBody.has_string_field(aField)
+           ? mBody.at(aField).as_string()
+           : "";
+}
+
+core::Expected<AdminClient>
+AdminClient::Make(const core::Address& aAdmin)
+{
+  auto client = platform::http::StoreClient::Make(
+    { .mUrl = "http://" + aAdmin.Text(), .mTimeout = kTimeout });
+  if (!client) {
+    return tl::make_unexpected(client.error());
+  }
+  return AdminClient(std::move(*client));
+}
+
+AdminClient::AdminClient(platform::http::StoreClient aClient)
+  : mClient(std::move(aClient))
+{
+}
+
+core::Expected<AdminClient::Answer>
+AdminClient::Send(const std::string& aMethod,
+                  const std::string& aPath,
+                  const std::string& aBody,
+                  const std::map<std::string, std::string>& aHeaders) const
+{
+  const auto answer = mClient.Send(
+    { aMethod, admin::AdminServer::kVersionPath + aPath, aHeaders, aBody });
+  if (!answer) {
+    return core::Fail(core::ErrorKind::BackendUnreachable,
+                      answer.error().mMessage);
+  }
+  try {
+    return Answer{ answer->mStatus, web::json::value::parse(answer->mBody) };
+  } catch (const std::exception&) {
+    return core::Fail(core::ErrorKind::BackendUnreachable,
+                      "the answer is not from the administration API");
+  }
+}
+
+} // namespace nutmegrock::cli
--- a/src/nutmegrock/profiles/DocumentCheck.cpp
+++ b/src/nutmegrock/profiles/DocumentCheck.cpp
@@ -216,6 +216,8 @@
                            kMaxName));
     } else if (!names.insert(name).second) {
       AddFault(entry.first, path, "is a duplicate");
+    } else if (entry.second.IsNull()) {
+      AddFault(entry.first, path, "has no value");
     } else {
       aRead(name, entry.second);
     }
@@ -242,6 +244,9 @@
       AddFault(entry.first, Join(aPath, name), "is not a known key");
     } else if (!seen.insert(name).second) {
       AddFault(entry.first, Join(aPath, name), "is a duplicate");
+    } else if (entry.second.IsNull()) {
+      // yaml-cpp places a null at the next token, often on another line.
+      AddFault(entry.first, Join(aPath, name), "has no value");
     } else {
       field->mRead(Join(aPath, name), entry.second);
     }
--- /dev/null
+++ b/tests/profiles/PublicationTest.cpp
@@ -0,0 +1,395 @@
+#include "profiles/ProfilePublisher.h"
+#include "tests/platform/FakePlatform.h"
+#include "tests/profiles/Documents.h"
+
+#include <doctest/doctest.h>
+#include <functional>
+
+using namespace nutmegrock;
+using namespace nutmegrock::profiles;
+using namespace nutmegrock::tests;
+using core::ErrorKind;
+
+namespace {
+
+const std::chrono::sys_seconds kNow{ std::chrono::seconds(1'700'000'000) };
+
+/// The two stores with faults of their own, and what tests need around them.
+struct Fixture
+{
+  FakePlatform mTable;
+  FakePlatform mObjects;
+
+  ProfilePublisher Publisher(std::function<void(unsigned)> aPause = {})
+  {
+    return { mTable,
+             mObjects,
+             { .mAttempts = 3, .mPause = std::move(aPause) } };
+  }
+  ProfileReader Reader() { return { mTable, mObjects }; }
+  std::uint64_t Current()
+  {
+    const auto current = Reader().ReadCurrent().value();
+    return current ? current->mRow.mRecord.mVersion : 0;
+  }
+  /// Publishes versions 1 to aVersion.
+  void PublishTo(std::uint64_t aVersion)
+  {
+    for (std::uint64_t i = 0; i < aVersion; ++i) {
+      REQUIRE(Publisher().Publish(RequestOf(i), kNow));
+    }
+  }
+  static PublishRequest RequestOf(std::uint64_t aExpected,
+                                  const std::string& aPublication = "")
+  {
+    return { DocumentOf(1000 + static_cast<int>(aExpected)),
+             aExpected,
+             "Jānis",
+             aPublication.empty() ? "p" + std::to_string(aExpected + 1)
+                                  : aPublication };
+  }
+};
+
+} // namespace
+
+TEST_SUITE("profiles/ProfilePublisher")
+{
+  TEST_CASE("a publication becomes the next version and is read back")
+  {
+    Fixture fixture;
+    fixture.PublishTo(2);
+    const auto current = fixture.Reader().CurrentSet().value();
+    REQUIRE(current);
+    CHECK(current->mSet.mVersion == 2);
+    CHECK(current->mRecord.mAuthor == "Jānis");
+    CHECK(current->mRecord.mTime == kNow);
+    CHECK(current->mRecord.mDocument == DocumentOf(1001));
+    CHECK(fixture.Reader().Version(1)->mDocument == DocumentOf(1000));
+  }
+
+  TEST_CASE("a request that cannot be published writes nothing")
+  {
+    struct Case
+    {
+      const char* mName;
+      std::function<void(PublishRequest&)> mChange;
+      ErrorKind mKind;
+    };
+    const std::vector<Case> cases = {
+      { "faults",
+        [](PublishRequest& aRequest) { aRequest.mDocument = "profiles: {}"; },
+        ErrorKind::InvalidProfiles },
+      { "no author",
+        [](PublishRequest& aRequest) { aRequest.mAuthor = ""; },
+        ErrorKind::BadRequest },
+      { "author with a control character",
+        [](PublishRequest& aRequest) { aRequest.mAuthor = "a\nb"; },
+        ErrorKind::BadRequest },
+      { "no id",
+        [](PublishRequest& aRequest) { aRequest.mPublication = ""; },
+        ErrorKind::BadRequest },
+      { "id with a slash",
+        [](PublishRequest& aRequest) { aRequest.mPublication = "a/b"; },
+        ErrorKind::BadRequest },
+      { "older version expected",
+        [](PublishRequest& aRequest) { aRequest.mExpected = 0; },
+        ErrorKind::VersionConflict },
+      { "version that was never published expected",
+        [](PublishRequest& aRequest) { aRequest.mExpected = 9; },
+        ErrorKind::StoreUnavailable },
+    };
+    for (const Case& entry : cases) {
+      CAPTURE(entry.mName);
+      Fixture fixture;
+      fixture.PublishTo(1);
+      const auto objects = fixture.mObjects.State().Counts().mWrites;
+      PublishRequest request = Fixture::RequestOf(1);
+      entry.mChange(request);
+      const auto result = fixture.Publisher().Publish(request, kNow);
+      REQUIRE(!result);
+      CHECK(result.error().mError.mKind == entry.mKind);
+      CHECK(result.error().mFaults.empty() !=
+            (entry.mKind == ErrorKind::InvalidProfiles));
+      CHECK(fixture.Current() == 1);
+      CHECK(fixture.mObjects.State().Counts().mWrites == objects);
+    }
+  }
+
+  // Guards against two operators both being told that they are in force, and
+  // against a conflict that does not say whose change won.
+  TEST_CASE("of two publishers racing one wins and the other gets a conflict")
+  {
+    Fixture fixture;
+    fixture.PublishTo(1);
+    struct Racer : FakePlatform
+    {
+      explicit Racer(Fixture& aFixture)
+        : mFixture(aFixture)
+      {
+      }
+      // The other publisher's whole publication comes between the read and the
+      // write of the row.
+      core::Expected<bool> Put(const std::string& aName,
+                               const std::string& aBytes) override
+      {
+        if (!mRaced) {
+          mRaced = true;
+          CHECK(mFixture.Publisher().Publish(
+            { DocumentOf(5), 1, "Ilze", "other" }, kNow));
+        }
+        return mFixture.mObjects.Put(aName, aBytes);
+      }
+      core::Expected<std::optional<std::string>> Get(
+        const std::string& aName) override
+      {
+        return mFixture.mObjects.Get(aName);
+      }
+      Fixture& mFixture;
+      bool mRaced = false;
+    };
+    Racer racer(fixture);
+    ProfilePublisher publisher(fixture.mTable, racer, {});
+    const auto result = publisher.Publish(Fixture::RequestOf(1), kNow);
+    REQUIRE(!result);
+    CHECK(result.error().mError.mKind == ErrorKind::VersionConflict);
+    REQUIRE(result.error().mCurrent);
+    CHECK(result.error().mCurrent->mRecord.mVersion == 2);
+    CHECK(result.error().mCurrent->mAuthor == "Ilze");
+    CHECK(result.error().mCurrent->mTime == kNow);
+    CHECK(fixture.Reader().CurrentSet().value()->mRecord.mPublication ==
+          "other");
+  }
+
+  /// One fault during one publication of version 2, then the same request again
+  /// without it.
+  struct FaultCase
+  {
+    const char* mName;
+    standins::PlatformFaults mTableFaults;
+    standins::PlatformFaults mObjectFaults;
+    /// Whether the first request is told that it was accepted.
+    bool mAccepted;
+    /// Whether the row is written when the first request ends.
+    bool mWritten;
+  };
+
+  // Guards against telling an operator that a change is refused, or that it is
+  // in force, when it is not so, and against publishing it twice.
+  TEST_CASE("faults of the store")
+  {
+    const std::vector<FaultCase> cases = {
+      { "none", {}, {}, true, true },
+      { "store down for long",
+        { .mDown = true },
+        { .mDown = true },
+        false,
+        false },
+      { "objects down", {}, { .mDown = true }, false, false },
+      { "object answer lost", {}, { .mLoseAnswers = 1 }, true, true },
+      { "every object answer lost", {}, { .mLoseAnswers = -1 }, true, true },
+      { "row answer lost", { .mLoseAnswers = 1 }, {}, true, true },
+      { "every row answer lost", { .mLoseAnswers = -1 }, {}, true, true },
+      { "row answer lost, then a stale read",
+        { .mLoseAnswers = 1, .mStaleReads = -1 },
+        {},
+        false,
+        false },
+      { "one stale read", { .mStaleReads = 1 }, {}, true, true },
+      { "only stale reads", { .mStaleReads = -1 }, {}, false, false },
+      { "too slow", { .mDelay = std::chrono::seconds(9) }, {}, false, false },
+    };
+    for (const FaultCase& entry : cases) {
+      CAPTURE(entry.mName);
+      Fixture fixture;
+      fixture.PublishTo(1);
+      fixture.mTable.State().SetFaults(entry.mTableFaults);
+      fixture.mObjects.State().SetFaults(entry.mObjectFaults);
+      const PublishRequest request = Fixture::RequestOf(1);
+      const auto first = fixture.Publisher().Publish(request, kNow);
+      CHECK(first.has_value() == entry.mAccepted);
+      if (!first) {
+        CHECK(first.error().mError.mKind == ErrorKind::StoreUnavailable);
+      }
+      fixture.mTable.State().SetFaults({});
+      fixture.mObjects.State().SetFaults({});
+      CHECK(fixture.Current() == (entry.mWritten ? 2 : 1));
+      // The repetition comes later, so its record has another time.
+      const auto second =
+        fixture.Publisher().Publish(request, kNow + std::chrono::hours(1));
+      REQUIRE(second);
+      CHECK(second->mSet.mVersion == 2);
+      CHECK(fixture.Current() == 2);
+      CHECK(fixture.Reader().CurrentSet().value()->mRecord == second->mRecord);
+    }
+  }
+
+  // The row answer is lost and the store cannot be read until later versions
+  // exist, so the outcome is only found in the chain.
+  TEST_CASE("an outcome that was unknown is settled through the chain")
+  {
+    for (const bool accepted : { true, false }) {
+      CAPTURE(accepted);
+      Fixture fixture;
+      fixture.PublishTo(1);
+      bool down = false;
+      fixture.mTable.State().SetFaults(
+        { .mDown = false, .mLoseAnswers = accepted ? 1 : 0 });
+      const PublishRequest request = Fixture::RequestOf(1, "mine");
+      if (accepted) {
+        const auto result =
+          fixture
+            .Publisher([&](unsigned) {
+              fixture.mTable.State().SetFaults({ .mDown = true });
+              down = true;
+            })
+            .Publish(request, kNow);
+        REQUIRE(!result);
+        CHECK(down);
+        CHECK(result.error().mError.mKind == ErrorKind::StoreUnavailable);
+      } else {
+        REQUIRE(fixture.Publisher().Publish(Fixture::RequestOf(1), kNow));
+      }
+      fixture.mTable.State().SetFaults({});
+      for (std::uint64_t i = 2; i < 9; ++i) {
+        REQUIRE(fixture.Publisher().Publish(Fixture::RequestOf(i), kNow));
+      }
+      const auto again = fixture.Publisher().Publish(request, kNow);
+      CHECK(again.has_value() == accepted);
+      if (again) {
+        CHECK(again->mRecord.mPublication == "mine");
+        CHECK(again->mSet.mVersion == 2);
+      } else {
+        CHECK(again.error().mError.mKind == ErrorKind::VersionConflict);
+        CHECK(again.error().mCurrent->mRecord.mVersion == 9);
+      }
+      CHECK(fixture.Current() == 9);
+    }
+  }
+
+  // A store that confirms an object it does not keep must not lead to a row
+  // that no node can follow.
+  TEST_CASE("an object that is lost is not named by the row")
+  {
+    struct Forgetful : FakePlatform
+    {
+      core::Expected<bool> Put(const std::string&, const std::string&) override
+      {
+        return true;
+      }
+    };
+    Fixture fixture;
+    fixture.PublishTo(1);
+    Forgetful objects;
+    ProfilePublisher publisher(fixture.mTable, objects, {});
+    const auto result = publisher.Publish(Fixture::RequestOf(1), kNow);
+    REQUIRE(!result);
+    CHECK(result.error().mError.mKind == ErrorKind::StoreUnavailable);
+    CHECK(fixture.Current() == 1);
+  }
+
+  // Guards against an id that is used again being taken for a repetition.
+  TEST_CASE("an id used for another document is refused")
+  {
+    Fixture fixture;
+    fixture.PublishTo(2);
+    for (const std::uint64_t expected : { 0, 1 }) {
+      PublishRequest request = Fixture::RequestOf(expected);
+      request.mDocument = DocumentOf(77);
+      const auto result = fixture.Publisher().Publish(request, kNow);
+      REQUIRE(!result);
+      CHECK(result.error().mError.mKind == ErrorKind::BadRequest);
+    }
+    CHECK(fixture.Current() == 2);
+  }
+}
+
+TEST_SUITE("profiles/ProfileReader")
+{
+  TEST_CASE("history, versions and differences")
+  {
+    Fixture fixture;
+    const ProfileReader reader = fixture.Reader();
+    CHECK(reader.History(5, 0).value().empty());
+    CHECK(reader.CurrentSet().value() == std::nullopt);
+    CHECK(reader.Version(1).error().mKind == ErrorKind::NotFound);
+    fixture.PublishTo(5);
+    struct Case
+    {
+      std::size_t mLimit;
+      std::uint64_t mBefore;
+      std::vector<std::uint64_t> mVersions;
+    };
+    const std::vector<Case> cases = {
+      { 2, 0, { 5, 4 } }, { 9, 0, { 5, 4, 3, 2, 1 } },  { 9, 3, { 2, 1 } },
+      { 9, 1, {} },       { 9, 99, { 5, 4, 3, 2, 1 } }, { 0, 0, {} },
+    };
+    for (const Case& entry : cases) {
+      std::vector<std::uint64_t> versions;
+      const auto history = reader.History(entry.mLimit, entry.mBefore).value();
+      for (const auto& record : history) {
+        versions.push_back(record.mVersion);
+      }
+      CHECK((versions == entry.mVersions));
+    }
+    CHECK(reader.Version(0).error().mKind == ErrorKind::NotFound);
+    CHECK(reader.Version(6).error().mKind == ErrorKind::NotFound);
+    CHECK(reader.Difference(2, 4).value() ==
+          std::vector<ProfileChange>{
+            { "profiles.deposit.timeout_ms", "1001", "1003" } });
+    CHECK(reader.Difference(0, 1).value().size() == 6);
+  }
+
+  // 5,400 versions a day make a history that cannot be walked one by one.
+  TEST_CASE("any version is found in a number of reads logarithmic in the age")
+  {
+    Fixture fixture;
+    constexpr std::uint64_t kVersions = 600;
+    fixture.PublishTo(kVersions);
+    const ProfileReader reader = fixture.Reader();
+    std::uint64_t most = 0;
+    for (std::uint64_t version = 1; version <= kVersions; ++version) {
+      const auto before = fixture.mObjects.State().Counts().mReads;
+      CHECK(reader.Version(version)->mVersion == version);
+      most = std::max(most, fixture.mObjects.State().Counts().mReads - before);
+    }
+    // Myers 1983: at most about 3 log2(n).
+    CHECK(most <= 30);
+  }
+
+  // Guards against showing or adopting a version whose object is damaged.
+  TEST_CASE("a missing or damaged object is an error")
+  {
+    struct Case
+    {
+      const char* mName;
+      std::function<void(standins::PlatformState&, const std::string&)> mDamage;
+      ErrorKind mKind;
+    };
+    const std::vector<Case> cases = {
+      { "missing",
+        [](auto& aState, const auto& aName) { aState.RemoveObject(aName); },
+        ErrorKind::StoreUnavailable },
+      { "damaged",
+        [](auto& aState, const auto& aName) { aState.WriteObject(aName, "x"); },
+        ErrorKind::InvalidProfiles },
+      { "of another version",
+        [](auto& aState, const auto& aName) {
+          aState.WriteObject(aName, PublishedOf(9).mRecord.Encode());
+        },
+        ErrorKind::InvalidProfiles },
+    };
+    for (const Case& entry : cases) {
+      CAPTURE(entry.mName);
+      Fixture fixture;
+      fixture.PublishTo(2);
+      const auto row = fixture.Reader().ReadCurrent().value()->mRow;
+      entry.mDamage(fixture.mObjects.State(), row.mRecord.mObject);
+      CHECK(fixture.Reader().CurrentSet().error().mKind == entry.mKind);
+      CHECK(fixture.Reader().Version(1)->mVersion == 1);
+    }
+    Fixture fixture;
+    REQUIRE(fixture.mTable.Write("profiles/current", "x", 0));
+    CHECK(fixture.Reader().ReadCurrent().error().mKind ==
+          ErrorKind::InvalidProfiles);
+  }
+}
