--- a/src/nutmegrock/cli/NodeCommand.cpp
+++ b/src/nutmegrock/cli/NodeCommand.cpp
@@ -1,7 +1,6 @@
 #include "cli/NodeCommand.h"
 
-#include "cli/ParseArguments.h"
-#include "cli/ProfileCommand.h"
+#include "cli/CommandLine.h"
 #include "node/NodeRuntime.h"
 #include "settings/SettingsFile.h"
 
@@ -32,13 +31,12 @@
                std::ostream& aOut,
                std::ostream& aErr)
 {
-  TCLAP::CmdLine command(
-    "Runs the process beside a backend server.", ' ', NUTMEGROCK_VERSION);
-  TCLAP::ValueArg<std::string> file(
-    "s", "settings", "YAML settings of the node", true, "", "FILE", command);
-  if (const auto code =
-        ParseArguments(command, "nutmegrock node", aArguments, aOut, aErr)) {
-    return *code;
+  CommandLine line(
+    "node", "Runs the process beside a backend server.", aOut, aErr);
+  const auto& file =
+    line.Value("settings", "FILE", "YAML settings of the node", true);
+  if (const auto code = line.Parse(aArguments)) {
+    return static_cast<int>(*code);
   }
   const auto settings = settings::LoadNodeSettings(file.getValue());
   if (!settings) {
--- a/src/nutmegrock/cli/Program.cpp
+++ b/src/nutmegrock/cli/Program.cpp
@@ -1,5 +1,6 @@
 #include "cli/Program.h"
 
+#include "cli/ExitCode.h"
 #include "cli/NodeCommand.h"
 #include "cli/ProfileCommand.h"
 #include "cli/SettingsCommand.h"
--- a/src/nutmegrock/cli/SettingsCommand.cpp
+++ b/src/nutmegrock/cli/SettingsCommand.cpp
@@ -1,7 +1,6 @@
 #include "cli/SettingsCommand.h"
 
-#include "cli/ParseArguments.h"
-#include "cli/ProfileCommand.h"
+#include "cli/CommandLine.h"
 #include "settings/SettingsFile.h"
 
 namespace nutmegrock::cli {
@@ -11,17 +10,16 @@
                    std::ostream& aOut,
                    std::ostream& aErr)
 {
-  TCLAP::CmdLine command(
-    "Checks a settings file of a node.", ' ', NUTMEGROCK_VERSION);
-  std::vector<std::string> actions = { "check" };
-  TCLAP::ValuesConstraint<std::string> allowed(actions);
-  TCLAP::UnlabeledValueArg<std::string> action(
-    "action", "what to do", true, "", &allowed, command);
-  TCLAP::UnlabeledValueArg<std::string> file(
-    "file", "YAML settings of a node", true, "", "FILE", command);
-  if (const auto code = ParseArguments(
-        command, "nutmegrock settings", aArguments, aOut, aErr)) {
-    return *code;
+  CommandLine line("settings", "Checks a settings file of a node.", aOut, aErr);
+  const auto& action = line.Positional("ACTION", "what to do: check");
+  const auto& file = line.Positional("FILE", "YAML settings of a node");
+  if (const auto code = line.Parse(aArguments)) {
+    return static_cast<int>(*code);
+  }
+  if (action.getValue() != "check") {
+    aErr << "nutmegrock settings: \"" << action.getValue()
+         << "\" is not an action; it must be check\n";
+    return static_cast<int>(ExitCode::WrongUsage);
   }
   const auto settings = settings::LoadNodeSettings(file.getValue());
   if (!settings) {
--- a/src/nutmegrock/cli/StatusCommand.cpp
+++ b/src/nutmegrock/cli/StatusCommand.cpp
@@ -1,9 +1,7 @@
 #include "cli/StatusCommand.h"
 
-#include "cli/ParseArguments.h"
-#include "cli/ProfileCommand.h"
-#include "core/Address.h"
-#include "platform/http/StoreClient.h"
+#include "cli/AdminClient.h"
+#include "cli/CommandLine.h"
 
 #include <map>
 #include <spdlog/fmt/fmt.h>
@@ -81,41 +79,27 @@
                  std::ostream& aOut,
                  std::ostream& aErr)
 {
-  TCLAP::CmdLine command(
-    "Shows the mesh as one node sees it.", ' ', NUTMEGROCK_VERSION);
-  TCLAP::ValueArg<std::string> admin("a",
-                                     "admin",
-                                     "administration address of a node",
-                                     true,
-                                     "",
-                                     "IP:PORT",
-                                     command);
-  TCLAP::SwitchArg json("j", "json", "print the JSON of the node", command);
-  if (const auto code =
-        ParseArguments(command, "nutmegrock status", aArguments, aOut, aErr)) {
-    return *code;
+  CommandLine line("status", "Shows the mesh as one node sees it.", aOut, aErr);
+  const auto& admin = line.Admin();
+  const auto& json = line.Switch("json", "print the JSON of the node");
+  if (const auto code = line.Parse(aArguments)) {
+    return static_cast<int>(*code);
   }
-  const auto address = core::Address::Parse(admin.getValue());
+  const auto address = line.AddressOf(admin);
   if (!address) {
-    aErr << "nutmegrock status: --admin: " << address.error().mMessage << "\n";
     return static_cast<int>(ExitCode::WrongUsage);
   }
-  platform::http::StoreSettings settings;
-  settings.mUrl = "http://" + address->Text();
-  const auto answer = platform::http::StoreClient::Make(settings).and_then(
-    [](const platform::http::StoreClient& aClient) {
-      return aClient.Send({ "GET", "/v1/status", {}, {} });
-    });
-  if (!answer || answer->mStatus != 200) {
+  const auto answer = AdminClient::Make(*address).and_then(
+    [](const AdminClient& aClient) { return aClient.Send("GET", "/status"); });
+  if (!answer || !answer->IsSuccess()) {
     aErr << "nutmegrock status: " << address->Text() << ": "
          << (answer ? fmt::format("status {}", answer->mStatus)
                     : answer.error().mMessage)
          << "\n";
     return static_cast<int>(ExitCode::NotReachable);
   }
-  std::error_code code;
-  const value status = value::parse(answer->mBody, code);
-  aOut << (json.getValue() || code ? answer->mBody + "\n" : StatusText(status));
+  aOut << (json.getValue() ? answer->mBody.serialize() + "\n"
+                           : StatusText(answer->mBody));
   return static_cast<int>(ExitCode::Ok);
 }
 
