--- a/src/nutmegrock/transport/http/BackendExchange.cpp
+++ b/src/nutmegrock/transport/http/BackendExchange.cpp
@@ -20,7 +20,7 @@
 
 // Most bytes of an answer's body held at a time; a body up to this size is one
 // chunk.
-constexpr std::size_t kChunkBytes = 64 * 1024;
+constexpr std::size_t kChunkBytes = std::size_t{ 64 } * 1024;
 
 // A usual head fits, so that it is read with one system call.
 constexpr std::size_t kFirstRead = 4096;
--- a/src/nutmegrock/transport/http/ServerConnection.cpp
+++ b/src/nutmegrock/transport/http/ServerConnection.cpp
@@ -19,14 +19,14 @@
 namespace beast_http = boost::beast::http;
 
 // Most bytes of a body held at a time; a body up to this size is one chunk.
-constexpr std::size_t kChunkBytes = 64 * 1024;
+constexpr std::size_t kChunkBytes = std::size_t{ 64 } * 1024;
 
 // A usual head fits, so that it is read with one system call.
 constexpr std::size_t kFirstRead = 4096;
 
 // Bounds of Linger().
 constexpr auto kLingerTime = std::chrono::seconds(1);
-constexpr std::size_t kLingerBytes = 1024 * 1024;
+constexpr std::size_t kLingerBytes = std::size_t{ 1024 } * 1024;
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
