--- a/src/nutmegrock/transport/peer/ClientCall.h
+++ b/src/nutmegrock/transport/peer/ClientCall.h
@@ -16,8 +16,8 @@
 /// A call or control request of a PeerLink, used on the link's strand only.
 struct ClientCall
 {
-  explicit ClientCall(boost::asio::any_io_executor aExecutor)
-    : mTimer(std::move(aExecutor))
+  explicit ClientCall(const boost::asio::any_io_executor& aExecutor)
+    : mTimer(aExecutor)
   {
   }
 
--- a/src/nutmegrock/transport/peer/PeerConnector.cpp
+++ b/src/nutmegrock/transport/peer/PeerConnector.cpp
@@ -8,13 +8,13 @@
 
 namespace net = boost::asio;
 
-PeerConnector::PeerConnector(net::any_io_executor aStrand,
+PeerConnector::PeerConnector(const net::any_io_executor& aStrand,
                              const PeerClientSettings& aSettings,
                              std::shared_ptr<PeerCounts> aCounts)
   : mSettings(aSettings)
   , mCounts(std::move(aCounts))
   , mSocket(aStrand)
-  , mTimer(std::move(aStrand))
+  , mTimer(aStrand)
   , mAuthenticator(aSettings.mSecret)
 {
 }
--- a/src/nutmegrock/transport/peer/PeerConnector.h
+++ b/src/nutmegrock/transport/peer/PeerConnector.h
@@ -22,7 +22,7 @@
   using Done =
     std::function<void(core::Expected<std::shared_ptr<FrameConnection>>)>;
 
-  PeerConnector(boost::asio::any_io_executor aStrand,
+  PeerConnector(const boost::asio::any_io_executor& aStrand,
                 const PeerClientSettings& aSettings,
                 std::shared_ptr<PeerCounts> aCounts);
 
--- /dev/null
+++ b/tests/transport/PeerFaultTest.cpp
@@ -0,0 +1,693 @@
+#include "tests/transport/Peers.h"
+#include "tests/transport/RawSocket.h"
+#include "transport/peer/BodyReceiver.h"
+#include "transport/peer/PeerLimits.h"
+
+#include <deque>
+
+using namespace nutmegrock;
+using namespace nutmegrock::tests;
+using namespace nutmegrock::transport;
+using peer::PeerEvent;
+
+namespace {
+
+gen::PeerFrame
+HelloFrame(std::int32_t aProtocol = peer::kProtocol)
+{
+  gen::Hello hello;
+  hello.protocol = aProtocol;
+  hello.incarnation = 5;
+  gen::PeerFrame frame;
+  frame.payload.__set_hello(hello);
+  return frame;
+}
+
+gen::PeerFrame
+CallFrame(std::int64_t aId, bool aLast = true)
+{
+  gen::CallStart start =
+    peer::PeerCodec::ToWire(MakePeerCall(), core::Clock::now());
+  start.last = aLast;
+  gen::PeerFrame frame;
+  frame.call = aId;
+  frame.payload.__set_call(start);
+  return frame;
+}
+
+gen::PeerFrame
+AnswerFrame(std::int64_t aId, bool aLast = true)
+{
+  gen::AnswerStart answer = peer::PeerCodec::ToWire(AnswerHead{});
+  answer.first_bytes = "ok";
+  answer.last = aLast;
+  gen::PeerFrame frame;
+  frame.call = aId;
+  frame.payload.__set_answer(answer);
+  return frame;
+}
+
+gen::PeerFrame
+ChunkFrame(std::int64_t aId, std::size_t aSize)
+{
+  gen::BodyChunk chunk;
+  chunk.bytes.assign(aSize, 'x');
+  gen::PeerFrame frame;
+  frame.call = aId;
+  frame.payload.__set_chunk(chunk);
+  return frame;
+}
+
+gen::PeerFrame
+CreditFrame(std::int64_t aId, std::int32_t aBytes)
+{
+  gen::BodyCredit credit;
+  credit.bytes = aBytes;
+  gen::PeerFrame frame;
+  frame.call = aId;
+  frame.payload.__set_credit(credit);
+  return frame;
+}
+
+std::string
+BytesOf(const std::vector<gen::PeerFrame>& aFrames)
+{
+  std::string bytes;
+  for (const auto& frame : aFrames) {
+    peer::PeerCodec::Append(frame, bytes);
+  }
+  return bytes;
+}
+
+// A server made of a raw socket, after the exchange of Hello.
+RawSocket
+AcceptPeer(RawServer& aServer)
+{
+  RawSocket socket = aServer.Accept();
+  const auto hello = socket.ReadFrame();
+  REQUIRE(hello.has_value());
+  CHECK(hello->payload.__isset.hello);
+  socket.WriteFrame(HelloFrame());
+  return socket;
+}
+
+// Keeps the calls of a server for the test.
+struct GivenCalls
+{
+  Awaited<std::pair<PeerCall, PeerResultHandler>> mNext;
+
+  PeerCallHandler Handler()
+  {
+    return [this](const PeerCall& aCall, const PeerResultHandler& aAnswer) {
+      mNext.Set({ aCall, aAnswer });
+    };
+  }
+};
+
+PeerResult
+TextResult(std::string aText)
+{
+  Answer answer;
+  answer.mBody = WholeBody(std::move(aText));
+  return { std::move(answer), {} };
+}
+
+} // namespace
+
+TEST_SUITE("transport/peer faults")
+{
+  // A malformed peer must not reach the handlers or keep its connection.
+  TEST_CASE("a server closes broken connections and counts why")
+  {
+    struct Case
+    {
+      const char* mName;
+      std::string mBytes;
+      PeerEvent mEvent;
+    };
+    const auto hello = HelloFrame();
+    const std::string huge("\x00\x10\x00\x01", 4);
+    const std::string garbage("\x00\x00\x00\x03zzz", 7);
+    const std::vector<Case> cases = {
+      { "too large", BytesOf({ hello }) + huge, PeerEvent::FrameTooLarge },
+      { "HTTP", "GET / HTTP/1.1\r\n\r\n", PeerEvent::FrameTooLarge },
+      { "empty", std::string(4, '\0'), PeerEvent::FrameMalformed },
+      { "garbage", BytesOf({ hello }) + garbage, PeerEvent::FrameMalformed },
+      { "no Hello", BytesOf({ CallFrame(1) }), PeerEvent::HelloFailed },
+      { "second Hello", BytesOf({ hello, hello }), PeerEvent::HelloFailed },
+      { "protocol", BytesOf({ HelloFrame(9) }), PeerEvent::HelloFailed },
+      { "id used before",
+        BytesOf({ hello, CallFrame(2), CallFrame(2) }),
+        PeerEvent::FrameUnexpected },
+      { "an answer",
+        BytesOf({ hello, AnswerFrame(1) }),
+        PeerEvent::FrameUnexpected },
+      { "beyond the window",
+        BytesOf({ hello,
+                  CallFrame(1, false),
+                  ChunkFrame(1, peer::kWindowBytes + 1) }),
+        PeerEvent::CreditExceeded },
+      { "credit for nothing",
+        BytesOf({ hello, CallFrame(1), CreditFrame(1, 1) }),
+        PeerEvent::CreditExceeded },
+    };
+    for (const Case& fault : cases) {
+      CAPTURE(fault.mName);
+      Loop loop;
+      GivenCalls given;
+      const auto server = ServePeers(loop, given.Handler());
+      RawSocket caller(server->LocalAddress());
+      caller.Write(fault.mBytes);
+      CHECK(caller.ReadsEnd());
+      CHECK(server->Counts().Of(fault.mEvent) == 1);
+      CHECK(WaitUntil([&] { return server->Connections() == 0; }));
+    }
+  }
+
+  TEST_CASE("a client drops broken connections, and their calls are unknown")
+  {
+    struct Case
+    {
+      const char* mName;
+      std::string mBytes;
+      PeerEvent mEvent;
+    };
+    const std::string huge("\x00\x10\x00\x01", 4);
+    const std::vector<Case> cases = {
+      { "closes", "", PeerEvent::ClosedByPeer },
+      { "too large", huge, PeerEvent::FrameTooLarge },
+      { "empty", std::string(4, '\0'), PeerEvent::FrameMalformed },
+      { "a call", BytesOf({ CallFrame(1) }), PeerEvent::FrameUnexpected },
+      { "a second Hello",
+        BytesOf({ HelloFrame() }),
+        PeerEvent::FrameUnexpected },
+      { "a body before its answer",
+        BytesOf({ ChunkFrame(1, 5) }),
+        PeerEvent::FrameUnexpected },
+      { "credit for nothing",
+        BytesOf({ CreditFrame(1, 5) }),
+        PeerEvent::CreditExceeded },
+    };
+    for (const Case& fault : cases) {
+      CAPTURE(fault.mName);
+      Loop loop;
+      RawServer raw;
+      const auto client = MakePeerClient(loop);
+      const auto sent = SendPeer(*client, raw.Address(), MakePeerCall());
+      RawSocket socket = AcceptPeer(raw);
+      CHECK(socket.ReadFrame().has_value());
+      socket.Write(fault.mBytes);
+      if (fault.mBytes.empty()) {
+        socket.Close();
+      }
+      const auto result = ResultOf(sent);
+      REQUIRE_FALSE(result.mAnswer.has_value());
+      CHECK(result.mAnswer.error().mKind == core::ErrorKind::PeerLost);
+      CHECK(result.mAnswer.error().mRun == core::RunCertainty::Unknown);
+      CHECK(result.mFeedback.mBudgetReturned == 0);
+      CHECK(client->Counts().Of(fault.mEvent) == 1);
+    }
+  }
+
+  // Before the call's frame leaves, the work certainly did not start.
+  TEST_CASE("no connection means not run, and the budget is not spent")
+  {
+    struct Case
+    {
+      const char* mName;
+      std::function<void(RawServer&)> mServe;
+    };
+    const std::vector<Case> cases = {
+      { "refused", [](RawServer& aServer) { aServer.Close(); } },
+      { "closes", [](RawServer& aServer) { aServer.Accept(); } },
+      { "no Hello in time", [](RawServer&) {} },
+      { "other protocol",
+        [](RawServer& aServer) {
+          RawSocket socket = aServer.Accept();
+          socket.WriteFrame(HelloFrame(9));
+          socket.ReadToEnd();
+        } },
+      { "HTTP server",
+        [](RawServer& aServer) {
+          RawSocket socket = aServer.Accept();
+          socket.Write("HTTP/1.1 400 Bad Request\r\n\r\n");
+          socket.ReadToEnd();
+        } },
+    };
+    for (const Case& fault : cases) {
+      CAPTURE(fault.mName);
+      Loop loop;
+      RawServer raw;
+      const core::Address address = raw.Address();
+      peer::PeerClientSettings settings;
+      settings.mConnectTimeout = std::chrono::milliseconds(300);
+      settings.mMinBackoff = std::chrono::hours(1);
+      settings.mMaxBackoff = std::chrono::hours(1);
+      const auto client = MakePeerClient(loop, settings);
+      if (fault.mName == std::string("refused")) {
+        raw.Close();
+      }
+      const auto sent = SendPeer(*client, address, MakePeerCall());
+      if (fault.mName != std::string("refused")) {
+        fault.mServe(raw);
+      }
+      // The second call meets the pause after the failed attempt.
+      for (const auto& next : { sent, AwaitedResult() }) {
+        const auto result =
+          ResultOf(next ? next : SendPeer(*client, address, MakePeerCall()));
+        REQUIRE_FALSE(result.mAnswer.has_value());
+        CHECK(result.mAnswer.error().mKind == core::ErrorKind::PeerUnreachable);
+        CHECK(result.mAnswer.error().mRun == core::RunCertainty::NotRun);
+        CHECK(result.mFeedback.mBudgetReturned == 3);
+      }
+    }
+  }
+
+  TEST_CASE("answers in any order reach the calls they belong to")
+  {
+    Loop loop;
+    GivenCalls given;
+    const auto server = ServePeers(loop, given.Handler());
+    const auto client = MakePeerClient(loop);
+    std::deque<std::pair<AwaitedResult, PeerResultHandler>> calls;
+    std::vector<std::string> names;
+    for (int i = 0; i < 20; ++i) {
+      const std::string name = "/" + std::to_string(i);
+      auto call = MakePeerCall();
+      call.mCall.mHead.mTarget = name;
+      const auto sent =
+        SendPeer(*client, server->LocalAddress(), std::move(call));
+      auto taken = given.mNext.Get();
+      REQUIRE(taken.has_value());
+      CHECK(taken->first.mCall.mHead.mTarget == name);
+      calls.emplace_back(sent, taken->second);
+      names.push_back(name);
+    }
+    CHECK(server->InFlight() == 20);
+    while (!calls.empty()) {
+      calls.back().second(TextResult(names.back()));
+      const auto result = ResultOf(calls.back().first);
+      REQUIRE(result.mAnswer.has_value());
+      CHECK(Whole(result.mAnswer->mBody) == names.back());
+      calls.pop_back();
+      names.pop_back();
+    }
+    CHECK(WaitUntil([&] { return server->InFlight() == 0; }));
+  }
+
+  TEST_CASE("a late answer is dropped and the connection goes on")
+  {
+    Loop loop;
+    RawServer raw;
+    const auto client = MakePeerClient(loop);
+    const auto late =
+      SendPeer(*client,
+               raw.Address(),
+               MakePeerCall({}, core::Clock::now() + std::chrono::seconds(1)));
+    RawSocket socket = AcceptPeer(raw);
+    const auto start = socket.ReadFrame();
+    REQUIRE(start.has_value());
+    const auto result = ResultOf(late);
+    REQUIRE_FALSE(result.mAnswer.has_value());
+    CHECK(result.mAnswer.error().mKind == core::ErrorKind::DeadlineExceeded);
+    CHECK(result.mAnswer.error().mRun == core::RunCertainty::Unknown);
+    const auto cancel = socket.ReadFrame();
+    REQUIRE(cancel.has_value());
+    CHECK(cancel->payload.__isset.cancel);
+    CHECK(cancel->call == start->call);
+    socket.WriteFrame(AnswerFrame(start->call));
+    const auto second = SendPeer(*client, raw.Address(), MakePeerCall());
+    const auto next = socket.ReadFrame();
+    REQUIRE(next.has_value());
+    CHECK(next->call != start->call);
+    socket.WriteFrame(AnswerFrame(next->call));
+    const auto good = ResultOf(second);
+    REQUIRE(good.mAnswer.has_value());
+    CHECK(Whole(good.mAnswer->mBody) == "ok");
+    CHECK(late->Times() == 1);
+    CHECK(client->Counts().Of(PeerEvent::LateFrame) == 1);
+  }
+
+  TEST_CASE("a deadline that passed before sending is not run")
+  {
+    Loop loop;
+    GivenCalls given;
+    const auto server = ServePeers(loop, given.Handler());
+    const auto client = MakePeerClient(loop);
+    const auto result = ResultOf(
+      SendPeer(*client,
+               server->LocalAddress(),
+               MakePeerCall({}, core::Clock::now() - std::chrono::seconds(1))));
+    REQUIRE_FALSE(result.mAnswer.has_value());
+    CHECK(result.mAnswer.error().mKind == core::ErrorKind::DeadlineExceeded);
+    CHECK(result.mAnswer.error().mRun == core::RunCertainty::NotRun);
+  }
+
+  TEST_CASE("calls that the server must not run are refused, one by one")
+  {
+    Loop loop;
+    GivenCalls given;
+    const auto server = ServePeers(loop, given.Handler());
+    const auto client = MakePeerClient(loop);
+    auto other = MakePeerCall();
+    other.mTarget = { 12345 };
+    const auto wrong =
+      ResultOf(SendPeer(*client, server->LocalAddress(), std::move(other)));
+    REQUIRE_FALSE(wrong.mAnswer.has_value());
+    CHECK(wrong.mAnswer.error().mKind == core::ErrorKind::WrongIncarnation);
+    CHECK(wrong.mAnswer.error().mRun == core::RunCertainty::NotRun);
+    CHECK(wrong.mFeedback.mBudgetReturned == 3);
+    auto deep = MakePeerCall();
+    deep.mContext.mDepth = 1000;
+    const auto nonsense =
+      ResultOf(SendPeer(*client, server->LocalAddress(), std::move(deep)));
+    REQUIRE_FALSE(nonsense.mAnswer.has_value());
+    CHECK(nonsense.mAnswer.error().mKind == core::ErrorKind::ProtocolError);
+    auto unknown = MakePeerCall();
+    unknown.mTarget = {};
+    const auto sent =
+      SendPeer(*client, server->LocalAddress(), std::move(unknown));
+    auto taken = given.mNext.Get();
+    REQUIRE(taken.has_value());
+    taken->second(TextResult("ok"));
+    CHECK(ResultOf(sent).mAnswer.has_value());
+    CHECK(server->Connections() == 1);
+  }
+
+  TEST_CASE("errors of the serving node arrive with their certainty")
+  {
+    Loop loop;
+    GivenCalls given;
+    const auto server = ServePeers(loop, given.Handler());
+    const auto client = MakePeerClient(loop);
+    for (const auto run :
+         { core::RunCertainty::NotRun, core::RunCertainty::Unknown }) {
+      const auto sent =
+        SendPeer(*client, server->LocalAddress(), MakePeerCall());
+      auto taken = given.mNext.Get();
+      REQUIRE(taken.has_value());
+      auto error = core::MakeError(core::ErrorKind::QueueFull, "full");
+      error.mRun = run;
+      error.mRetryAfter = std::chrono::milliseconds(15);
+      core::CallFeedback feedback;
+      feedback.mBudgetReturned = 2;
+      taken->second({ tl::make_unexpected(error), feedback });
+      const auto result = ResultOf(sent);
+      REQUIRE_FALSE(result.mAnswer.has_value());
+      CHECK(result.mAnswer.error() == error);
+      CHECK(result.mFeedback == feedback);
+    }
+  }
+
+  TEST_CASE("cancelling a call cancels it at the server")
+  {
+    Loop loop;
+    GivenCalls given;
+    const auto server = ServePeers(loop, given.Handler());
+    const auto client = MakePeerClient(loop);
+    enum class Way
+    {
+      Cancelled,
+      ClientClosed,
+      AnswerDropped
+    };
+    for (const Way way :
+         { Way::Cancelled, Way::AnswerDropped, Way::ClientClosed }) {
+      CAPTURE(static_cast<int>(way));
+      const auto call = MakePeerCall();
+      const auto sent = SendPeer(*client, server->LocalAddress(), call);
+      auto taken = given.mNext.Get();
+      REQUIRE(taken.has_value());
+      if (way == Way::AnswerDropped) {
+        Answer answer;
+        answer.mBody = std::make_shared<MadeBody>(5'000'000, 50'000);
+        taken->second({ std::move(answer), {} });
+        CHECK(ResultOf(sent).mAnswer.has_value());
+      } else if (way == Way::Cancelled) {
+        call.mCall.mCancellation->Cancel();
+        const auto result = ResultOf(sent);
+        REQUIRE_FALSE(result.mAnswer.has_value());
+        CHECK(result.mAnswer.error().mKind == core::ErrorKind::Cancelled);
+      } else {
+        client->Close();
+        const auto result = ResultOf(sent);
+        REQUIRE_FALSE(result.mAnswer.has_value());
+        CHECK(result.mAnswer.error().mKind == core::ErrorKind::PeerLost);
+      }
+      CHECK(WaitUntil(
+        [&] { return taken->first.mCall.mCancellation->IsCancelled(); }));
+      taken->second(TextResult("late"));
+      taken.reset();
+      CHECK(WaitUntil([&] { return server->InFlight() == 0; }));
+    }
+    const auto after =
+      ResultOf(SendPeer(*client, server->LocalAddress(), MakePeerCall()));
+    REQUIRE_FALSE(after.mAnswer.has_value());
+    CHECK(after.mAnswer.error().mKind == core::ErrorKind::PeerUnreachable);
+  }
+
+  // A body that ends early must never be passed on as complete.
+  TEST_CASE("bodies that fail on the way fail their readers")
+  {
+    Loop loop;
+    GivenCalls given;
+    const auto server = ServePeers(loop, given.Handler());
+    const auto client = MakePeerClient(loop);
+    for (const std::size_t size : { 0, 10, 100'000, 1'000'000 }) {
+      CAPTURE(size);
+      auto sent =
+        SendPeer(*client,
+                 server->LocalAddress(),
+                 MakePeerCall(std::make_shared<MadeBody>(size, 9000, true)));
+      if (size > 0) {
+        auto taken = given.mNext.Get();
+        REQUIRE(taken.has_value());
+        CHECK_FALSE(Whole(taken->first.mCall.mBody).has_value());
+      }
+      const auto failed = ResultOf(sent);
+      REQUIRE_FALSE(failed.mAnswer.has_value());
+      CHECK(failed.mAnswer.error().mKind == core::ErrorKind::BodyIncomplete);
+
+      sent = SendPeer(*client, server->LocalAddress(), MakePeerCall());
+      auto taken = given.mNext.Get();
+      REQUIRE(taken.has_value());
+      Answer answer;
+      answer.mBody = std::make_shared<MadeBody>(size, 9000, true);
+      taken->second({ std::move(answer), {} });
+      const auto result = ResultOf(sent);
+      CHECK(result.mAnswer.has_value() == (size > 0));
+      if (result.mAnswer) {
+        const auto text = Whole(result.mAnswer->mBody);
+        REQUIRE_FALSE(text.has_value());
+        CHECK(text.error().mKind == core::ErrorKind::BodyIncomplete);
+      }
+    }
+  }
+
+  TEST_CASE("a server that goes away in an answer's body fails its reader")
+  {
+    Loop loop;
+    RawServer raw;
+    const auto client = MakePeerClient(loop);
+    const auto sent = SendPeer(*client, raw.Address(), MakePeerCall());
+    RawSocket socket = AcceptPeer(raw);
+    const auto start = socket.ReadFrame();
+    REQUIRE(start.has_value());
+    socket.WriteFrame(AnswerFrame(start->call, false));
+    const auto result = ResultOf(sent);
+    REQUIRE(result.mAnswer.has_value());
+    socket.Close();
+    const auto text = Whole(result.mAnswer->mBody);
+    REQUIRE_FALSE(text.has_value());
+    CHECK(text.error().mKind == core::ErrorKind::PeerLost);
+  }
+
+  // The window bounds what either side holds of one body.
+  TEST_CASE("nothing beyond the credit window is taken from a body's source")
+  {
+    constexpr std::size_t kSize = 5'000'000;
+    constexpr std::size_t kChunk = 50'000;
+    constexpr std::size_t kMost = peer::kWindowBytes + kChunk;
+    Loop loop;
+    GivenCalls given;
+    const auto server = ServePeers(loop, given.Handler());
+    const auto client = MakePeerClient(loop);
+    const auto call_body = std::make_shared<MadeBody>(kSize, kChunk);
+    const auto sent =
+      SendPeer(*client, server->LocalAddress(), MakePeerCall(call_body));
+    auto taken = given.mNext.Get();
+    REQUIRE(taken.has_value());
+    CHECK(WaitUntil([&] { return call_body->Taken() >= peer::kWindowBytes; }));
+    CHECK(call_body->Taken() <= kMost);
+    std::size_t consumed = 0;
+    for (int i = 0; i < 20; ++i) {
+      const auto chunk = NextOf(taken->first.mCall.mBody);
+      REQUIRE(chunk.has_value());
+      consumed += chunk->mBytes.size();
+      CHECK(chunk->mBytes.size() <= peer::kWindowBytes);
+      CHECK(call_body->Taken() <= consumed + kMost);
+    }
+    const auto answer_body = std::make_shared<MadeBody>(kSize, kChunk);
+    Answer answer;
+    answer.mBody = answer_body;
+    taken->second({ std::move(answer), {} });
+    const auto result = ResultOf(sent);
+    REQUIRE(result.mAnswer.has_value());
+    CHECK(
+      WaitUntil([&] { return answer_body->Taken() >= peer::kWindowBytes; }));
+    CHECK(answer_body->Taken() <= kMost);
+    const auto text = Whole(result.mAnswer->mBody);
+    REQUIRE(text.has_value());
+    CHECK(text->size() == kSize);
+    // The rest of the call's body ends with the call.
+    CHECK_FALSE(Whole(taken->first.mCall.mBody).has_value());
+  }
+
+  TEST_CASE("a receiver refuses bytes beyond the credit that it gave")
+  {
+    std::size_t credit = 0;
+    peer::BodyReceiver body(
+      std::string(1000, 'x'),
+      [&](std::size_t aBytes) { credit += aBytes; },
+      [] {});
+    CHECK(body.Push({ std::string(peer::kWindowBytes - 1000, 'y'), false }));
+    CHECK_FALSE(body.Push({ "z", false }));
+    CHECK(body.Held() == peer::kWindowBytes);
+    CHECK(credit == 0);
+    body.Next([](const auto& aChunk) {
+      CHECK(aChunk->mBytes.size() == peer::kWindowBytes);
+    });
+    CHECK(credit == peer::kWindowBytes);
+    CHECK(body.Push({ std::string(peer::kWindowBytes, 'y'), true }));
+    CHECK_FALSE(body.Push({ "", true }));
+  }
+
+  TEST_CASE("idle connections are closed, and opened again when needed")
+  {
+    Loop loop;
+    const auto server =
+      ServePeers(loop, [](const PeerCall&, const PeerResultHandler& aAnswer) {
+        aAnswer(TextResult("ok"));
+      });
+    peer::PeerClientSettings settings;
+    settings.mIdleTime = std::chrono::milliseconds(20);
+    const auto client = MakePeerClient(loop, settings);
+    for (int i = 0; i < 3; ++i) {
+      CHECK(ResultOf(SendPeer(*client, server->LocalAddress(), MakePeerCall()))
+              .mAnswer.has_value());
+      CHECK(WaitUntil([&] { return server->Connections() == 0; }));
+    }
+    CHECK(client->Counts().Of(PeerEvent::ClosedHere) == 3);
+  }
+
+  TEST_CASE("a client finds a server that comes back")
+  {
+    Loop loop;
+    const auto serve = [](const PeerCall&, const PeerResultHandler& aAnswer) {
+      aAnswer(TextResult("ok"));
+    };
+    auto server = ServePeers(loop, serve);
+    const core::Address address = server->LocalAddress();
+    const auto client = MakePeerClient(loop);
+    const auto works = [&] {
+      return ResultOf(SendPeer(*client, address, MakePeerCall()))
+        .mAnswer.has_value();
+    };
+    CHECK(works());
+    server.reset();
+    CHECK(WaitUntil([&] { return !works(); }));
+    peer::PeerServerSettings settings;
+    settings.mAddress = address;
+    server = ServePeers(loop, serve, settings);
+    CHECK(WaitUntil(works));
+  }
+
+  TEST_CASE("a planned stop refuses connections and ends calls")
+  {
+    Loop loop;
+    GivenCalls given;
+    const auto server = ServePeers(loop, given.Handler());
+    const auto client = MakePeerClient(loop);
+    const auto sent = SendPeer(*client, server->LocalAddress(), MakePeerCall());
+    auto taken = given.mNext.Get();
+    REQUIRE(taken.has_value());
+    server->StopAccepting();
+    const auto other = MakePeerClient(loop);
+    CHECK(WaitUntil([&] {
+      return !ControlAndWait(*other, server->LocalAddress(), {}, "")
+                .has_value();
+    }));
+    CHECK(server->InFlight() == 1);
+    taken->second(TextResult("whole"));
+    taken.reset();
+    const auto result = ResultOf(sent);
+    REQUIRE(result.mAnswer.has_value());
+    CHECK(Whole(result.mAnswer->mBody) == "whole");
+    CHECK(WaitUntil([&] { return server->InFlight() == 0; }));
+  }
+
+  TEST_CASE("only peers with the same secret are served")
+  {
+    struct Case
+    {
+      const char* mClient;
+      const char* mServer;
+      bool mServed;
+    };
+    for (const Case& secrets : { Case{ "", "", true },
+                                 Case{ "one", "one", true },
+                                 Case{ "one", "two", false },
+                                 Case{ "one", "", false },
+                                 Case{ "", "one", false } }) {
+      CAPTURE(secrets.mClient);
+      CAPTURE(secrets.mServer);
+      Loop loop;
+      peer::PeerServerSettings serve;
+      serve.mSecret = secrets.mServer;
+      peer::PeerClientSettings call;
+      call.mSecret = secrets.mClient;
+      GivenCalls given;
+      const auto server = ServePeers(loop, given.Handler(), serve);
+      const auto client = MakePeerClient(loop, call);
+      const auto answer =
+        ControlAndWait(*client, server->LocalAddress(), kServerRun, "");
+      CHECK(answer.has_value() == secrets.mServed);
+      if (!answer) {
+        CHECK(answer.error().mKind == core::ErrorKind::PeerUnreachable);
+        CHECK(client->Counts().Of(PeerEvent::AuthenticationFailed) == 1);
+      }
+    }
+    // A caller that skips or forges its proof is not served either.
+    Loop loop;
+    peer::PeerServerSettings serve;
+    serve.mSecret = "one";
+    GivenCalls given;
+    const auto server = ServePeers(loop, given.Handler(), serve);
+    for (const auto& second : { CallFrame(1), HelloFrame() }) {
+      RawSocket caller(server->LocalAddress());
+      caller.Write(BytesOf({ HelloFrame(), second }));
+      CHECK(caller.ReadsEnd());
+    }
+    CHECK(server->Counts().Of(PeerEvent::AuthenticationFailed) == 2);
+  }
+
+  TEST_CASE("requests and results that do not fit into a frame are refused")
+  {
+    Loop loop;
+    GivenCalls given;
+    const auto server = ServePeers(loop, given.Handler());
+    const auto client = MakePeerClient(loop);
+    const auto& address = server->LocalAddress();
+    const auto large = ControlAndWait(
+      *client, address, {}, std::string(peer::kMaxFrameBytes, 'x'));
+    REQUIRE_FALSE(large.has_value());
+    CHECK(large.error().mKind == core::ErrorKind::BadRequest);
+    CHECK(large.error().mRun == core::RunCertainty::NotRun);
+    // The request fits, but its echo does not.
+    const auto echo = ControlAndWait(
+      *client, address, {}, std::string(peer::kMaxFrameBytes - 20, 'x'));
+    CHECK_FALSE(echo.has_value());
+    CHECK(ControlAndWait(*client, address, {}, "x").has_value());
+    CHECK(server->Connections() == 1);
+  }
+}
