--- a/perf/perf_limits/main.cpp
+++ b/perf/perf_limits/main.cpp
@@ -261,7 +261,7 @@
   }
   std::printf("%-34s", "score: worst, mean");
   for (std::size_t i = 0; i < sums.size(); ++i) {
-    std::printf(" %4.2f %4.2f       ",
+    std::printf(" %4.2f %5.2f       ",
                 worst.at(i),
                 sums.at(i) / static_cast<double>(cases.size()));
   }
--- a/src/nutmegrock/limits/ConcurrencyLimit.cpp
+++ b/src/nutmegrock/limits/ConcurrencyLimit.cpp
@@ -32,9 +32,16 @@
 constexpr double kSettle = 2;
 /// Latencies after which a measurement without enough calls ends.
 constexpr double kStuck = 10;
-/// Age of the baseline, in latencies, up to which a window is compared with it
-/// without measuring again.
-constexpr double kFresh = 20;
+/// Latencies without growth after a cut.
+constexpr double kHoldLatencies = 20;
+/// Largest growth per window, reached when several windows in a row grow.
+constexpr double kMostGrowth = 0.16;
+/// Standard deviations by which a window, or a measurement, must be above the
+/// tolerance. There are many windows, so they need more to keep false alarms
+/// rare; a measurement mostly follows a suspicion, and sees a ratio of 2 in 16
+/// calls.
+constexpr double kWindowSigmas = 2;
+constexpr double kProbeSigmas = 1;
 /// Latency at the limit over that at half of it from which on the lower half
 /// completes about as many calls.
 constexpr double kNothingLost = 1.7;
@@ -126,7 +133,7 @@
 void
 ConcurrencyLimit::OnShed(core::TimePoint aNow, std::uint32_t aInFlight)
 {
-  mNoGrowthBefore = aNow + mSettings.mHoldAfterShed;
+  mNoGrowthBefore = aNow + mSettings.mHoldAfterCut;
   // The calls in flight when a call was shed are one too many. One cut per
   // round trip: later refusals answer calls sent before the cut.
   if (aNow < mNoShedCutBefore || aInFlight > mLimit + 1) {
@@ -162,7 +169,7 @@
     mWindow.Add(seconds);
     const double length =
       std::max(Seconds(mSettings.mWindow).count(), mWindow.Mean());
-    if (mWindow.Count() >= BaselineCalls() &&
+    if (mWindow.Count() >= mSettings.mWindowCalls &&
         Seconds(aNow - mCountFrom).count() >= length) {
       EndWindow(aNow);
     }
@@ -178,23 +185,21 @@
   }
 }
 
-std::uint32_t
+double
 ConcurrencyLimit::BaselineCalls() const
 {
   // Few calls at a time make many calls take long.
-  const std::uint32_t most = std::max(mSettings.mWindowCalls, kFewestCalls);
-  return std::clamp(AdaptedLimit(), kFewestCalls, most);
+  const double most = std::max(mSettings.mWindowCalls, kFewestCalls);
+  return std::clamp<double>(AdaptedLimit(), kFewestCalls, most);
 }
 
 double
-ConcurrencyLimit::Excess() const
+ConcurrencyLimit::Excess(double aSigmas) const
 {
-  // Two sources of noise; one standard deviation keeps false alarms rare and
-  // still sees a ratio of 2 in 16 calls.
   const double noise =
     std::sqrt(mLoaded.LogVariance() + mBaseline.LogVariance());
   return std::log(mLoaded.Mean() / mBaseline.Mean() / mSettings.mTolerance) -
-         noise;
+         aSigmas * noise;
 }
 
 void
@@ -205,14 +210,23 @@
   const double settle = kSettle * std::max(mLoaded.Mean(), mBaseline.Mean());
   mCountFrom = aNow + ToDuration(settle);
   mWindow = {};
+  mPoolWindows = false;
 }
 
 void
 ConcurrencyLimit::EndWindow(core::TimePoint aNow)
 {
+  // Part of a rise is explained by the growth of the limit.
+  const double grown = mLimit / std::max(1.0, mWindowLimit);
   const bool jumped =
-    mLoaded.Count() > 0 && mWindow.Mean() > kJump * mLoaded.Mean();
-  mLoaded = mWindow;
+    mLoaded.Count() > 0 && mWindow.Mean() > kJump * grown * mLoaded.Mean();
+  if (mPoolWindows && grown < 1.01 && mWindow.Agrees(mLoaded)) {
+    mLoaded.Pool(mWindow);
+  } else {
+    mLoaded = mWindow;
+  }
+  mPoolWindows = true;
+  mWindowLimit = mLimit;
   mWindow = {};
   mCountFrom = aNow;
   if (mBaseline.Count() == 0 || jumped) {
@@ -227,22 +241,52 @@
   const double age = Seconds(aNow - mBaselineAt).count();
   const double interval = std::max(Seconds(mSettings.mProbeInterval).count(),
                                    kProbeGap * mLoaded.Mean());
-  const bool saturated = Excess() > 0;
-  if (age > interval || (saturated && age > kFresh * mLoaded.Mean())) {
+  const bool saturated = Excess(kWindowSigmas) > 0;
+  if (age > interval || (saturated && mGrownFrom <= 0)) {
     StartProbe(aNow);
   } else if (saturated) {
+    // The growth went too far; the limit before it was right.
     const double ratio = mLoaded.Mean() / mBaseline.Mean();
-    SetLimit(mLimit * std::max(kMostCut, mSettings.mTolerance / ratio));
+    Cut(aNow, std::max(mGrownFrom, mLimit * mSettings.mTolerance / ratio));
     StartCounting(aNow);
-  } else if (aNow >= mNoGrowthBefore) {
-    SetLimit(std::max(mLimit * (1 + mSettings.mGrowth), mLimit + 0.5));
+  } else {
+    Grow(aNow);
   }
 }
 
+void
+ConcurrencyLimit::Cut(core::TimePoint aNow, double aLimit)
+{
+  SetLimit(std::min(aLimit, mLimit));
+  mGrownFrom = 0;
+  mGrowth = 0;
+  const double hold = std::max(Seconds(mSettings.mHoldAfterCut).count(),
+                               kHoldLatencies * mLoaded.Mean());
+  mNoGrowthBefore = std::max(mNoGrowthBefore, aNow + ToDuration(hold));
+}
+
+void
+ConcurrencyLimit::Grow(core::TimePoint aNow)
+{
+  if (aNow < mNoGrowthBefore || mLimit >= mSettings.mSlots) {
+    mGrownFrom = 0;
+    return;
+  }
+  if (mGrownFrom <= 0) {
+    mGrownFrom = mLimit;
+  }
+  mGrowth = std::min(mGrowth + mSettings.mGrowth, kMostGrowth);
+  SetLimit(std::max(mLimit * (1 + mGrowth), mLimit + 0.5));
+}
+
 void
 ConcurrencyLimit::EndBaseline(core::TimePoint aNow)
 {
-  mBaseline = mLow;
+  if (mBaseline.Agrees(mLow)) {
+    mBaseline.Pool(mLow);
+  } else {
+    mBaseline = mLow;
+  }
   mBaselineAt = aNow;
   mLow = {};
   mLowStart = aNow;
@@ -273,17 +317,19 @@
     StartCounting(aNow);
     return;
   }
+  const LatencySample half = mLow;
   EndBaseline(aNow);
   const double ratio = mLoaded.Mean() / mBaseline.Mean();
-  if (Excess() > 0 && ratio >= kNothingLost) {
+  if (Excess(kProbeSigmas) > 0 && ratio >= kNothingLost) {
     // Half of the limit completes as much: keep it, and try half of that.
-    SetLimit(mLimit / 2);
-    mLoaded = mBaseline;
+    Cut(aNow, mLimit / 2);
+    mLoaded = half;
+    mBaseline = {};
     StartProbe(aNow);
     return;
   }
-  if (Excess() > 0) {
-    SetLimit(mLimit * mSettings.mTolerance / ratio);
+  if (Excess(kProbeSigmas) > 0) {
+    Cut(aNow, mLimit * mSettings.mTolerance / ratio);
   }
   StartCounting(aNow);
 }
--- a/src/nutmegrock/limits/ConcurrencyLimit.h
+++ b/src/nutmegrock/limits/ConcurrencyLimit.h
@@ -19,16 +19,16 @@
   /// which the limit grows. 1 stands for no queue at the server, 2 for a server
   /// that completes nothing more at the limit than at half of it.
   double mTolerance = 1.25;
-  /// Growth of the limit per window.
-  double mGrowth = 0.08;
+  /// Growth of the limit in the first window; more in each further one.
+  double mGrowth = 0.04;
   /// Shortest window.
   core::Duration mWindow = std::chrono::milliseconds{ 50 };
-  /// Calls of one window or measurement; fewer when the limit is lower.
+  /// Calls of one window, and most of one measurement.
   std::uint32_t mWindowCalls = 40;
   /// Longest time between two measurements at half the limit while it is used.
   core::Duration mProbeInterval = std::chrono::seconds{ 4 };
-  /// Time without growth after the server has shed a call.
-  core::Duration mHoldAfterShed = std::chrono::seconds{ 1 };
+  /// Shortest time without growth after a cut.
+  core::Duration mHoldAfterCut = std::chrono::seconds{ 1 };
 
   bool operator==(const ConcurrencyLimitSettings&) const = default;
 };
@@ -66,17 +66,19 @@
 
   void OnShed(core::TimePoint aNow, std::uint32_t aInFlight);
   void Sample(core::TimePoint aNow, std::uint32_t aInFlight, double aSeconds);
-  std::uint32_t BaselineCalls() const;
+  double BaselineCalls() const;
   void EndWindow(core::TimePoint aNow);
   void EndBaseline(core::TimePoint aNow);
   void StartProbe(core::TimePoint aNow);
   void EndProbe(core::TimePoint aNow);
   void SetLimit(double aLimit);
+  void Cut(core::TimePoint aNow, double aLimit);
+  void Grow(core::TimePoint aNow);
   /// Begins a new window once the latencies show the present limit.
   void StartCounting(core::TimePoint aNow);
-  /// Logarithm by which the latency at the limit is above the tolerance and the
-  /// spread of the samples; the server is saturated if it is positive.
-  double Excess() const;
+  /// Logarithm by which the latency at the limit is above the tolerance and
+  /// aSigmas standard deviations; the server is saturated if it is positive.
+  double Excess(double aSigmas) const;
 
   ConcurrencyLimitSettings mSettings;
   double mLimit = 1;
@@ -90,6 +92,13 @@
   core::TimePoint mBaselineAt;
   /// Last complete window at the limit.
   LatencySample mLoaded;
+  /// Whether the next window may be pooled with the last one.
+  bool mPoolWindows = false;
+  /// Limit during the last window.
+  double mWindowLimit = 0;
+  /// Limit at which the present growth began; 0 while it does not grow.
+  double mGrownFrom = 0;
+  double mGrowth = 0;
   bool mProbing = false;
   /// Calls that end before it do not count.
   core::TimePoint mCountFrom;
--- a/src/nutmegrock/limits/LatencySample.cpp
+++ b/src/nutmegrock/limits/LatencySample.cpp
@@ -1,6 +1,7 @@
 #include "limits/LatencySample.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace nutmegrock::limits {
 
@@ -12,6 +13,14 @@
   mSquares += aSeconds * aSeconds;
 }
 
+void
+LatencySample::Pool(const LatencySample& aOther)
+{
+  mCount = mCount / 2 + aOther.mCount;
+  mSum = mSum / 2 + aOther.mSum;
+  mSquares = mSquares / 2 + aOther.mSquares;
+}
+
 double
 LatencySample::Mean() const
 {
@@ -29,4 +38,14 @@
   return variance / (mean * mean * mCount);
 }
 
+bool
+LatencySample::Agrees(const LatencySample& aOther) const
+{
+  if (mCount == 0 || aOther.mCount == 0) {
+    return false;
+  }
+  const double deviation = std::log(Mean() / aOther.Mean());
+  return deviation * deviation < 4 * (LogVariance() + aOther.LogVariance());
+}
+
 } // namespace nutmegrock::limits
--- a/src/nutmegrock/limits/LatencySample.h
+++ b/src/nutmegrock/limits/LatencySample.h
@@ -9,13 +9,17 @@
 {
 public:
   void Add(double aSeconds);
-  std::uint32_t Count() const { return mCount; }
+  /// Adds the latencies of aOther after halving the weight of those held.
+  void Pool(const LatencySample& aOther);
+  double Count() const { return mCount; }
   double Mean() const;
   /// Variance of the logarithm of the mean, by the delta method.
   double LogVariance() const;
+  /// Whether both means agree within two standard deviations.
+  bool Agrees(const LatencySample& aOther) const;
 
 private:
-  std::uint32_t mCount = 0;
+  double mCount = 0;
   double mSum = 0;
   double mSquares = 0;
 };
