--- a/src/nutmegrock/limits/ConcurrencyLimit.cpp
+++ b/src/nutmegrock/limits/ConcurrencyLimit.cpp
@@ -34,7 +34,11 @@
 constexpr double kStuck = 10;
 /// Latencies without growth after a cut.
 constexpr double kHoldLatencies = 20;
-/// Largest growth per window, reached when several windows in a row grow.
+/// Longest time without growth after a cut, in seconds.
+constexpr double kLongestHold = 3;
+/// Multiple of the limit of the last cut from which on growth is fast.
+constexpr double kBeyondKnee = 1.4;
+/// Largest growth per window.
 constexpr double kMostGrowth = 0.16;
 /// Standard deviations by which a window, or a measurement, must be above the
 /// tolerance. There are many windows, so they need more to keep false alarms
@@ -42,9 +46,14 @@
 /// calls.
 constexpr double kWindowSigmas = 2;
 constexpr double kProbeSigmas = 1;
-/// Latency at the limit over that at half of it from which on the lower half
-/// completes about as many calls.
-constexpr double kNothingLost = 1.7;
+/// Share of the throughput at the limit from which on a lower limit counts as
+/// completing as many calls.
+constexpr double kNothingLost = 0.85;
+/// Share of the limit at which the baseline is measured. When the latency has
+/// risen the share is the one that the rise suggests, which tells a loss of
+/// capacity from slower calls in few calls.
+constexpr double kUsualShare = 0.5;
+constexpr double kSmallestShare = 0.25;
 /// Fewest calls of a measurement at half the limit.
 constexpr std::uint32_t kFewestCalls = 16;
 
@@ -79,7 +88,10 @@
 std::uint32_t
 ConcurrencyLimit::Limit() const
 {
-  return mProbing ? std::max(1U, AdaptedLimit() / 2) : AdaptedLimit();
+  if (!mProbing) {
+    return AdaptedLimit();
+  }
+  return std::max(1U, static_cast<std::uint32_t>(std::lround(mLimit * mShare)));
 }
 
 std::uint32_t
@@ -188,9 +200,11 @@
 double
 ConcurrencyLimit::BaselineCalls() const
 {
-  // Few calls at a time make many calls take long.
+  // Few calls at a time make many calls take long; a smaller share shows the
+  // same difference in fewer calls.
   const double most = std::max(mSettings.mWindowCalls, kFewestCalls);
-  return std::clamp<double>(AdaptedLimit(), kFewestCalls, most);
+  return std::clamp<double>(AdaptedLimit(), kFewestCalls, most) * mShare /
+         kUsualShare;
 }
 
 double
@@ -218,19 +232,27 @@
 {
   // Part of a rise is explained by the growth of the limit.
   const double grown = mLimit / std::max(1.0, mWindowLimit);
-  const bool jumped =
-    mLoaded.Count() > 0 && mWindow.Mean() > kJump * grown * mLoaded.Mean();
+  const bool changed = mJumped;
+  mJumped = mLoaded.Count() > 0 && !changed &&
+            mWindow.Mean() > kJump * grown * mLoaded.Mean();
   if (mPoolWindows && grown < 1.01 && mWindow.Agrees(mLoaded)) {
     mLoaded.Pool(mWindow);
   } else {
     mLoaded = mWindow;
   }
+  const double length = Seconds(aNow - mCountFrom).count();
   mPoolWindows = true;
   mWindowLimit = mLimit;
   mWindow = {};
   mCountFrom = aNow;
-  if (mBaseline.Count() == 0 || jumped) {
-    StartProbe(aNow);
+  if (mJumped) {
+    // This window holds calls from before and after the change; measure once a
+    // whole window shows the server as it is now.
+    StartCounting(aNow);
+    return;
+  }
+  if (changed || mBaseline.Count() == 0) {
+    Remeasure(aNow);
     return;
   }
   if (mLoaded.Mean() < mBaseline.Mean() / mSettings.mTolerance) {
@@ -242,7 +264,9 @@
   const double interval = std::max(Seconds(mSettings.mProbeInterval).count(),
                                    kProbeGap * mLoaded.Mean());
   const bool saturated = Excess(kWindowSigmas) > 0;
-  if (age > interval || (saturated && mGrownFrom <= 0)) {
+  if (saturated && mGrownFrom <= 0) {
+    Remeasure(aNow);
+  } else if (age > interval) {
     StartProbe(aNow);
   } else if (saturated) {
     // The growth went too far; the limit before it was right.
@@ -250,7 +274,7 @@
     Cut(aNow, std::max(mGrownFrom, mLimit * mSettings.mTolerance / ratio));
     StartCounting(aNow);
   } else {
-    Grow(aNow);
+    Grow(aNow, length);
   }
 }
 
@@ -258,15 +282,16 @@
 ConcurrencyLimit::Cut(core::TimePoint aNow, double aLimit)
 {
   SetLimit(std::min(aLimit, mLimit));
+  mKnee = mLimit;
   mGrownFrom = 0;
-  mGrowth = 0;
-  const double hold = std::max(Seconds(mSettings.mHoldAfterCut).count(),
-                               kHoldLatencies * mLoaded.Mean());
+  const double hold = std::clamp(kHoldLatencies * mLoaded.Mean(),
+                                 Seconds(mSettings.mHoldAfterCut).count(),
+                                 kLongestHold);
   mNoGrowthBefore = std::max(mNoGrowthBefore, aNow + ToDuration(hold));
 }
 
 void
-ConcurrencyLimit::Grow(core::TimePoint aNow)
+ConcurrencyLimit::Grow(core::TimePoint aNow, double aSeconds)
 {
   if (aNow < mNoGrowthBefore || mLimit >= mSettings.mSlots) {
     mGrownFrom = 0;
@@ -275,8 +300,13 @@
   if (mGrownFrom <= 0) {
     mGrownFrom = mLimit;
   }
-  mGrowth = std::min(mGrowth + mSettings.mGrowth, kMostGrowth);
-  SetLimit(std::max(mLimit * (1 + mGrowth), mLimit + 0.5));
+  // Slow near the limit of the last cut, and fast once it is clear that more
+  // is possible now.
+  const double windows = aSeconds / Seconds(mSettings.mWindow).count();
+  const double growth =
+    mLimit > kBeyondKnee * mKnee ? kMostGrowth : mSettings.mGrowth * windows;
+  SetLimit(
+    std::max(mLimit * (1 + std::min(growth, kMostGrowth)), mLimit + 0.5));
 }
 
 void
@@ -306,6 +336,17 @@
   StartCounting(aNow);
 }
 
+void
+ConcurrencyLimit::Remeasure(core::TimePoint aNow)
+{
+  if (mBaseline.Count() > 0) {
+    mShare = std::clamp(
+      mBaseline.Mean() / mLoaded.Mean(), kSmallestShare, kUsualShare);
+  }
+  mBaseline = {};
+  StartProbe(aNow);
+}
+
 void
 ConcurrencyLimit::EndProbe(core::TimePoint aNow)
 {
@@ -313,24 +354,35 @@
   if (mLow.Count() < 2) {
     // No answer at half the limit either; lower it until calls come back.
     SetLimit(mLimit * kMostCut);
+    mKneeGuess = 0;
+    mShare = kUsualShare;
     mLow = {};
     StartCounting(aNow);
     return;
   }
-  const LatencySample half = mLow;
+  const LatencySample lower = mLow;
   EndBaseline(aNow);
   const double ratio = mLoaded.Mean() / mBaseline.Mean();
-  if (Excess(kProbeSigmas) > 0 && ratio >= kNothingLost) {
-    // Half of the limit completes as much: keep it, and try half of that.
-    Cut(aNow, mLimit / 2);
-    mLoaded = half;
+  const double share = mShare;
+  mShare = kUsualShare;
+  if (Excess(kProbeSigmas) > 0 && ratio * share >= kNothingLost) {
+    // The lower limit completes as much: keep it, and try half of that.
+    mKneeGuess = mLimit * std::max(share, mSettings.mTolerance / ratio);
+    Cut(aNow, mLimit * share);
+    mLoaded = lower;
     mBaseline = {};
     StartProbe(aNow);
     return;
   }
   if (Excess(kProbeSigmas) > 0) {
     Cut(aNow, mLimit * mSettings.mTolerance / ratio);
+  } else if (mKneeGuess > mLimit) {
+    // The last step down lost throughput, so the knee is where the ratio of
+    // the step before it tells.
+    SetLimit(mKneeGuess);
+    mKnee = mLimit;
   }
+  mKneeGuess = 0;
   StartCounting(aNow);
 }
 
--- a/src/nutmegrock/limits/ConcurrencyLimit.h
+++ b/src/nutmegrock/limits/ConcurrencyLimit.h
@@ -19,12 +19,12 @@
   /// which the limit grows. 1 stands for no queue at the server, 2 for a server
   /// that completes nothing more at the limit than at half of it.
   double mTolerance = 1.25;
-  /// Growth of the limit in the first window; more in each further one.
+  /// Growth of the limit per mWindow near the limit of the last cut.
   double mGrowth = 0.04;
   /// Shortest window.
   core::Duration mWindow = std::chrono::milliseconds{ 50 };
   /// Calls of one window, and most of one measurement.
-  std::uint32_t mWindowCalls = 40;
+  std::uint32_t mWindowCalls = 32;
   /// Longest time between two measurements at half the limit while it is used.
   core::Duration mProbeInterval = std::chrono::seconds{ 4 };
   /// Shortest time without growth after a cut.
@@ -54,7 +54,8 @@
   /// The backend server has reported another number of slots.
   void SetSlots(std::uint32_t aSlots);
 
-  /// Most calls in flight now; half of the adapted limit during a measurement.
+  /// Most calls in flight now; a part of the adapted limit during a
+  /// measurement.
   std::uint32_t Limit() const;
   /// Whether the limit is lowered for a measurement.
   bool IsProbing() const { return mProbing; }
@@ -70,10 +71,13 @@
   void EndWindow(core::TimePoint aNow);
   void EndBaseline(core::TimePoint aNow);
   void StartProbe(core::TimePoint aNow);
+  /// Discards the baseline and measures it again.
+  void Remeasure(core::TimePoint aNow);
   void EndProbe(core::TimePoint aNow);
   void SetLimit(double aLimit);
   void Cut(core::TimePoint aNow, double aLimit);
-  void Grow(core::TimePoint aNow);
+  /// Grows after a window of this length in seconds.
+  void Grow(core::TimePoint aNow, double aSeconds);
   /// Begins a new window once the latencies show the present limit.
   void StartCounting(core::TimePoint aNow);
   /// Logarithm by which the latency at the limit is above the tolerance and
@@ -94,12 +98,20 @@
   LatencySample mLoaded;
   /// Whether the next window may be pooled with the last one.
   bool mPoolWindows = false;
+  /// The last window showed a sudden rise of the latency.
+  bool mJumped = false;
   /// Limit during the last window.
   double mWindowLimit = 0;
   /// Limit at which the present growth began; 0 while it does not grow.
   double mGrownFrom = 0;
-  double mGrowth = 0;
+  /// Limit after the last cut.
+  double mKnee = 0;
+  /// Limit to take if the present measurement shows a loss of throughput; 0
+  /// for none.
+  double mKneeGuess = 0;
   bool mProbing = false;
+  /// Share of the limit used during a measurement.
+  double mShare = 0.5;
   /// Calls that end before it do not count.
   core::TimePoint mCountFrom;
   core::TimePoint mNoGrowthBefore;
