--- a/src/nutmegrock/limits/Admission.cpp
+++ b/src/nutmegrock/limits/Admission.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+using Seconds = std::chrono::duration<double>;
+
+/// Calls over which the time that a call holds its slot is averaged.
+constexpr double kSlotTimeCalls = 50;
 /// Bounds of the pause named to refused callers. The level needs some windows
 /// to fall, and a longer pause would outlast the overload.
 constexpr std::chrono::milliseconds kShortestPause{ 100 };
@@ -102,7 +106,9 @@
   if (outcome.mKind == CallEnd::Shed) {
     mLevel.OnQueueRefusal();
   } else {
-    mLevel.OnFinish();
+    const double held = Seconds(aNow - running.mStarted).count();
+    mSlotSeconds +=
+      (held - mSlotSeconds) / std::min<double>(++mEnded, kSlotTimeCalls);
   }
   Adapt(aNow);
   Pump(aNow, result);
@@ -206,12 +212,18 @@
     // The delay of a measurement at half the limit is no overload.
     return;
   }
-  const auto oldest = mQueue.OldestArrival();
-  core::Duration longest{ 0 };
-  for (const ServiceTime& time : mServiceTimes) {
-    longest = std::max(longest, time.Estimate(aNow));
+  LevelInput input;
+  if (const auto oldest = mQueue.OldestArrival()) {
+    input.mOldestWait = aNow - *oldest;
+  }
+  input.mWaiting = mQueue.Size();
+  input.mServiceTime =
+    std::chrono::duration_cast<core::Duration>(Seconds{ mSlotSeconds });
+  if (mSlotSeconds > 0) {
+    input.mCapacity = mLimit.AdaptedLimit() / mSlotSeconds;
   }
-  mLevel.Adapt(aNow, oldest ? aNow - *oldest : core::Duration{ 0 }, longest);
+  mLevel.Adapt(aNow, input);
+  mQueue.SetOverloaded(mLevel.Current() > core::Level{});
 }
 
 std::chrono::milliseconds
--- a/src/nutmegrock/limits/Admission.h
+++ b/src/nutmegrock/limits/Admission.h
@@ -94,6 +94,9 @@
   AdmissionLevel mLevel;
   /// Profiles of one importance have similar work, so times are kept apart.
   std::array<ServiceTime, core::kImportances> mServiceTimes;
+  /// Usual time that a call holds its slot, and calls it is based on.
+  double mSlotSeconds = 0;
+  double mEnded = 0;
   std::unordered_map<std::uint64_t, Running> mRunning;
 };
 
--- a/src/nutmegrock/limits/AdmissionLevel.cpp
+++ b/src/nutmegrock/limits/AdmissionLevel.cpp
@@ -9,16 +9,20 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/// Time constants of the usual rates, in seconds. Served work is averaged over
-/// a few windows; arrivals below the level are remembered for longer, since
-/// callers that know the level do not send them.
-constexpr double kServedTime = 0.3;
+/// Time constants of the usual rates, in seconds. Arrivals below the level are
+/// remembered for longer, since callers that know the level do not send them.
 constexpr double kArrivalTime = 0.3;
 constexpr double kHiddenTime = 10;
 /// Cost of lowering the level by one cohort without known arrivals, as a share
 /// of the admitted work. Bounds the step into work whose amount is not known.
 constexpr double kUnknownCohort = 0.005;
-/// Further doublings of the fall do not change its time.
+/// Cut of the admitted work per unit of relative excess delay.
+constexpr double kMarginPerDelay = 0.1;
+/// Change per window of the share of the capacity that is admitted.
+constexpr double kCorrectDown = 0.9;
+constexpr double kCorrectUp = 1.05;
+constexpr double kLeastCorrection = 0.05;
+/// Further doublings of the growth do not change the time of a fall.
 constexpr std::uint32_t kMostDoublings = 6;
 
 std::size_t
@@ -97,12 +101,6 @@
   ++mRefused;
 }
 
-void
-AdmissionLevel::OnFinish()
-{
-  ++mFinished;
-}
-
 core::TimePoint
 AdmissionLevel::NextAdapt() const
 {
@@ -124,7 +122,6 @@
   mAdmitted = 0;
   mRefused = 0;
   mStarted = 0;
-  mFinished = 0;
   mDelaySum = core::Duration{ 0 };
 }
 
@@ -137,10 +134,6 @@
     const bool hidden = i < mPosition && now < rate;
     rate = Blend(rate, now, aSeconds, hidden ? kHiddenTime : kArrivalTime);
   }
-  const double served = mFinished / aSeconds;
-  mServedRate = mServedRate <= 0
-                  ? served
-                  : Blend(mServedRate, served, aSeconds, kServedTime);
 }
 
 double
@@ -153,10 +146,15 @@
   return rate;
 }
 
+bool
+AdmissionLevel::IsOverloaded(double aDelay, double aTargetDelay) const
+{
+  return aDelay > aTargetDelay ||
+         mRefused > mSettings.mRefusedShare * mAdmitted;
+}
+
 void
-AdmissionLevel::Adapt(core::TimePoint aNow,
-                      core::Duration aOldestWait,
-                      core::Duration aServiceTime)
+AdmissionLevel::Adapt(core::TimePoint aNow, const LevelInput& aInput)
 {
   if (!mWindowOpen || aNow < NextAdapt()) {
     return;
@@ -164,36 +162,51 @@
   UpdateRates(std::max(1e-6, Seconds(aNow - mWindowStart).count()));
   const double target =
     std::max(Seconds(mSettings.mTargetDelay).count(),
-             mSettings.mTargetShare * Seconds(aServiceTime).count());
-  double delay = mStarted == 0 ? 0.0 : Seconds(mDelaySum).count() / mStarted;
-  // Without starts, or newest first, the mean of the started calls hides how
-  // long the others wait.
-  delay = std::max(delay, Seconds(aOldestWait).count() / 2);
-  const bool refusing = mRefused > mSettings.mRefusedShare * mAdmitted;
-  if (delay > target || refusing) {
-    const double margin =
-      std::clamp(0.05 * (delay / target - 1), 0.02, mSettings.mMostMargin);
+             mSettings.mTargetShare * Seconds(aInput.mServiceTime).count());
+  const double mean =
+    mStarted == 0 ? 0.0 : Seconds(mDelaySum).count() / mStarted;
+  // Without starts, or when the newest or the important go first, the mean of
+  // the started calls hides how long the others wait.
+  const double delay = std::max(mean, Seconds(aInput.mOldestWait).count() / 2);
+  const double admitted = RateFrom(mPosition);
+  const double capacity = aInput.mCapacity > 0 ? aInput.mCapacity : admitted;
+  if (IsOverloaded(delay, target)) {
     mCalmWindows = 0;
-    Rise((1 - margin) * std::min(mServedRate, RateFrom(mPosition)));
-  } else if (delay < target / 2 && mPosition > 0) {
-    Fall();
+    if (admitted <= capacity * mCorrection && aInput.mWaiting >= mLastWaiting) {
+      mCorrection = std::max(kLeastCorrection, mCorrection * kCorrectDown);
+    }
+    const double margin = std::clamp(
+      kMarginPerDelay * (delay / target - 1), 0.0, mSettings.mMostMargin);
+    Rise((1 - margin) * mCorrection * capacity);
+  } else if (delay < target / 2) {
+    mCorrection = std::min(1.0, mCorrection * kCorrectUp);
+    if (mPosition > 0) {
+      const double growth =
+        mSettings.mFallGrowth *
+        std::exp2(static_cast<double>(std::min(mCalmWindows, kMostDoublings)));
+      ++mCalmWindows;
+      Fall((1 + growth) * std::max(mCorrection * capacity, admitted));
+    }
   }
+  mLastWaiting = aInput.mWaiting;
   StartWindow(aNow);
   mWindowOpen = mPosition > 0 || mArrived > 0;
 }
 
 void
-AdmissionLevel::Rise(double aTarget)
+AdmissionLevel::Rise(double aRate)
 {
   double rate = 0;
-  std::size_t highest = kPositions;
+  std::size_t highest = mPosition;
   std::size_t position = kPositions;
+  bool any = false;
   while (position > mPosition) {
     const double here = mRates.at(position - 1);
-    if (here > 0 && highest == kPositions) {
+    if (here > 0 && !any) {
       highest = position - 1;
+      any = true;
     }
-    if (rate + here > aTarget) {
+    if (rate + here > aRate) {
       break;
     }
     rate += here;
@@ -201,20 +214,16 @@
   }
   // Some work is always admitted, or nothing would show a recovery.
   mPosition = std::max(mPosition, std::min(position, highest));
-  mPosition = std::min(mPosition, kPositions - 1);
 }
 
 void
-AdmissionLevel::Fall()
+AdmissionLevel::Fall(double aRate)
 {
-  const double admitted = std::max(1.0, RateFrom(mPosition));
-  double room =
-    mSettings.mFallGrowth *
-    std::exp2(static_cast<double>(std::min(mCalmWindows, kMostDoublings)));
-  ++mCalmWindows;
+  double room = aRate - RateFrom(mPosition);
+  const double unknown = kUnknownCohort * aRate;
   while (mPosition > 0 && room > 0) {
     --mPosition;
-    room -= std::max(kUnknownCohort, mRates.at(mPosition) / admitted);
+    room -= std::max(unknown, mRates.at(mPosition));
   }
 }
 
--- a/src/nutmegrock/limits/AdmissionLevel.h
+++ b/src/nutmegrock/limits/AdmissionLevel.h
@@ -29,13 +29,28 @@
   /// Largest cut of the admitted work below what was served, so that a queue
   /// drains while the level is up.
   double mMostMargin = 0.3;
-  /// Growth of the admitted work in the first calm window; doubles with each
-  /// further one.
-  double mFallGrowth = 0.08;
+  /// Admitted work above the capacity in the first calm window; doubles with
+  /// each further one.
+  double mFallGrowth = 0.04;
 
   bool operator==(const AdmissionLevelSettings&) const = default;
 };
 
+/// State of the queue and the server at the end of a window.
+struct LevelInput
+{
+  /// Time that the call waiting longest has waited; zero when none waits.
+  core::Duration mOldestWait{ 0 };
+  std::uint32_t mWaiting = 0;
+  /// Usual time at the backend server.
+  core::Duration mServiceTime{ 0 };
+  /// Calls per second that the server completes with all slots in use; zero
+  /// when not known.
+  double mCapacity = 0;
+
+  bool operator==(const LevelInput&) const = default;
+};
+
 /// Admission level (importance, cohort) of one service, after Zhou et al.,
 /// "Overload Control for Scaling WeChat Microservices", SoCC 2018. Not
 /// synchronized.
@@ -54,14 +69,8 @@
   void OnStart(core::Duration aQueueDelay);
   /// The queue refused a call that the level had admitted.
   void OnQueueRefusal();
-  /// A call ended at the backend server.
-  void OnFinish();
-  /// Adapts the level if the window is over. aOldestWait is the time that the
-  /// oldest waiting call has waited, zero when none waits; aServiceTime the
-  /// usual time at the backend server.
-  void Adapt(core::TimePoint aNow,
-             core::Duration aOldestWait,
-             core::Duration aServiceTime);
+  /// Adapts the level if the window is over.
+  void Adapt(core::TimePoint aNow, const LevelInput& aInput);
 
   core::Level Current() const;
   /// When the running window ends; TimePoint::max() while the level admits all
@@ -76,8 +85,11 @@
   void UpdateRates(double aSeconds);
   /// Arrivals per second at or above a position.
   double RateFrom(std::size_t aPosition) const;
-  void Rise(double aTarget);
-  void Fall();
+  bool IsOverloaded(double aDelay, double aTargetDelay) const;
+  /// Raises the level so that at most this rate is admitted.
+  void Rise(double aRate);
+  /// Lowers the level so that about this rate is admitted.
+  void Fall(double aRate);
 
   AdmissionLevelSettings mSettings;
   /// Position of the level: importance * kCohorts + cohort.
@@ -87,15 +99,16 @@
   /// Usual arrivals per second and position. Below the level they fade slowly,
   /// since callers that know the level do not send.
   std::array<double, kPositions> mRates{};
-  /// Usual calls ended per second.
-  double mServedRate = 0;
+  /// Share of the capacity to which admitted work is held when the capacity
+  /// itself turns out too much.
+  double mCorrection = 1;
+  std::uint32_t mLastWaiting = 0;
   core::TimePoint mWindowStart;
   bool mWindowOpen = false;
   std::uint32_t mArrived = 0;
   std::uint32_t mAdmitted = 0;
   std::uint32_t mRefused = 0;
   std::uint32_t mStarted = 0;
-  std::uint32_t mFinished = 0;
   core::Duration mDelaySum{ 0 };
   std::uint32_t mCalmWindows = 0;
 };
--- a/src/nutmegrock/limits/AdmissionQueue.cpp
+++ b/src/nutmegrock/limits/AdmissionQueue.cpp
@@ -24,9 +24,18 @@
 
 AdmissionQueue::AdmissionQueue(const AdmissionQueueSettings& aSettings)
   : mSettings(aSettings)
+  , mNewestFirst(aSettings.mOrder == QueueOrder::NewestFirst)
 {
 }
 
+void
+AdmissionQueue::SetOverloaded(bool aOverloaded)
+{
+  if (mSettings.mOrder == QueueOrder::NewestFirstUnderOverload) {
+    mNewestFirst = aOverloaded;
+  }
+}
+
 core::Expected<AdmissionQueue>
 AdmissionQueue::Create(const AdmissionQueueSettings& aSettings)
 {
--- a/src/nutmegrock/limits/AdmissionQueue.h
+++ b/src/nutmegrock/limits/AdmissionQueue.h
@@ -14,8 +14,18 @@
 
 namespace nutmegrock::limits {
 
+/// Order of running among calls of equal importance and depth.
+enum class QueueOrder : std::uint8_t
+{
+  OldestFirst,
+  NewestFirst,
+  /// Oldest first, but newest first while the admission level is up.
+  NewestFirstUnderOverload
+};
+
 struct AdmissionQueueSettings
 {
+  QueueOrder mOrder = QueueOrder::OldestFirst;
   /// Waiting calls over all importances.
   std::uint32_t mMaxWaiting = 1024;
 
@@ -23,8 +33,7 @@
 };
 
 /// Bounded queue of calls waiting for a slot: by importance, then deeper calls
-/// first, then in the order of arrival or, while overloaded, newest first. Not
-/// synchronized.
+/// first, then in the order of QueueOrder. Not synchronized.
 class AdmissionQueue
 {
 public:
@@ -65,8 +74,8 @@
   {
     return static_cast<std::uint32_t>(mCalls.size());
   }
-  /// Newest first among equals while set, oldest first otherwise.
-  void SetNewestFirst(bool aNewestFirst) { mNewestFirst = aNewestFirst; }
+  /// Tells whether the server is overloaded, for NewestFirstUnderOverload.
+  void SetOverloaded(bool aOverloaded);
 
 private:
   /// Position in the order of running; the sequence number grows with arrival.
--- a/src/nutmegrock/limits/ConcurrencyLimit.cpp
+++ b/src/nutmegrock/limits/ConcurrencyLimit.cpp
@@ -23,12 +23,11 @@
 /// Slower calls than this multiple of the mean count as this multiple, so that
 /// single stragglers do not decide.
 constexpr double kClip = 6;
-/// Baselines and windows older than this are collected anew.
-constexpr Seconds kCollectFor{ 3 };
 /// Time between two measurements at half the limit, in latencies. A measurement
 /// takes about three latencies at half of the throughput, so this costs 1%.
 constexpr double kProbeGap = 150;
-/// Latencies to wait after a change of the limit before calls count.
+/// Latencies to wait after a change of the limit or of its use before calls
+/// count.
 constexpr double kSettle = 2;
 /// Latencies after which a measurement without enough calls ends.
 constexpr double kStuck = 10;
@@ -174,10 +173,18 @@
     }
     return;
   }
-  if (share >= kLoadedShare || aInFlight >= Limit()) {
-    if (aNow < mCountFrom) {
-      return;
-    }
+  const bool loaded = share >= kLoadedShare || aInFlight >= Limit();
+  const bool low = !loaded && share >= kLowFrom && share <= kLowTo;
+  // Short calls end first after the use has changed, so calls count only once
+  // the use has been the same for a while.
+  if (!loaded) {
+    StartCounting(aNow);
+  }
+  if (!low) {
+    mLow = {};
+    mLowFrom = aNow + Settle();
+  }
+  if (loaded && aNow >= mCountFrom) {
     mWindow.Add(seconds);
     const double length =
       std::max(Seconds(mSettings.mWindow).count(), mWindow.Mean());
@@ -185,13 +192,9 @@
         Seconds(aNow - mCountFrom).count() >= length) {
       EndWindow(aNow);
     }
-  } else if (share >= kLowFrom && share <= kLowTo) {
-    if (Seconds(aNow - mLowStart) > kCollectFor) {
-      mLow = {};
-      mLowStart = aNow;
-    }
+  } else if (low && aNow >= mLowFrom) {
     mLow.Add(seconds);
-    if (mLow.Count() >= BaselineCalls()) {
+    if (mLow.Count() >= mSettings.mWindowCalls) {
       EndBaseline(aNow);
     }
   }
@@ -216,13 +219,18 @@
          aSigmas * noise;
 }
 
+core::Duration
+ConcurrencyLimit::Settle() const
+{
+  return ToDuration(kSettle * std::max(mLoaded.Mean(), mBaseline.Mean()));
+}
+
 void
 ConcurrencyLimit::StartCounting(core::TimePoint aNow)
 {
   // Calls that end right after a change of the limit are the short ones of
   // those started since, or were started before it.
-  const double settle = kSettle * std::max(mLoaded.Mean(), mBaseline.Mean());
-  mCountFrom = aNow + ToDuration(settle);
+  mCountFrom = aNow + Settle();
   mWindow = {};
   mPoolWindows = false;
 }
@@ -319,7 +327,6 @@
   }
   mBaselineAt = aNow;
   mLow = {};
-  mLowStart = aNow;
 }
 
 void
--- a/src/nutmegrock/limits/ConcurrencyLimit.h
+++ b/src/nutmegrock/limits/ConcurrencyLimit.h
@@ -75,6 +75,7 @@
   void Remeasure(core::TimePoint aNow);
   void EndProbe(core::TimePoint aNow);
   void SetLimit(double aLimit);
+  core::Duration Settle() const;
   void Cut(core::TimePoint aNow, double aLimit);
   /// Grows after a window of this length in seconds.
   void Grow(core::TimePoint aNow, double aSeconds);
@@ -90,7 +91,8 @@
   LatencySample mWindow;
   /// Calls that started near half of the limit, being collected.
   LatencySample mLow;
-  core::TimePoint mLowStart;
+  /// Calls that end before it do not count for mLow.
+  core::TimePoint mLowFrom;
   /// Last complete measurement at half of the limit.
   LatencySample mBaseline;
   core::TimePoint mBaselineAt;
