--- a/experiment/Deployment.cpp
+++ b/experiment/Deployment.cpp
@@ -77,10 +77,14 @@
     }
     for (Instance& instance : mInstances) {
       StartNode(instance);
-      StartServer(instance);
+      if (mOptions.mWithServers) {
+        StartServer(instance);
+      }
     }
     Publish();
-    WaitUntilReady();
+    if (mOptions.mWithServers) {
+      WaitUntilReady();
+    }
     mReady = true;
   } catch (...) {
     // The destructor of an object whose constructor throws does not run.
--- a/experiment/Deployment.h
+++ b/experiment/Deployment.h
@@ -24,6 +24,8 @@
   /// Profile document to publish.
   std::string mProfilesFile;
   unsigned mNodeThreads = 2;
+  /// False: only nodes, which then serve no calls.
+  bool mWithServers = true;
   std::chrono::milliseconds mColdStart{ 0 };
 };
 
--- a/experiment/nutmegrock_experiment/Experiments.cpp
+++ b/experiment/nutmegrock_experiment/Experiments.cpp
@@ -13,6 +13,9 @@
     { "recovery",
       "time to normal goodput after an overload, with a baseline",
       RunRecovery },
+    { "drain", "planned stops under load", RunDrain },
+    { "once", "non-idempotent requests with node and store faults", RunOnce },
+    { "profiles", "time until a publication is in force", RunProfiles },
   };
   return sExperiments;
 }
--- a/experiment/nutmegrock_experiment/Experiments.h
+++ b/experiment/nutmegrock_experiment/Experiments.h
@@ -23,6 +23,19 @@
 FigureTable
 RunRecovery(const RunContext& aContext);
 
+/// New work at a leaving server, and requests cut off by planned stops.
+FigureTable
+RunDrain(const RunContext& aContext);
+
+/// Non-idempotent requests that ran twice, or were answered "not run" although
+/// they ran, while nodes are killed and paused and the store is down.
+FigureTable
+RunOnce(const RunContext& aContext);
+
+/// Time until a publication is in force on all nodes, and reverts.
+FigureTable
+RunProfiles(const RunContext& aContext);
+
 /// An experiment by its name.
 struct NamedExperiment
 {
--- /dev/null
+++ b/experiment/nutmegrock_experiment/OnceExperiment.cpp
@@ -0,0 +1,203 @@
+#include "experiment/ControlClient.h"
+#include "experiment/IdealCapacity.h"
+#include "experiment/Interrupt.h"
+#include "experiment/LoadSummary.h"
+#include "experiment/nutmegrock_experiment/Experiments.h"
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+
+namespace nutmegrock::experiment {
+
+namespace {
+
+// Shorter service times than in the other experiments, so that 10,000 requests
+// fit into half a minute.
+constexpr double kTimeDivisor = 4.0;
+constexpr double kDemand = 0.45;
+constexpr double kLargestRate = 450.0;
+constexpr unsigned kResends = 3;
+constexpr double kCopies = 0.2;
+constexpr double kRequests = 10000.0;
+constexpr double kOutageTarget = 0.99;
+constexpr std::chrono::seconds kOutage{ 6 };
+constexpr std::chrono::milliseconds kFaultGap{ 700 };
+
+/// The important kinds only, in equal shares.
+DeploymentSpec
+ImportantOnly(const DeploymentSpec& aSpec)
+{
+  DeploymentSpec spec = aSpec;
+  std::erase_if(spec.mKinds,
+                [](const RequestKind& aKind) { return !aKind.mImportant; });
+  for (RequestKind& kind : spec.mKinds) {
+    kind.mShare = 1.0 / static_cast<double>(spec.mKinds.size());
+  }
+  for (ServiceSpec& service : spec.mServices) {
+    service.mMeanSeconds /= kTimeDivisor;
+  }
+  return spec;
+}
+
+/// Breaks nodes and the store one after the other.
+class FaultSequence
+{
+public:
+  FaultSequence(Deployment& aDeployment, std::uint64_t aSeed)
+    : mDeployment(aDeployment)
+    , mRandom(aSeed)
+  {
+  }
+
+  void Next()
+  {
+    switch (mCount++ % 4) {
+      case 0:
+        KillNode();
+        break;
+      case 1:
+        PauseNode();
+        break;
+      case 2:
+        SetStoreDown(true);
+        break;
+      default:
+        SetStoreDown(false);
+        break;
+    }
+  }
+
+  void SetStoreDown(bool aDown) const
+  {
+    Post(mDeployment.Platform(),
+         "/faults",
+         aDown ? R"({"down":true})" : R"({"down":false})");
+  }
+
+  std::size_t Kills() const { return mKills; }
+  std::size_t Pauses() const { return mPauses; }
+
+private:
+  Instance& RandomInstance()
+  {
+    auto& instances = mDeployment.Instances();
+    return instances.at(mRandom() % instances.size());
+  }
+
+  void KillNode()
+  {
+    ++mKills;
+    Instance& instance = RandomInstance();
+    instance.mNode.value().Kill();
+    Pause(kFaultGap);
+    mDeployment.StartNode(instance);
+  }
+
+  /// From shorter than any timeout to longer than the failure detection.
+  void PauseNode()
+  {
+    ++mPauses;
+    const Instance& instance = RandomInstance();
+    instance.mNode.value().Signal(SIGSTOP);
+    Pause(std::chrono::milliseconds(200 + mRandom() % 3000));
+    instance.mNode.value().Signal(SIGCONT);
+  }
+
+  Deployment& mDeployment;
+  std::mt19937_64 mRandom;
+  std::size_t mCount = 0;
+  std::size_t mKills = 0;
+  std::size_t mPauses = 0;
+};
+
+struct OnceCounts
+{
+  double mRunTwice = 0.0;
+  double mFalseNotRun = 0.0;
+  double mCompletedWithoutRun = 0.0;
+};
+
+OnceCounts
+Check(const CountsByOperation& aCounts,
+      const std::vector<OperationRecord>& aRecords)
+{
+  OnceCounts result;
+  for (const auto& [operation, counts] : aCounts) {
+    result.mRunTwice += counts.mMostRuns > 1 ? 1.0 : 0.0;
+  }
+  for (const OperationRecord& record : aRecords) {
+    const auto found = aCounts.find(record.mId);
+    const bool ran = found != aCounts.end() && found->second.mRuns > 0;
+    result.mFalseNotRun += record.mAllNotRun && ran ? 1.0 : 0.0;
+    result.mCompletedWithoutRun +=
+      record.mOutcome == OutcomeKind::Completed && !ran ? 1.0 : 0.0;
+  }
+  return result;
+}
+
+} // namespace
+
+FigureTable
+RunOnce(const RunContext& aContext)
+{
+  DeploymentOptions options = aContext.Protected();
+  options.mSpec = ImportantOnly(aContext.mSpec);
+  Deployment deployment(options);
+  const double capacity = IdealCapacity(options.mSpec).Capacity();
+  const double rate = std::min(kLargestRate, kDemand * capacity);
+  LoadSettings settings = aContext.Load(deployment, "once");
+  settings.mClient = { kResends, kCopies, std::chrono::seconds(5) };
+  LoadGenerator load(settings);
+  FaultSequence faults(deployment, aContext.mSeed);
+  load.SetRate(rate);
+  Pause(std::chrono::seconds(3));
+
+  const double outage_from = load.Seconds();
+  faults.SetStoreDown(true);
+  Pause(kOutage);
+  faults.SetStoreDown(false);
+  const double outage_to = load.Seconds();
+
+  const double bound = static_cast<double>(aContext.mBound.count()) - 25.0;
+  while (static_cast<double>(load.Ended()) < 1.1 * kRequests &&
+         load.Seconds() < bound) {
+    faults.Next();
+    Pause(kFaultGap);
+  }
+  faults.SetStoreDown(false);
+  Settle(load, std::chrono::seconds(25));
+  // Work that nobody waits for any more may still run.
+  Pause(std::chrono::seconds(2));
+  const auto records = load.Records();
+  const OnceCounts counts = Check(deployment.Counts(), records);
+  const LoadSummary outage(
+    options.mSpec.mKinds, records, outage_from, outage_to);
+  const LoadSummary all(
+    options.mSpec.mKinds, records, outage_to, load.Seconds());
+
+  FigureTable table = aContext.Table("once");
+  const Target none{ Comparison::AtMost, 0.0 };
+  table.Add("requests",
+            static_cast<double>(records.size()),
+            "requests",
+            Target{ Comparison::AtLeast, kRequests });
+  table.Add("node_kills", static_cast<double>(faults.Kills()), "faults");
+  table.Add("node_pauses", static_cast<double>(faults.Pauses()), "faults");
+  table.Add("run_twice", counts.mRunTwice, "requests", none);
+  table.Add("not_run_but_ran", counts.mFalseNotRun, "requests", none);
+  table.Add(
+    "completed_without_run", counts.mCompletedWithoutRun, "requests", none);
+  table.Add("mismatched_answers",
+            static_cast<double>(all.Mismatched()),
+            "requests",
+            none);
+  table.Add("completed_in_store_outage",
+            outage.CompletedShare(true),
+            "share",
+            Target{ Comparison::AtLeast, kOutageTarget });
+  table.Add("completed_with_node_faults", all.CompletedShare(true), "share");
+  return table;
+}
+
+} // namespace nutmegrock::experiment
--- a/experiment/nutmegrock_experiment/main.cpp
+++ b/experiment/nutmegrock_experiment/main.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdio>
 #include <filesystem>
+#include <sys/resource.h>
 #include <tclap/CmdLine.h>
 
 namespace {
@@ -33,6 +34,18 @@
   return 2;
 }
 
+/// Overloaded clients and servers hold thousands of connections; child
+/// processes inherit the limit.
+void
+RaiseOpenFileLimit()
+{
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 int
 Execute(int aCount, char** aArguments)
 {
@@ -84,6 +97,7 @@
 main(int aCount, char** aArguments)
 {
   InstallInterruptHandler();
+  RaiseOpenFileLimit();
   try {
     return Execute(aCount, aArguments);
   } catch (const std::exception& error) {
--- a/standins/standin_backend/Server.cpp
+++ b/standins/standin_backend/Server.cpp
@@ -12,8 +12,6 @@
 
 // Section 1: backend servers take about 1 ms to open a new connection.
 constexpr std::chrono::milliseconds kAcceptTime{ 1 };
-// Connections for control requests, beyond those for work.
-constexpr std::size_t kControlConnections = 8;
 // Calls that the node sent before it saw the drain may still arrive.
 constexpr std::chrono::milliseconds kLeaveGrace{ 500 };
 constexpr std::chrono::seconds kLeaveLimit{ 30 };
@@ -86,17 +84,6 @@
 void
 Server::Accept()
 {
-  const Settings& settings = mState->SettingsOf();
-  if (mOpen >= settings.mConnections + kControlConnections) {
-    mAcceptTimer.expires_after(kAcceptTime);
-    mAcceptTimer.async_wait(
-      [self = shared_from_this()](boost::system::error_code aError) {
-        if (!aError) {
-          self->Accept();
-        }
-      });
-    return;
-  }
   mAcceptor.async_accept(
     asio::make_strand(mContext),
     [self = shared_from_this()](boost::system::error_code aError,
@@ -111,12 +98,15 @@
 void
 Server::OnAccepted(asio::ip::tcp::socket aSocket)
 {
-  ++mOpen;
+  // Connections beyond the limit serve only control requests, which have to get
+  // through when the server is overloaded.
+  const bool accepts_work = ++mOpen <= mState->SettingsOf().mConnections;
   boost::system::error_code ignored;
   aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
   auto session = Session::Create(
     std::move(aSocket),
     mState,
+    accepts_work,
     [weak = weak_from_this()](const experiment::HttpRequest& aRequest) {
       const auto self = weak.lock();
       return self ? self->Control(aRequest) : std::nullopt;
--- a/standins/standin_backend/Session.cpp
+++ b/standins/standin_backend/Session.cpp
@@ -19,21 +19,25 @@
 std::shared_ptr<Session>
 Session::Create(asio::ip::tcp::socket aSocket,
                 std::shared_ptr<BackendState> aState,
+                bool aAcceptsWork,
                 ControlHandler aControl,
                 std::function<void()> aClosed)
 {
   return std::shared_ptr<Session>(new Session(std::move(aSocket),
                                               std::move(aState),
+                                              aAcceptsWork,
                                               std::move(aControl),
                                               std::move(aClosed)));
 }
 
 Session::Session(asio::ip::tcp::socket aSocket,
                  std::shared_ptr<BackendState> aState,
+                 bool aAcceptsWork,
                  ControlHandler aControl,
                  std::function<void()> aClosed)
   : mStream(std::move(aSocket))
   , mState(std::move(aState))
+  , mAcceptsWork(aAcceptsWork)
   , mControl(std::move(aControl))
   , mClosed(std::move(aClosed))
 {
@@ -75,6 +79,15 @@
     Write(std::move(*answer));
     return;
   }
+  if (!mAcceptsWork) {
+    experiment::HttpResponse refusal(http::status::service_unavailable,
+                                     request.version());
+    refusal.keep_alive(false);
+    refusal.set("Nutmegrock-Run", "not-run");
+    refusal.prepare_payload();
+    Write(std::move(refusal));
+    return;
+  }
   mWork = Work::Create(mStream.get_executor(), mState, std::move(request));
   // The work may end, and be dropped from mWork, before Start() returns.
   const auto work = mWork;
--- a/standins/standin_backend/Session.h
+++ b/standins/standin_backend/Session.h
@@ -23,9 +23,11 @@
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
-  /// aClosed is called once when the connection has ended.
+  /// Without aAcceptsWork all work is answered 503 not-run. aClosed is called
+  /// once when the connection has ended.
   static std::shared_ptr<Session> Create(boost::asio::ip::tcp::socket aSocket,
                                          std::shared_ptr<BackendState> aState,
+                                         bool aAcceptsWork,
                                          ControlHandler aControl,
                                          std::function<void()> aClosed);
   Session(const Session&) = delete;
@@ -37,6 +39,7 @@
 private:
   Session(boost::asio::ip::tcp::socket aSocket,
           std::shared_ptr<BackendState> aState,
+          bool aAcceptsWork,
           ControlHandler aControl,
           std::function<void()> aClosed);
   void Read();
@@ -46,6 +49,7 @@
 
   boost::beast::tcp_stream mStream;
   std::shared_ptr<BackendState> mState;
+  const bool mAcceptsWork;
   ControlHandler mControl;
   std::function<void()> mClosed;
   boost::beast::flat_buffer mBuffer;
--- a/tests/experiment/StandinBackendTest.cpp
+++ b/tests/experiment/StandinBackendTest.cpp
@@ -117,6 +117,8 @@
     CHECK(first.mOutcome == OutcomeKind::Refused);
     CHECK(first.mAllNotRun);
     CHECK(server.Count("runs") == 2);
+    // Control requests get through although the connections are used up.
+    CHECK(Post(server.mAddress, "/control", R"({"slowdown":2})"));
   }
 
   TEST_CASE("switches are checked, and shed and fail take effect")
