Count requests in progress at the end of a load as unfinished

Without them the slowest requests of an overload were missing from the offered ones. Requests in progress are bounded by the limit of open files.

--- a/experiment/LoadGenerator.cpp
+++ b/experiment/LoadGenerator.cpp
@@ -6,6 +6,14 @@
 
 namespace nutmegrock::experiment {
 
+namespace {
+
+// Each request in progress holds a connection; more would run into the limit of
+// open files.
+constexpr std::size_t kMostInProgress = 12000;
+
+} // namespace
+
 LoadGenerator::LoadGenerator(LoadSettings aSettings)
   : mSettings(std::move(aSettings))
   , mStarted(core::Clock::now())
@@ -74,6 +82,17 @@
   return mRecords;
 }
 
+std::vector<OperationRecord>
+LoadGenerator::RecordsWithUnfinished() const
+{
+  const std::lock_guard lock(mMutex);
+  std::vector<OperationRecord> records = mRecords;
+  for (const auto& [id, record] : mUnfinished) {
+    records.push_back(record);
+  }
+  return records;
+}
+
 void
 LoadGenerator::Arm()
 {
@@ -112,15 +131,21 @@
 LoadGenerator::StartOperation(core::TimePoint aArrival)
 {
   OperationRecord record;
+  record.mKind = RandomKind();
+  record.mArrival = std::chrono::duration<double>(aArrival - mStarted).count();
+  record.mReason = "unfinished";
   ClientBehaviour behaviour;
   {
     const std::lock_guard lock(mMutex);
     record.mId = mSettings.mPrefix + std::to_string(mCounter++);
     behaviour = mBehaviour;
+    mUnfinished.emplace(record.mId, record);
+  }
+  if (++mInProgress > kMostInProgress) {
+    record.mReason = "client_limit";
+    Finish(std::move(record));
+    return;
   }
-  record.mKind = RandomKind();
-  record.mArrival = std::chrono::duration<double>(aArrival - mStarted).count();
-  ++mInProgress;
   std::make_shared<ClientOperation>(
     *this, behaviour, std::move(record), aArrival)
     ->Start();
@@ -131,6 +156,7 @@
 {
   {
     const std::lock_guard lock(mMutex);
+    mUnfinished.erase(aRecord.mId);
     mRecords.push_back(std::move(aRecord));
   }
   --mInProgress;
--- a/experiment/LoadGenerator.h
+++ b/experiment/LoadGenerator.h
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <random>
 #include <thread>
+#include <unordered_map>
 #include <vector>
 
 namespace nutmegrock::experiment {
@@ -37,8 +38,11 @@
   std::size_t Ended() const;
   /// Seconds since this load began; the clock of the records.
   double Seconds() const;
-  /// All requests that have ended.
+  /// All requests that have ended, in the order of their ends.
   std::vector<OperationRecord> Records() const;
+  /// The same, followed by the requests in progress as failed: without them,
+  /// the slowest requests of an overload would be missing from its offer.
+  std::vector<OperationRecord> RecordsWithUnfinished() const;
 
 private:
   friend class ClientOperation;
@@ -67,6 +71,7 @@
   std::vector<core::Address> mEntries;
   std::uint64_t mCounter = 0;
   std::vector<OperationRecord> mRecords;
+  std::unordered_map<std::string, OperationRecord> mUnfinished;
 
   std::vector<std::jthread> mThreads;
 };
--- a/experiment/nutmegrock_experiment/Demo.cpp
+++ b/experiment/nutmegrock_experiment/Demo.cpp
@@ -165,7 +165,7 @@
     bounds.emplace_back(from, load.Seconds());
   }
   Settle(load, std::chrono::seconds(5));
-  const auto records = load.Records();
+  const auto records = load.RecordsWithUnfinished();
   const auto phases = Phases();
   for (std::size_t i = 0; i < phases.size(); ++i) {
     PrintTable(
--- a/experiment/nutmegrock_experiment/LatencyExperiment.cpp
+++ b/experiment/nutmegrock_experiment/LatencyExperiment.cpp
@@ -84,9 +84,9 @@
   Settle(direct_load, std::chrono::seconds(5));
 
   const LoadSummary through_summary(
-    options.mSpec.mKinds, through_load.Records(), from, to);
+    options.mSpec.mKinds, through_load.RecordsWithUnfinished(), from, to);
   const LoadSummary direct_summary(
-    options.mSpec.mKinds, direct_load.Records(), from, to);
+    options.mSpec.mKinds, direct_load.RecordsWithUnfinished(), from, to);
   FigureTable table = aContext.Table("latency");
   AddQuantiles(table,
                direct_summary.Kinds()[0].mLatencies,
--- a/experiment/nutmegrock_experiment/OnceExperiment.cpp
+++ b/experiment/nutmegrock_experiment/OnceExperiment.cpp
@@ -169,7 +169,7 @@
   Settle(load, std::chrono::seconds(25));
   // Work that nobody waits for any more may still run.
   Pause(std::chrono::seconds(2));
-  const auto records = load.Records();
+  const auto records = load.RecordsWithUnfinished();
   const OnceCounts counts = Check(deployment.Counts(), records);
   const LoadSummary outage(
     options.mSpec.mKinds, records, outage_from, outage_to);
--- a/experiment/nutmegrock_experiment/OverloadExperiment.cpp
+++ b/experiment/nutmegrock_experiment/OverloadExperiment.cpp
@@ -150,7 +150,7 @@
   CaseResult result;
   result.mCores = (aDeployment.AllCpuSeconds() - cpu) / (to - from);
   Settle(load, kSettleLimit);
-  const auto records = load.Records();
+  const auto records = load.RecordsWithUnfinished();
   const auto counts = aDeployment.Counts();
   const LoadSummary summary(spec.mKinds, records, from, to);
   const IdealCapacity ideal(spec, { { spec.mDeepService, aCase.mSlowdown } });
--- a/experiment/nutmegrock_experiment/RecoveryExperiment.cpp
+++ b/experiment/nutmegrock_experiment/RecoveryExperiment.cpp
@@ -50,8 +50,12 @@
   Pause(Seconds((1.0 - kNormalShare - kCauseShare) * aLength));
   const double end = load.Seconds();
   Settle(load, std::chrono::seconds(5));
-  return RecoverySeconds(
-    load.Records(), normal_from, normal_to, cause_end, end, kRecoveredShare);
+  return RecoverySeconds(load.RecordsWithUnfinished(),
+                         normal_from,
+                         normal_to,
+                         cause_end,
+                         end,
+                         kRecoveredShare);
 }
 
 } // namespace
