--- a/experiment/DeploymentSpec.h
+++ b/experiment/DeploymentSpec.h
@@ -36,6 +36,8 @@
   /// Critical and not idempotent: shed last, and sent with a key.
   bool mImportant = false;
   std::size_t mBodyBytes = 0;
+  /// Importance of the profile; work of a higher rank is shed later.
+  int mRank = 0;
 
   bool operator==(const RequestKind&) const = default;
 };
--- a/experiment/IdealCapacity.h
+++ b/experiment/IdealCapacity.h
@@ -23,9 +23,9 @@
   /// Customer requests/s of the mix at which the busiest service is full.
   double Capacity() const;
   /// Requests/s of each kind that complete at an offered rate in requests/s:
-  /// important kinds get the slots first, then the others; kinds of equal
-  /// importance are cut by the same share until a service that they need is
-  /// full, and those that do not need it continue to grow.
+  /// kinds of a higher rank get the slots first; kinds of equal rank are cut by
+  /// the same share until a service that they need is full, and those that do
+  /// not need it continue to grow.
   std::vector<double> Completed(double aOffered) const;
   /// Sum of Completed().
   double Goodput(double aOffered) const;
@@ -34,7 +34,7 @@
   double AddCall(const std::string& aService,
                  const std::vector<std::vector<PlannedCall>>& aSteps,
                  std::map<std::string, double>& aSeconds) const;
-  void Fill(bool aImportant,
+  void Fill(int aRank,
             double aOffered,
             std::map<std::string, double>& aLeft,
             std::vector<double>& aCompleted) const;
