Dispatch non-idempotent calls by key

Keys are issued at /keys/<service> or with a 428 answer. The owner dispatches, records outcomes and settles a dispatch whose answer was lost; executors fence what they refuse; other entry nodes forward the call to the owner.

--- a/src/nutmegrock/node/ActiveCall.cpp
+++ b/src/nutmegrock/node/ActiveCall.cpp
@@ -19,6 +19,7 @@
 ActiveCall::GrantRetries()
 {
   const std::lock_guard lock(mMutex);
+  mHadNested = true;
   return mBudget.Grant();
 }
 
@@ -48,6 +49,13 @@
   return mNestedFailed;
 }
 
+bool
+ActiveCall::HadNested() const
+{
+  const std::lock_guard lock(mMutex);
+  return mHadNested;
+}
+
 std::uint32_t
 ActiveCall::Close()
 {
--- a/src/nutmegrock/node/ActiveCall.h
+++ b/src/nutmegrock/node/ActiveCall.h
@@ -35,6 +35,8 @@
   /// Whether a nested call failed after the hop next to the failure had decided
   /// about retries.
   bool NestedFailed() const;
+  /// Whether the backend server made any nested call.
+  bool HadNested() const;
   /// Ends the call; returns the unused retries.
   std::uint32_t Close();
 
@@ -45,6 +47,7 @@
   mutable std::mutex mMutex;
   retry::RetryBudget mBudget;
   core::Level mLevelBelow;
+  bool mHadNested = false;
   bool mNestedFailed = false;
 };
 
--- a/src/nutmegrock/node/CallingSide.cpp
+++ b/src/nutmegrock/node/CallingSide.cpp
@@ -1,6 +1,7 @@
 #include "node/CallingSide.h"
 
 #include "node/ContextRules.h"
+#include "transport/http/ErrorAnswer.h"
 
 #include <optional>
 #include <spdlog/fmt/fmt.h>
@@ -51,11 +52,13 @@
 CallingSide::CallingSide(std::shared_ptr<const OutgoingServices> aServices,
                          ProfilesInForce aProfiles,
                          ActiveCalls& aCalls,
+                         KeyedCalls& aKeyed,
                          retry::ResendLedger& aResends,
                          NoticeHandler aNotice)
   : mServices(std::move(aServices))
   , mProfiles(std::move(aProfiles))
   , mCalls(aCalls)
+  , mKeyed(aKeyed)
   , mResends(aResends)
   , mNotice(std::move(aNotice))
 {
@@ -107,6 +110,10 @@
                 aHandler);
     return;
   }
+  if (target->mKind == TargetKind::Keys) {
+    GiveKey(aHandler);
+    return;
+  }
   Enter(*target, *headers, profiles, std::move(aCall), std::move(aHandler));
 }
 
@@ -135,6 +142,10 @@
     handler(tl::make_unexpected(*refusal));
     return;
   }
+  if (!context->mIdempotent && context->mKey.empty()) {
+    AskForKey(*context, handler);
+    return;
+  }
   const auto left =
     mResends.Arrive(now, context->mRequest, context->mRetryBudget);
   if (!left && mServices->mOverloadEnabled) {
@@ -144,20 +155,70 @@
   context->mRetryBudget = left.value_or(0);
   aCall.mHead.mTarget = aTarget.mPath;
   const core::RequestId request = context->mRequest;
-  OutgoingCall::Create(
-    mServices,
-    aTarget.mName,
-    std::move(*context),
-    std::move(aCall),
-    [this, request, handler = std::move(handler)](OutgoingResult aResult) {
-      if (aResult.mSent) {
-        mResends.End(request, aResult.mUnused);
-      } else {
-        mResends.Withdraw(request, aResult.mUnused);
-      }
-      handler(std::move(aResult.mAnswer));
-    })
-    ->Start();
+  Send(aTarget.mName,
+       std::move(*context),
+       std::move(aCall),
+       [this, request, handler = std::move(handler)](OutgoingResult aResult) {
+         if (aResult.mSent) {
+           mResends.End(request, aResult.mUnused);
+         } else {
+           mResends.Withdraw(request, aResult.mUnused);
+         }
+         handler(std::move(aResult.mAnswer));
+       });
+}
+
+void
+CallingSide::GiveKey(const transport::AnswerHandler& aHandler)
+{
+  const std::string key = mKeyed.IssueKey();
+  transport::Answer answer;
+  answer.mHead.mHeaders = { { "Content-Type", "application/json" },
+                            { std::string(kKeyHeader), key } };
+  const std::string body = fmt::format("{{\"key\":\"{}\"}}", key);
+  answer.mHead.mBodySize = body.size();
+  answer.mBody = transport::WholeBody(body);
+  aHandler(std::move(answer));
+}
+
+void
+CallingSide::AskForKey(const core::CallContext& aContext,
+                       const transport::AnswerHandler& aHandler)
+{
+  mServices->mRegistry
+    .CounterOf("nutmegrock_key_required_total",
+               { { "profile", aContext.mProfile } })
+    .Add();
+  transport::Answer answer = transport::http::ErrorAnswer(core::MakeError(
+    core::ErrorKind::KeyRequired,
+    fmt::format("profile \"{}\" is not idempotent; send the call again with "
+                "the key of this answer",
+                aContext.mProfile)));
+  answer.mHead.mHeaders.push_back(
+    { std::string(kKeyHeader), mKeyed.IssueKey() });
+  aHandler(std::move(answer));
+}
+
+void
+CallingSide::Send(const std::string& aService,
+                  core::CallContext aContext,
+                  transport::Call aCall,
+                  OutgoingHandler aHandler)
+{
+  if (!aContext.mIdempotent && !aContext.mKey.empty()) {
+    mKeyed.Run(
+      aService, std::move(aContext), std::move(aCall), std::move(aHandler));
+  } else if (!aContext.mIdempotent) {
+    mKeyed.RunWithNewKey(
+      aService, std::move(aContext), std::move(aCall), std::move(aHandler));
+  } else {
+    OutgoingCall::Create(mServices,
+                         aService,
+                         std::move(aContext),
+                         std::move(aCall),
+                         std::move(aHandler))
+      ->Start();
+  }
 }
 
 transport::AnswerHandler
@@ -254,17 +315,14 @@
       }
     });
   }
-  OutgoingCall::Create(
-    mServices,
-    aTarget.mName,
-    std::move(*context),
-    std::move(aCall),
-    [parent, grant, handler = std::move(aHandler)](OutgoingResult aResult) {
-      parent->OnNestedEnd(
-        grant.mId, aResult.mUnused, aResult.mLevel, IsFailure(aResult));
-      handler(std::move(aResult.mAnswer));
-    })
-    ->Start();
+  Send(aTarget.mName,
+       std::move(*context),
+       std::move(aCall),
+       [parent, grant, handler = std::move(aHandler)](OutgoingResult aResult) {
+         parent->OnNestedEnd(
+           grant.mId, aResult.mUnused, aResult.mLevel, IsFailure(aResult));
+         handler(std::move(aResult.mAnswer));
+       });
 }
 
 void
@@ -282,14 +340,12 @@
     return;
   }
   aCall.mHead.mTarget = aTarget.mPath;
-  OutgoingCall::Create(mServices,
-                       aTarget.mName,
-                       std::move(*context),
-                       std::move(aCall),
-                       [handler = std::move(aHandler)](OutgoingResult aResult) {
-                         handler(std::move(aResult.mAnswer));
-                       })
-    ->Start();
+  Send(aTarget.mName,
+       std::move(*context),
+       std::move(aCall),
+       [handler = std::move(aHandler)](OutgoingResult aResult) {
+         handler(std::move(aResult.mAnswer));
+       });
 }
 
 void
--- a/src/nutmegrock/node/CallingSide.h
+++ b/src/nutmegrock/node/CallingSide.h
@@ -4,6 +4,7 @@
 #include "node/ActiveCalls.h"
 #include "node/CallTarget.h"
 #include "node/CallerHeaders.h"
+#include "node/KeyedCalls.h"
 #include "node/OutgoingCall.h"
 #include "profiles/ProfileSet.h"
 #include "retry/ResendLedger.h"
@@ -31,6 +32,7 @@
   CallingSide(std::shared_ptr<const OutgoingServices> aServices,
               ProfilesInForce aProfiles,
               ActiveCalls& aCalls,
+              KeyedCalls& aKeyed,
               retry::ResendLedger& aResends,
               NoticeHandler aNotice);
 
@@ -47,6 +49,16 @@
              const Profiles& aProfiles,
              transport::Call aCall,
              transport::AnswerHandler aHandler);
+  void GiveKey(const transport::AnswerHandler& aHandler);
+  /// Answers 428 with a fresh key.
+  void AskForKey(const core::CallContext& aContext,
+                 const transport::AnswerHandler& aHandler);
+  /// Sends the call as its context asks: with its key, with a new key, or
+  /// without one.
+  void Send(const std::string& aService,
+            core::CallContext aContext,
+            transport::Call aCall,
+            OutgoingHandler aHandler);
   void Nest(const CallTarget& aTarget,
             const CallerHeaders& aHeaders,
             const Profiles& aProfiles,
@@ -71,6 +83,7 @@
   const std::shared_ptr<const OutgoingServices> mServices;
   const ProfilesInForce mProfiles;
   ActiveCalls& mCalls;
+  KeyedCalls& mKeyed;
   retry::ResendLedger& mResends;
   const NoticeHandler mNotice;
 };
--- a/src/nutmegrock/node/NodeParts.cpp
+++ b/src/nutmegrock/node/NodeParts.cpp
@@ -2,6 +2,7 @@
 
 #include "admin/ProfileRoutes.h"
 #include "node/StatusReport.h"
+#include "once/SettleCodec.h"
 #include "routing/RouterSettings.h"
 #include "settings/SettingsFile.h"
 
@@ -116,6 +117,17 @@
   mLevels = std::move(*levels);
   mResends = std::move(*resends);
   mFeed = std::make_unique<CandidateFeed>(*mRouter);
+  once::KeyOwnerSettings owner;
+  owner.mSelf = mSelf;
+  owner.mAddress = mSettings.mListen.mPeer;
+  owner.mSecret = mSecret;
+  auto keys = once::KeyOwner::Create(owner);
+  auto ledger = once::ExecutionLedger::Create({});
+  if (!keys || !ledger) {
+    return tl::make_unexpected(keys ? ledger.error() : keys.error());
+  }
+  mKeyOwner = std::move(*keys);
+  mLedger = std::move(*ledger);
   return true;
 }
 
@@ -155,10 +167,11 @@
   mBackend = std::move(*backend);
   ServingSettings serving;
   serving.mService = mSettings.mService;
+  serving.mSecret = mSecret;
   serving.mAdmissionEnabled = mSettings.mOverload.mEnabled;
   serving.mAdmission.mLimit.mSlots = mSettings.mSlots;
-  auto side =
-    ServingSide::Create(serving, mEnvironment, mCalls, *mBackend, mRegistry);
+  auto side = ServingSide::Create(
+    serving, mEnvironment, mCalls, *mBackend, *mLedger, mRegistry);
   if (!side) {
     return tl::make_unexpected(side.error());
   }
@@ -188,10 +201,29 @@
     },
     mSettings.mOverload.mUnboundedRetries,
     mSettings.mOverload.mEnabled });
+  mKeyed = std::make_unique<KeyedCalls>(
+    services,
+    OnceServices{
+      mEnvironment,
+      *mKeyOwner,
+      [this](const core::Address& aAddress,
+             core::Incarnation aExecutor,
+             const std::string& aDispatch,
+             core::TimePoint aDeadline,
+             const std::function<void(core::Expected<once::SettleAnswer>)>&
+               aHandler) {
+        Settle(aAddress, aExecutor, aDispatch, aDeadline, aHandler);
+      } },
+    [this](const core::Address& aAddress,
+           transport::PeerCall aCall,
+           transport::PeerResultHandler aHandler) {
+      mPeerClient->Send(aAddress, std::move(aCall), std::move(aHandler));
+    });
   mCalling = std::make_unique<CallingSide>(
     services,
     [this] { return mProfiles.Current(); },
     mCalls,
+    *mKeyed,
     *mResends,
     [this](const std::string& aName, const std::string& aBody) {
       return OnNotice(aName, aBody);
@@ -233,8 +265,7 @@
     mIo.Context(),
     server,
     [this](transport::PeerCall aCall, transport::PeerResultHandler aHandler) {
-      ++mPeerCalls;
-      mServing->Handle(std::move(aCall), std::move(aHandler));
+      HandlePeerCall(std::move(aCall), std::move(aHandler));
     },
     [this](core::Incarnation,
            const std::string& aMethod,
@@ -261,6 +292,49 @@
   mPeerClient->Send(aChoice.mPeer, std::move(aCall), std::move(aHandler));
 }
 
+void
+NodeRuntime::Parts::HandlePeerCall(transport::PeerCall aCall,
+                                   transport::PeerResultHandler aHandler)
+{
+  ++mPeerCalls;
+  if (KeyedCalls::IsForwarded(aCall.mContext)) {
+    mKeyed->HandleForwarded(std::move(aCall), std::move(aHandler));
+    return;
+  }
+  mServing->Handle(std::move(aCall), std::move(aHandler));
+}
+
+core::Expected<once::SettleAnswer>
+NodeRuntime::Parts::SettleHere(const std::string& aDispatch)
+{
+  return once::Dispatch::Parse(aDispatch, mSecret)
+    .map([this](const once::Dispatch& aParsed) {
+      return mLedger->Settle(mEnvironment.mNow(), aParsed);
+    });
+}
+
+void
+NodeRuntime::Parts::Settle(
+  const core::Address& aAddress,
+  core::Incarnation aExecutor,
+  const std::string& aDispatch,
+  core::TimePoint aDeadline,
+  const std::function<void(core::Expected<once::SettleAnswer>)>& aHandler)
+{
+  if (aExecutor == mSelf) {
+    aHandler(SettleHere(aDispatch));
+    return;
+  }
+  mPeerClient->Control(aAddress,
+                       aExecutor,
+                       std::string(once::kSettleMethod),
+                       aDispatch,
+                       aDeadline,
+                       [aHandler](const core::Expected<std::string>& aBytes) {
+                         aHandler(aBytes.and_then(once::DecodeSettle));
+                       });
+}
+
 void
 NodeRuntime::Parts::HandleControl(
   const std::string& aMethod,
@@ -271,6 +345,10 @@
     aAnswer(mSync->AnswerPull());
     return;
   }
+  if (aMethod == once::kSettleMethod) {
+    aAnswer(SettleHere(aArgument).map(once::EncodeSettle));
+    return;
+  }
   aAnswer(mMembership->HandleControl(aMethod, aArgument));
 }
 
--- a/src/nutmegrock/node/NodeParts.h
+++ b/src/nutmegrock/node/NodeParts.h
@@ -9,8 +9,11 @@
 #include "node/CallingSide.h"
 #include "node/CandidateFeed.h"
 #include "node/IoThreads.h"
+#include "node/KeyedCalls.h"
 #include "node/NodeRuntime.h"
 #include "node/ServingSide.h"
+#include "once/ExecutionLedger.h"
+#include "once/KeyOwner.h"
 #include "platform/http/HttpObjectStore.h"
 #include "platform/http/HttpTableService.h"
 #include "profiles/ProfileHolder.h"
@@ -56,6 +59,15 @@
   void SendAttempt(const routing::Choice& aChoice,
                    transport::PeerCall aCall,
                    transport::PeerResultHandler aHandler);
+  void HandlePeerCall(transport::PeerCall aCall,
+                      transport::PeerResultHandler aHandler);
+  void Settle(
+    const core::Address& aAddress,
+    core::Incarnation aExecutor,
+    const std::string& aDispatch,
+    core::TimePoint aDeadline,
+    const std::function<void(core::Expected<once::SettleAnswer>)>& aHandler);
+  core::Expected<once::SettleAnswer> SettleHere(const std::string& aDispatch);
   void HandleControl(
     const std::string& aMethod,
     const std::string& aArgument,
@@ -81,12 +93,15 @@
   std::unique_ptr<retry::RetryPolicy> mPolicy;
   std::unique_ptr<limits::LevelCache> mLevels;
   std::unique_ptr<retry::ResendLedger> mResends;
+  std::unique_ptr<once::KeyOwner> mKeyOwner;
+  std::unique_ptr<once::ExecutionLedger> mLedger;
   std::unique_ptr<CandidateFeed> mFeed;
   std::shared_ptr<platform::http::HttpTableService> mTable;
   std::unique_ptr<platform::http::HttpObjectStore> mObjects;
   std::unique_ptr<transport::http::HttpBackendClient> mBackend;
   std::shared_ptr<ServingSide> mServing;
   std::unique_ptr<transport::peer::PeerClient> mPeerClient;
+  std::unique_ptr<KeyedCalls> mKeyed;
   std::unique_ptr<CallingSide> mCalling;
   std::unique_ptr<transport::peer::PeerServer> mPeerServer;
   std::unique_ptr<profiles::ProfileSync> mSync;
--- a/src/nutmegrock/node/OutgoingCall.cpp
+++ b/src/nutmegrock/node/OutgoingCall.cpp
@@ -116,6 +116,12 @@
 {
 }
 
+void
+OutgoingCall::SetGuard(std::shared_ptr<AttemptGuard> aGuard)
+{
+  mGuard = std::move(aGuard);
+}
+
 void
 OutgoingCall::Start()
 {
@@ -159,7 +165,7 @@
     mCancelled = true;
     current = mCurrent;
   }
-  if (current != nullptr) {
+  if (current != nullptr && mGuard == nullptr) {
     current->Cancel();
   }
 }
@@ -173,15 +179,32 @@
   return transport::PrefixedBody(std::move(mFirst), mCall.mBody);
 }
 
+std::optional<core::Error>
+OutgoingCall::CheckBeforeSending(core::TimePoint aNow)
+{
+  const auto refusal = [](core::ErrorKind aKind, const char* aMessage) {
+    core::Error error = core::MakeError(aKind, aMessage);
+    error.mRun = core::RunCertainty::NotRun;
+    error.mRetryDecided = true;
+    return error;
+  };
+  if (aNow >= mContext.mDeadline) {
+    return refusal(core::ErrorKind::DeadlineExceeded,
+                   "the deadline passed before sending");
+  }
+  const std::lock_guard lock(mMutex);
+  if (mCancelled) {
+    return refusal(core::ErrorKind::Cancelled, "the caller gave up");
+  }
+  return std::nullopt;
+}
+
 void
 OutgoingCall::SendAttempt()
 {
   const core::TimePoint now = mServices->mEnvironment.mNow();
-  if (now >= mContext.mDeadline) {
-    core::Error error = core::MakeError(core::ErrorKind::DeadlineExceeded,
-                                        "the deadline passed before sending");
-    error.mRetryDecided = true;
-    Finish(tl::make_unexpected(std::move(error)));
+  if (const auto error = CheckBeforeSending(now)) {
+    Finish(tl::make_unexpected(*error));
     return;
   }
   const auto choice = mServices->mRouter.Choose(
@@ -198,14 +221,19 @@
   {
     const std::lock_guard lock(mMutex);
     mCurrent = attempt.mCancellation;
-    if (mCancelled) {
-      attempt.mCancellation->Cancel();
-    }
   }
   ++mAttempts;
   Count("nutmegrock_attempts_total", "");
   core::CallContext context = mContext;
   context.mRetryBudget = attempt.mGrant.mAmount;
+  if (mGuard != nullptr) {
+    context.mKey = mGuard->OnSend(*choice);
+    if (context.mKey.empty()) {
+      Finish(core::Fail(core::ErrorKind::OutcomeUnknown,
+                        "the key is being used by another call"));
+      return;
+    }
+  }
   transport::PeerCall call{
     choice->mIncarnation,
     mService,
@@ -250,9 +278,27 @@
     const std::lock_guard lock(mMutex);
     mCurrent.reset();
   }
+  Observe(now, aAttempt, aResult);
+  if (mGuard == nullptr) {
+    OnSettledResult(aAttempt, std::move(aResult));
+    return;
+  }
+  mGuard->OnResult(
+    aAttempt.mChoice,
+    mContext.mDeadline,
+    std::move(aResult),
+    [self = shared_from_this(), aAttempt](transport::PeerResult aSettled) {
+      self->OnSettledResult(aAttempt, std::move(aSettled));
+    });
+}
+
+void
+OutgoingCall::OnSettledResult(const Attempt& aAttempt,
+                              transport::PeerResult aResult)
+{
+  const core::TimePoint now = mServices->mEnvironment.mNow();
   mPossiblyRun = mPossiblyRun || aResult.mAnswer.has_value() ||
                  aResult.mAnswer.error().mRun != core::RunCertainty::NotRun;
-  Observe(now, aAttempt, aResult);
   if (!aResult.mAnswer) {
     const core::Error error = aResult.mAnswer.error();
     OnFailure(now, aAttempt, error, std::move(aResult.mAnswer));
--- a/src/nutmegrock/node/OutgoingCall.h
+++ b/src/nutmegrock/node/OutgoingCall.h
@@ -4,6 +4,7 @@
 #include "core/Incarnation.h"
 #include "limits/LevelCache.h"
 #include "metrics/Registry.h"
+#include "node/AttemptGuard.h"
 #include "node/Environment.h"
 #include "retry/RetryBudget.h"
 #include "retry/RetryPolicy.h"
@@ -15,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -69,6 +71,11 @@
     transport::Call aCall,
     OutgoingHandler aHandler);
 
+  /// Guards the attempts of a call that must run at most once; set before
+  /// Start(). Such a call is not cancelled once it was sent, since its outcome
+  /// has to become known.
+  void SetGuard(std::shared_ptr<AttemptGuard> aGuard);
+
   void Start();
 
 private:
@@ -88,9 +95,11 @@
 
   void OnFirstChunk(core::Expected<transport::BodyChunk> aChunk);
   void OnCancel();
+  std::optional<core::Error> CheckBeforeSending(core::TimePoint aNow);
   void SendAttempt();
   transport::BodyReaderPtr BodyOfAttempt();
   void OnResult(const Attempt& aAttempt, transport::PeerResult aResult);
+  void OnSettledResult(const Attempt& aAttempt, transport::PeerResult aResult);
   void Observe(core::TimePoint aNow,
                const Attempt& aAttempt,
                const transport::PeerResult& aResult);
@@ -109,6 +118,7 @@
   const core::CallContext mContext;
   transport::Call mCall;
   OutgoingHandler mHandler;
+  std::shared_ptr<AttemptGuard> mGuard;
   retry::RetryBudget mBudget;
   transport::BodyChunk mFirst;
   std::vector<core::Incarnation> mTried;
--- a/src/nutmegrock/node/ServingSide.cpp
+++ b/src/nutmegrock/node/ServingSide.cpp
@@ -1,6 +1,7 @@
 #include "node/ServingSide.h"
 
 #include "node/CallerHeaders.h"
+#include "node/OutcomeAnswer.h"
 #include "transport/BodyTap.h"
 
 #include <spdlog/fmt/fmt.h>
@@ -31,9 +32,15 @@
   }
 }
 
+/// Whether the backend server refused the call because of its load. After a
+/// nested call the server has worked on it, and the header may only repeat what
+/// the nested call was told.
 bool
-IsShed(const transport::AnswerHead& aHead)
+IsShed(const transport::AnswerHead& aHead, const ActiveCall& aCall)
 {
+  if (aCall.HadNested()) {
+    return false;
+  }
   const std::string* run = transport::FindHeader(aHead.mHeaders, kRunHeader);
   return aHead.mStatus == kUnavailable && run != nullptr &&
          *run == core::NameOf(core::RunCertainty::NotRun);
@@ -62,6 +69,7 @@
                     Environment aEnvironment,
                     ActiveCalls& aCalls,
                     transport::BackendClient& aBackend,
+                    once::ExecutionLedger& aLedger,
                     metrics::Registry& aRegistry)
 {
   auto admission = limits::Admission::Create(aSettings.mAdmission);
@@ -72,6 +80,7 @@
                                                       std::move(aEnvironment),
                                                       aCalls,
                                                       aBackend,
+                                                      aLedger,
                                                       aRegistry,
                                                       std::move(*admission)));
 }
@@ -80,12 +89,14 @@
                          Environment aEnvironment,
                          ActiveCalls& aCalls,
                          transport::BackendClient& aBackend,
+                         once::ExecutionLedger& aLedger,
                          metrics::Registry& aRegistry,
                          limits::Admission aAdmission)
   : mSettings(std::move(aSettings))
   , mEnvironment(std::move(aEnvironment))
   , mCalls(aCalls)
   , mBackend(aBackend)
+  , mLedger(aLedger)
   , mRegistry(aRegistry)
   , mAdmission(std::move(aAdmission))
 {
@@ -129,7 +140,10 @@
     fmt::format("{:x}-{:016x}", call->mId, mEnvironment.mRandom()),
     call->mCall.mCall.mCancellation);
   call->mHandler = std::move(aHandler);
-  const auto acceptable = CheckAcceptable(call->mCall);
+  auto acceptable = CheckAcceptable(call->mCall);
+  if (acceptable) {
+    acceptable = Claim(call);
+  }
   if (!acceptable) {
     Refuse(call, acceptable.error());
     return;
@@ -145,6 +159,25 @@
   Admit(call);
 }
 
+core::Expected<bool>
+ServingSide::Claim(const ServingCallPtr& aCall)
+{
+  const std::string& key = aCall->mCall.mContext.mKey;
+  if (key.empty()) {
+    return true;
+  }
+  auto dispatch = once::Dispatch::Parse(key, mSettings.mSecret);
+  if (!dispatch) {
+    return tl::make_unexpected(dispatch.error());
+  }
+  if (!mLedger.TryStart(aCall->mArrived, *dispatch)) {
+    return core::Fail(core::ErrorKind::QueueFull,
+                      "the key cannot be started at this node");
+  }
+  aCall->mDispatch = std::move(*dispatch);
+  return true;
+}
+
 void
 ServingSide::Admit(const ServingCallPtr& aCall)
 {
@@ -249,6 +282,10 @@
     .Add(static_cast<double>(waited));
   Count("nutmegrock_started_total", *aCall, "");
   transport::Call call = std::move(aCall->mCall.mCall);
+  if (aCall->mDispatch) {
+    // The outcome has to become known even when nobody waits any more.
+    call.mCancellation = std::make_shared<transport::Cancellation>();
+  }
   call.mHead.mHeaders = EndToEndHeaders(call.mHead.mHeaders);
   AddCallHeaders(call.mHead, *aCall->mActive, aCall->mStarted);
   mBackend.Send(std::move(call),
@@ -263,20 +300,29 @@
 ServingSide::OnAnswer(const ServingCallPtr& aCall,
                       core::Expected<transport::Answer> aAnswer)
 {
-  if (aAnswer && IsShed(aAnswer->mHead)) {
+  if (aAnswer && IsShed(aAnswer->mHead, *aCall->mActive)) {
     aAnswer = core::Fail(core::ErrorKind::BackendShed,
                          "the backend server shed the call");
   }
   if (!aAnswer) {
-    const limits::CallEnd end = EndOf(aAnswer.error());
-    mCalls.Remove(aCall->mActive->Token());
-    Refuse(aCall, std::move(aAnswer.error()));
-    Release(aCall, end);
+    OnFailure(aCall, std::move(aAnswer.error()));
     return;
   }
   OnAnswerHead(aCall, std::move(*aAnswer));
 }
 
+void
+ServingSide::OnFailure(const ServingCallPtr& aCall, core::Error aError)
+{
+  const limits::CallEnd end = EndOf(aError);
+  mCalls.Remove(aCall->mActive->Token());
+  if (aCall->mDispatch && aError.mRun != core::RunCertainty::NotRun) {
+    mLedger.OnUnknown(*aCall->mDispatch);
+  }
+  Refuse(aCall, std::move(aError));
+  Release(aCall, end);
+}
+
 void
 ServingSide::OnAnswerHead(const ServingCallPtr& aCall,
                           transport::Answer aAnswer)
@@ -285,6 +331,25 @@
   if (aAnswer.mHead.mStatus >= kServerError && aCall->mActive->NestedFailed()) {
     aAnswer.mHead.mHeaders.push_back({ std::string(kRetryHeader), "no" });
   }
+  if (!aCall->mDispatch) {
+    PassOn(aCall, std::move(aAnswer));
+    return;
+  }
+  KeepOutcome(std::move(aAnswer),
+              [self = shared_from_this(), aCall](
+                OutcomePtr aOutcome, core::Expected<transport::Answer> aKept) {
+                self->mLedger.OnDone(*aCall->mDispatch, std::move(aOutcome));
+                if (!aKept) {
+                  self->OnFailure(aCall, std::move(aKept.error()));
+                  return;
+                }
+                self->PassOn(aCall, std::move(*aKept));
+              });
+}
+
+void
+ServingSide::PassOn(const ServingCallPtr& aCall, transport::Answer aAnswer)
+{
   aAnswer.mBody = transport::TapBody(
     std::move(aAnswer.mBody), [weak = weak_from_this(), aCall](bool aComplete) {
       if (const auto self = weak.lock()) {
@@ -322,6 +387,9 @@
 ServingSide::Refuse(const ServingCallPtr& aCall, core::Error aError)
 {
   Count("nutmegrock_refused_total", *aCall, core::RowOf(aError.mKind).mName);
+  if (aCall->mDispatch && aError.mRun == core::RunCertainty::NotRun) {
+    mLedger.OnNotRun(*aCall->mDispatch);
+  }
   transport::PeerResult result{ tl::make_unexpected(std::move(aError)),
                                 FeedbackOf(*aCall) };
   auto handler = std::move(aCall->mHandler);
--- a/src/nutmegrock/node/ServingSide.h
+++ b/src/nutmegrock/node/ServingSide.h
@@ -4,12 +4,15 @@
 #include "metrics/Registry.h"
 #include "node/ActiveCalls.h"
 #include "node/Environment.h"
+#include "once/Dispatch.h"
+#include "once/ExecutionLedger.h"
 #include "transport/Call.h"
 
 #include <atomic>
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -31,6 +34,8 @@
   limits::AdmissionSettings mAdmission;
   /// False: every call goes straight to the backend server.
   bool mAdmissionEnabled = true;
+  /// Secret of the keys.
+  std::string mSecret;
 };
 
 /// Numbers of one moment, for status.
@@ -56,6 +61,7 @@
     Environment aEnvironment,
     ActiveCalls& aCalls,
     transport::BackendClient& aBackend,
+    once::ExecutionLedger& aLedger,
     metrics::Registry& aRegistry);
 
   /// Answers exactly once, from any thread.
@@ -83,6 +89,8 @@
     std::shared_ptr<ActiveCall> mActive;
     core::TimePoint mArrived;
     core::TimePoint mStarted;
+    /// Present for a call that must run at most once.
+    std::optional<once::Dispatch> mDispatch;
   };
   using ServingCallPtr = std::shared_ptr<ServingCall>;
 
@@ -90,10 +98,12 @@
               Environment aEnvironment,
               ActiveCalls& aCalls,
               transport::BackendClient& aBackend,
+              once::ExecutionLedger& aLedger,
               metrics::Registry& aRegistry,
               limits::Admission aAdmission);
 
   core::Expected<bool> CheckAcceptable(const transport::PeerCall& aCall) const;
+  core::Expected<bool> Claim(const ServingCallPtr& aCall);
   void Admit(const ServingCallPtr& aCall);
   void OnCancel(std::uint64_t aId);
   void Apply(const limits::AdmissionResult& aResult);
@@ -103,6 +113,8 @@
   void OnAnswer(const ServingCallPtr& aCall,
                 core::Expected<transport::Answer> aAnswer);
   void OnAnswerHead(const ServingCallPtr& aCall, transport::Answer aAnswer);
+  void PassOn(const ServingCallPtr& aCall, transport::Answer aAnswer);
+  void OnFailure(const ServingCallPtr& aCall, core::Error aError);
   /// Releases the slot of a call that has ended at the backend server.
   void Release(const ServingCallPtr& aCall, limits::CallEnd aEnd);
   void Refuse(const ServingCallPtr& aCall, core::Error aError);
@@ -117,6 +129,7 @@
   const Environment mEnvironment;
   ActiveCalls& mCalls;
   transport::BackendClient& mBackend;
+  once::ExecutionLedger& mLedger;
   metrics::Registry& mRegistry;
   std::atomic<ServerState> mState{ ServerState::Starting };
   std::atomic<std::uint64_t> mNextId{ 1 };
--- a/src/nutmegrock/once/KeyOwner.cpp
+++ b/src/nutmegrock/once/KeyOwner.cpp
@@ -47,6 +47,12 @@
   return aKey.Text(mSettings.mSecret);
 }
 
+std::string
+KeyOwner::TextOf(const Dispatch& aDispatch) const
+{
+  return aDispatch.Text(mSettings.mSecret);
+}
+
 core::Expected<OnceKey>
 KeyOwner::Parse(std::string_view aText) const
 {
--- a/src/nutmegrock/once/KeyOwner.h
+++ b/src/nutmegrock/once/KeyOwner.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/Time.h"
-#include "once/OnceKey.h"
+#include "once/Dispatch.h"
 #include "once/OwnerRecord.h"
 
 #include <array>
@@ -76,6 +76,7 @@
   /// A new key.
   OnceKey Issue();
   std::string TextOf(const OnceKey& aKey) const;
+  std::string TextOf(const Dispatch& aDispatch) const;
   /// Reads a key of any owner. Fails with KeyInvalid.
   core::Expected<OnceKey> Parse(std::string_view aText) const;
   bool IsOwn(const OnceKey& aKey) const
--- /dev/null
+++ b/src/nutmegrock/once/SettleCodec.cpp
@@ -0,0 +1,74 @@
+#include "once/SettleCodec.h"
+
+#include "once_types.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace nutmegrock::once {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+} // namespace
+
+std::string
+EncodeSettle(const SettleAnswer& aAnswer)
+{
+  gen::SettleReply reply;
+  reply.state = static_cast<std::int8_t>(aAnswer.mState);
+  if (aAnswer.mOutcome != nullptr) {
+    reply.status = static_cast<std::int32_t>(aAnswer.mOutcome->mStatus);
+    reply.body = aAnswer.mOutcome->mBody;
+    reply.body_kept = aAnswer.mOutcome->mBodyKept;
+    for (const auto& [name, value] : aAnswer.mOutcome->mHeaders) {
+      gen::OutcomeHeader header;
+      header.name = name;
+      header.value = value;
+      reply.headers.push_back(std::move(header));
+    }
+  }
+  const auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocol protocol(buffer);
+  reply.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+core::Expected<SettleAnswer>
+DecodeSettle(const std::string& aBytes)
+{
+  gen::SettleReply reply;
+  try {
+    std::string copy = aBytes;
+    const auto buffer = std::make_shared<TMemoryBuffer>(
+      reinterpret_cast<std::uint8_t*>(copy.data()),
+      static_cast<std::uint32_t>(copy.size()));
+    TCompactProtocol protocol(buffer);
+    reply.read(&protocol);
+  } catch (const apache::thrift::TException& error) {
+    return core::Fail(core::ErrorKind::ProtocolError, error.what());
+  }
+  if (reply.state < 0 ||
+      reply.state > static_cast<std::int8_t>(SettleState::Unknown)) {
+    return core::Fail(core::ErrorKind::ProtocolError,
+                      "settle answer has an unknown state");
+  }
+  SettleAnswer answer;
+  answer.mState = static_cast<SettleState>(reply.state);
+  if (answer.mState == SettleState::Done) {
+    Outcome outcome;
+    outcome.mStatus = static_cast<unsigned>(reply.status);
+    outcome.mBody = std::move(reply.body);
+    outcome.mBodyKept = reply.body_kept;
+    for (gen::OutcomeHeader& header : reply.headers) {
+      outcome.mHeaders.emplace_back(std::move(header.name),
+                                    std::move(header.value));
+    }
+    answer.mOutcome = std::make_shared<const Outcome>(std::move(outcome));
+  }
+  return answer;
+}
+
+} // namespace nutmegrock::once
--- /dev/null
+++ b/src/nutmegrock/once/SettleCodec.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "core/Error.h"
+#include "once/ExecutionLedger.h"
+
+#include <string>
+#include <string_view>
+
+namespace nutmegrock::once {
+
+/// Control request between nodes that settles a key. Its argument is the text
+/// of a Dispatch.
+constexpr std::string_view kSettleMethod = "once.settle";
+
+/// The answer as a Thrift compact struct.
+std::string
+EncodeSettle(const SettleAnswer& aAnswer);
+/// Reads what EncodeSettle() writes. Fails with ProtocolError.
+core::Expected<SettleAnswer>
+DecodeSettle(const std::string& aBytes);
+
+} // namespace nutmegrock::once
--- a/tests/node/ServingSideTest.cpp
+++ b/tests/node/ServingSideTest.cpp
@@ -18,7 +18,7 @@
     settings.mAdmission.mLimit.mSlots = aSlots;
     settings.mAdmission.mLimit.mColdStartShare = 1.0;
     auto created = node::ServingSide::Create(
-      settings, mTime.MakeEnvironment(), mCalls, mBackend, mRegistry);
+      settings, mTime.MakeEnvironment(), mCalls, mBackend, *mLedger, mRegistry);
     REQUIRE(created.has_value());
     mSide = *created;
     mSide->SetState(node::ServerState::Serving);
@@ -54,6 +54,8 @@
   test::FakeTime mTime;
   test::FakeBackend mBackend;
   node::ActiveCalls mCalls;
+  std::unique_ptr<once::ExecutionLedger> mLedger =
+    *once::ExecutionLedger::Create({});
   metrics::Registry mRegistry;
   std::shared_ptr<node::ServingSide> mSide;
   std::vector<transport::PeerResult> mResults;
