--- a/perf/perf_limits/Rules.cpp
+++ b/perf/perf_limits/Rules.cpp
@@ -53,7 +53,12 @@
   {
     Set(aSlots);
   }
-  void OnFinish(core::TimePoint, std::uint32_t, const CallOutcome&) override {}
+  void OnFinish(core::TimePoint,
+                std::uint32_t,
+                std::uint32_t,
+                const CallOutcome&) override
+  {
+  }
 };
 
 /// Additive increase per round trip; multiplicative decrease on refusals and on
@@ -63,6 +68,7 @@
 public:
   using Bounded::Bounded;
   void OnFinish(core::TimePoint aNow,
+                std::uint32_t,
                 std::uint32_t,
                 const CallOutcome& aOutcome) override
   {
@@ -98,6 +104,7 @@
 public:
   using Bounded::Bounded;
   void OnFinish(core::TimePoint,
+                std::uint32_t,
                 std::uint32_t,
                 const CallOutcome& aOutcome) override
   {
@@ -131,6 +138,7 @@
 public:
   using Bounded::Bounded;
   void OnFinish(core::TimePoint,
+                std::uint32_t,
                 std::uint32_t,
                 const CallOutcome& aOutcome) override
   {
@@ -170,11 +178,16 @@
         { .mSlots = aSlots, .mColdStartShare = kColdShare }))
   {
   }
+  std::uint32_t OnStart(core::TimePoint aNow, std::uint32_t aInFlight) override
+  {
+    return mLimit.OnStart(aNow, aInFlight);
+  }
   void OnFinish(core::TimePoint aNow,
                 std::uint32_t aInFlight,
+                std::uint32_t aSample,
                 const CallOutcome& aOutcome) override
   {
-    mLimit.OnFinish(aNow, aInFlight, aOutcome);
+    mLimit.OnFinish(aNow, aInFlight, aSample, aOutcome);
   }
   std::uint32_t Limit() const override { return mLimit.Limit(); }
 
--- a/perf/perf_limits/Rules.h
+++ b/perf/perf_limits/Rules.h
@@ -19,8 +19,10 @@
   Rule(const Rule&) = delete;
   Rule& operator=(const Rule&) = delete;
   virtual ~Rule() = default;
+  virtual std::uint32_t OnStart(core::TimePoint, std::uint32_t) { return 0; }
   virtual void OnFinish(core::TimePoint aNow,
                         std::uint32_t aInFlight,
+                        std::uint32_t aSample,
                         const limits::CallOutcome& aOutcome) = 0;
   virtual std::uint32_t Limit() const = 0;
 };
--- a/perf/perf_limits/main.cpp
+++ b/perf/perf_limits/main.cpp
@@ -34,6 +34,7 @@
   double mEnd;
   double mStart;
   std::uint32_t mInFlight;
+  std::uint32_t mSample;
   limits::CallEnd mKind;
   bool operator>(const Flight& aOther) const { return mEnd > aOther.mEnd; }
 };
@@ -95,6 +96,7 @@
       Count(flight);
       mRule.OnFinish(At(mNow),
                      flight.mInFlight,
+                     flight.mSample,
                      { At(flight.mEnd) - At(flight.mStart), flight.mKind });
     }
     return { Sum(mBefore, mCase.mBefore), Sum(mAfter, mCase.mAfter) };
@@ -118,14 +120,17 @@
   {
     const ServerModel& model = Model();
     const auto inFlight = static_cast<std::uint32_t>(mFlights.size() + 1);
+    const std::uint32_t sample = mRule.OnStart(At(mNow), inFlight);
     if (model.mSheds && inFlight > model.mWorkers) {
-      mFlights.push({ mNow + 0.001, mNow, inFlight, limits::CallEnd::Shed });
+      mFlights.push(
+        { mNow + 0.001, mNow, inFlight, sample, limits::CallEnd::Shed });
       return;
     }
     const double noise = mNoise(mRandom);
     mFlights.push({ mNow + model.Latency(inFlight) * noise,
                     mNow,
                     inFlight,
+                    sample,
                     limits::CallEnd::Ok });
   }
 
--- a/src/nutmegrock/limits/Admission.cpp
+++ b/src/nutmegrock/limits/Admission.cpp
@@ -100,7 +100,7 @@
     // The backend server may have ended early on the cancellation.
     outcome.mKind = CallEnd::Cancelled;
   }
-  mLimit.OnFinish(aNow, running.mInFlight, outcome);
+  mLimit.OnFinish(aNow, running.mInFlight, running.mSample, outcome);
   mServiceTimes.at(static_cast<std::size_t>(running.mImportance))
     .Add(aNow, outcome);
   if (outcome.mKind == CallEnd::Shed) {
@@ -168,8 +168,13 @@
                  const Ticket& aTicket,
                  AdmissionResult& aResult)
 {
+  const std::uint32_t inFlight = InFlight() + 1;
   mRunning.emplace(aTicket.mId,
-                   Running{ aNow, InFlight() + 1, aTicket.mImportance, false });
+                   Running{ aNow,
+                            inFlight,
+                            mLimit.OnStart(aNow, inFlight),
+                            aTicket.mImportance,
+                            false });
   aResult.mStart.push_back(aTicket.mId);
 }
 
--- a/src/nutmegrock/limits/Admission.h
+++ b/src/nutmegrock/limits/Admission.h
@@ -70,6 +70,8 @@
     core::TimePoint mStarted;
     /// Calls in flight when it started, itself included.
     std::uint32_t mInFlight = 0;
+    /// Sample of the concurrency limit that it belongs to.
+    std::uint32_t mSample = 0;
     core::Importance mImportance = core::Importance::Normal;
     bool mCancelled = false;
   };
--- a/src/nutmegrock/limits/ConcurrencyLimit.cpp
+++ b/src/nutmegrock/limits/ConcurrencyLimit.cpp
@@ -12,39 +12,26 @@
 /// Calls that started with at least this share of the limit in flight show the
 /// latency at the limit.
 constexpr double kLoadedShare = 0.85;
-/// Calls that started with a share between these two show the baseline.
-constexpr double kLowFrom = 0.3;
-constexpr double kLowTo = 0.6;
-/// Largest cut by one window or one shed call.
+/// Largest cut by one shed call.
 constexpr double kMostCut = 0.7;
-/// Rise of the latency between two windows that the growth of the limit does
-/// not explain: the server has changed and the baseline no longer holds.
+/// Rise of the latency between two samples that the growth of the limit does
+/// not explain.
 constexpr double kJump = 1.4;
 /// Slower calls than this multiple of the mean count as this multiple, so that
 /// single stragglers do not decide.
 constexpr double kClip = 6;
-/// Time between two measurements at half the limit, in latencies. A measurement
-/// takes about three latencies at half of the throughput, so this costs 1%.
+/// A sample is complete when at most one in this many of its calls is open. The
+/// last ones would double the time it takes.
+constexpr std::uint32_t kOpenPart = 16;
+/// A sample that is not complete after this time is given up.
+constexpr Seconds kSampleLife{ 5 };
+/// A measurement ends after this many latencies.
+constexpr double kProbeLatencies = 12;
+/// Time between two measurements, in latencies. A measurement takes about three
+/// latencies at half of the throughput, so this costs 1%.
 constexpr double kProbeGap = 150;
-/// Latencies to wait after a change of the limit or of its use before calls
-/// count.
-constexpr double kSettle = 2;
-/// Latencies after which a measurement without enough calls ends.
-constexpr double kStuck = 10;
-/// Latencies without growth after a cut.
-constexpr double kHoldLatencies = 20;
-/// Longest time without growth after a cut, in seconds.
-constexpr double kLongestHold = 3;
-/// Multiple of the limit of the last cut from which on growth is fast.
-constexpr double kBeyondKnee = 1.4;
-/// Largest growth per window.
-constexpr double kMostGrowth = 0.16;
-/// Standard deviations by which a window, or a measurement, must be above the
-/// tolerance. There are many windows, so they need more to keep false alarms
-/// rare; a measurement mostly follows a suspicion, and sees a ratio of 2 in 16
-/// calls.
-constexpr double kWindowSigmas = 2;
-constexpr double kProbeSigmas = 1;
+/// Fewest calls of a measurement, at half the limit.
+constexpr std::uint32_t kFewestCalls = 16;
 /// Share of the throughput at the limit from which on a lower limit counts as
 /// completing as many calls.
 constexpr double kNothingLost = 0.85;
@@ -53,8 +40,21 @@
 /// capacity from slower calls in few calls.
 constexpr double kUsualShare = 0.5;
 constexpr double kSmallestShare = 0.25;
-/// Fewest calls of a measurement at half the limit.
-constexpr std::uint32_t kFewestCalls = 16;
+/// Time without growth after a cut: at least this many latencies, at most this
+/// many seconds.
+constexpr double kHoldLatencies = 20;
+constexpr double kLongestHold = 3;
+/// Multiple of the limit of the last cut from which on growth is fast.
+constexpr double kBeyondKnee = 1.4;
+/// Growth beyond that, and before the first cut.
+constexpr double kFastGrowth = 0.16;
+constexpr double kColdGrowth = 0.5;
+/// Standard deviations by which a sample at the limit, or a measurement, must
+/// be above the tolerance. There are many samples at the limit, so they need
+/// more to keep false alarms rare; a measurement mostly follows a suspicion,
+/// and sees a ratio of 2 in 16 calls.
+constexpr double kLoadedSigmas = 2;
+constexpr double kProbeSigmas = 1;
 
 core::Duration
 ToDuration(double aSeconds)
@@ -66,6 +66,7 @@
 
 ConcurrencyLimit::ConcurrencyLimit(const ConcurrencyLimitSettings& aSettings)
   : mSettings(aSettings)
+  , mShare(kUsualShare)
 {
   SetLimit(aSettings.mSlots * aSettings.mColdStartShare);
 }
@@ -75,10 +76,10 @@
 {
   if (aSettings.mSlots == 0 || !(aSettings.mColdStartShare > 0) ||
       aSettings.mColdStartShare > 1 || !(aSettings.mTolerance > 1) ||
-      !(aSettings.mGrowth > 0) || aSettings.mWindowCalls == 0) {
+      !(aSettings.mGrowth > 0) || aSettings.mSampleCalls == 0) {
     return core::Fail(
       core::ErrorKind::InvalidSettings,
-      "concurrency limit: slots, window calls and growth must be positive, the "
+      "concurrency limit: slots, sample calls and growth must be positive, the "
       "cold-start share in (0, 1], the tolerance above 1");
   }
   return ConcurrencyLimit(aSettings);
@@ -114,31 +115,57 @@
   SetLimit(std::max(mLimit, aSlots * mSettings.mColdStartShare));
 }
 
+std::uint32_t
+ConcurrencyLimit::OnStart(core::TimePoint aNow, std::uint32_t aInFlight)
+{
+  CheckSample(aNow);
+  const bool matches =
+    mProbing ? aInFlight <= Limit()
+             : aInFlight >= kLoadedShare * mLimit || aInFlight >= Limit();
+  const bool full =
+    mTaken >= WantedCalls() && aNow - mSampleStart >= mSettings.mSampleTime;
+  if (!matches || full) {
+    return 0;
+  }
+  if (mTaken == 0) {
+    mSampleStart = aNow;
+  }
+  ++mTaken;
+  ++mOpen;
+  return mSampleId;
+}
+
 void
 ConcurrencyLimit::OnFinish(core::TimePoint aNow,
                            std::uint32_t aInFlight,
+                           std::uint32_t aSample,
                            const CallOutcome& aOutcome)
+{
+  if (aOutcome.mKind == CallEnd::Shed) {
+    OnShed(aNow, aInFlight);
+  }
+  if (aSample == mSampleId && mOpen > 0) {
+    --mOpen;
+    AddToSample(aOutcome);
+  }
+  CheckSample(aNow);
+}
+
+void
+ConcurrencyLimit::AddToSample(const CallOutcome& aOutcome)
 {
   const double seconds = Seconds(aOutcome.mLatency).count();
   const double usual = std::max(mLoaded.Mean(), mBaseline.Mean());
-  switch (aOutcome.mKind) {
-    case CallEnd::Shed:
-      OnShed(aNow, aInFlight);
-      return;
-    case CallEnd::Failed:
-      return;
-    case CallEnd::TimedOut:
-    case CallEnd::Cancelled:
-      // The latency is only a lower bound; it tells something when it is
-      // longer than usual.
-      if (seconds > usual && usual > 0) {
-        Sample(aNow, aInFlight, seconds);
-      }
-      return;
-    case CallEnd::Ok:
-      break;
+  // The latency of a call that did not end by itself is a lower bound; it tells
+  // something when it is longer than usual.
+  const bool bound =
+    aOutcome.mKind == CallEnd::TimedOut || aOutcome.mKind == CallEnd::Cancelled;
+  if (aOutcome.mKind == CallEnd::Ok || (bound && seconds > usual)) {
+    const double clip = kClip * mLoaded.Mean();
+    mSample.Add(clip > 0 ? std::min(seconds, clip) : seconds);
+  } else {
+    --mTaken;
   }
-  Sample(aNow, aInFlight, seconds);
 }
 
 void
@@ -151,63 +178,57 @@
     return;
   }
   SetLimit(std::max(mLimit * kMostCut, aInFlight - 1.0));
+  mKnee = mLimit;
+  mGrownFrom = 0;
   mNoShedCutBefore = aNow + ToDuration(mLoaded.Mean());
 }
 
 void
-ConcurrencyLimit::Sample(core::TimePoint aNow,
-                         std::uint32_t aInFlight,
-                         double aSeconds)
+ConcurrencyLimit::StartSample()
 {
-  const double share = aInFlight / mLimit;
-  const double clip = kClip * mLoaded.Mean();
-  const double seconds = clip > 0 ? std::min(aSeconds, clip) : aSeconds;
+  mSample = {};
+  ++mSampleId;
+  // 0 stands for no sample.
+  mSampleId = std::max(mSampleId, 1U);
+  mTaken = 0;
+  mOpen = 0;
+}
+
+std::uint32_t
+ConcurrencyLimit::WantedCalls() const
+{
+  const std::uint32_t most = std::max(mSettings.mSampleCalls, kFewestCalls);
   if (mProbing) {
-    if (aNow >= mCountFrom && aInFlight <= Limit()) {
-      mLow.Add(seconds);
-    }
-    const bool stuck =
-      Seconds(aNow - mCountFrom).count() > kStuck * mLoaded.Mean();
-    if (mLow.Count() >= BaselineCalls() || stuck) {
-      EndProbe(aNow);
-    }
-    return;
-  }
-  const bool loaded = share >= kLoadedShare || aInFlight >= Limit();
-  const bool low = !loaded && share >= kLowFrom && share <= kLowTo;
-  // Short calls end first after the use has changed, so calls count only once
-  // the use has been the same for a while.
-  if (!loaded) {
-    StartCounting(aNow);
-  }
-  if (!low) {
-    mLow = {};
-    mLowFrom = aNow + Settle();
-  }
-  if (loaded && aNow >= mCountFrom) {
-    mWindow.Add(seconds);
-    const double length =
-      std::max(Seconds(mSettings.mWindow).count(), mWindow.Mean());
-    if (mWindow.Count() >= mSettings.mWindowCalls &&
-        Seconds(aNow - mCountFrom).count() >= length) {
-      EndWindow(aNow);
-    }
-  } else if (low && aNow >= mLowFrom) {
-    mLow.Add(seconds);
-    if (mLow.Count() >= mSettings.mWindowCalls) {
-      EndBaseline(aNow);
-    }
+    // Few calls at a time make many calls take long; a smaller share shows the
+    // same difference in fewer calls.
+    const auto calls = std::clamp(AdaptedLimit(), kFewestCalls, most);
+    return static_cast<std::uint32_t>(calls * mShare / kUsualShare);
   }
+  // A fresh limit grows first and is judged later; waiting for exact figures
+  // would refuse work while slots are free.
+  return mKnee > 0 ? mSettings.mSampleCalls
+                   : std::min(mSettings.mSampleCalls, kFewestCalls);
 }
 
-double
-ConcurrencyLimit::BaselineCalls() const
+void
+ConcurrencyLimit::CheckSample(core::TimePoint aNow)
 {
-  // Few calls at a time make many calls take long; a smaller share shows the
-  // same difference in fewer calls.
-  const double most = std::max(mSettings.mWindowCalls, kFewestCalls);
-  return std::clamp<double>(AdaptedLimit(), kFewestCalls, most) * mShare /
-         kUsualShare;
+  const bool full =
+    mTaken >= WantedCalls() && aNow - mSampleStart >= mSettings.mSampleTime;
+  const bool complete = full && mOpen <= mTaken / kOpenPart;
+  if (mProbing) {
+    const double longest =
+      kProbeLatencies *
+      std::max(mLoaded.Mean(), Seconds(mSettings.mSampleTime).count());
+    if (complete || Seconds(aNow - mProbeStart).count() > longest) {
+      EndProbe(aNow);
+    }
+  } else if (complete) {
+    EndLoaded(aNow);
+  } else if (mTaken > 0 && aNow - mSampleStart > kSampleLife &&
+             Seconds(aNow - mSampleStart).count() > 5 * mLoaded.Mean()) {
+    StartSample();
+  }
 }
 
 double
@@ -219,70 +240,58 @@
          aSigmas * noise;
 }
 
-core::Duration
-ConcurrencyLimit::Settle() const
-{
-  return ToDuration(kSettle * std::max(mLoaded.Mean(), mBaseline.Mean()));
-}
-
-void
-ConcurrencyLimit::StartCounting(core::TimePoint aNow)
-{
-  // Calls that end right after a change of the limit are the short ones of
-  // those started since, or were started before it.
-  mCountFrom = aNow + Settle();
-  mWindow = {};
-  mPoolWindows = false;
-}
-
 void
-ConcurrencyLimit::EndWindow(core::TimePoint aNow)
+ConcurrencyLimit::EndLoaded(core::TimePoint aNow)
 {
   // Part of a rise is explained by the growth of the limit.
-  const double grown = mLimit / std::max(1.0, mWindowLimit);
-  const bool changed = mJumped;
-  mJumped = mLoaded.Count() > 0 && !changed &&
-            mWindow.Mean() > kJump * grown * mLoaded.Mean();
-  if (mPoolWindows && grown < 1.01 && mWindow.Agrees(mLoaded)) {
-    mLoaded.Pool(mWindow);
+  const double grown = mLimit / std::max(1.0, mLoadedLimit);
+  const bool jumpedBefore = mJumped;
+  mJumped = mLoaded.Count() > 0 && !jumpedBefore &&
+            mSample.Mean() > kJump * std::max(1.0, grown) * mLoaded.Mean();
+  if (mLoadedLimit == mLimit && mSample.Agrees(mLoaded)) {
+    mLoaded.Pool(mSample);
   } else {
-    mLoaded = mWindow;
+    mLoaded = mSample;
   }
-  const double length = Seconds(aNow - mCountFrom).count();
-  mPoolWindows = true;
-  mWindowLimit = mLimit;
-  mWindow = {};
-  mCountFrom = aNow;
+  mLoadedLimit = mLimit;
+  StartSample();
   if (mJumped) {
-    // This window holds calls from before and after the change; measure once a
-    // whole window shows the server as it is now.
-    StartCounting(aNow);
+    // This sample may hold calls from before and after the change; the next one
+    // shows the server as it is now.
     return;
   }
-  if (changed || mBaseline.Count() == 0) {
-    Remeasure(aNow);
-    return;
+  if (mBaseline.Count() == 0 && mKnee <= 0) {
+    // Growth from the cold-start limit is a measurement of its own.
+    SetBaseline(aNow, mLoaded);
   }
-  if (mLoaded.Mean() < mBaseline.Mean() / mSettings.mTolerance) {
-    // The server has become faster than the baseline.
-    mBaseline = mLoaded;
-    mBaselineAt = aNow;
+  if (jumpedBefore || mBaseline.Count() == 0) {
+    Remeasure(aNow);
+  } else {
+    Judge(aNow);
   }
+}
+
+void
+ConcurrencyLimit::Judge(core::TimePoint aNow)
+{
   const double age = Seconds(aNow - mBaselineAt).count();
   const double interval = std::max(Seconds(mSettings.mProbeInterval).count(),
                                    kProbeGap * mLoaded.Mean());
-  const bool saturated = Excess(kWindowSigmas) > 0;
+  const bool saturated = Excess(kLoadedSigmas) > 0;
   if (saturated && mGrownFrom <= 0) {
     Remeasure(aNow);
   } else if (age > interval) {
     StartProbe(aNow);
   } else if (saturated) {
-    // The growth went too far; the limit before it was right.
+    // The growth went too far; the limit before it was right, unless it was the
+    // cold-start limit, which may have been too high already.
     const double ratio = mLoaded.Mean() / mBaseline.Mean();
+    if (mKnee <= 0) {
+      mBaseline = {};
+    }
     Cut(aNow, std::max(mGrownFrom, mLimit * mSettings.mTolerance / ratio));
-    StartCounting(aNow);
   } else {
-    Grow(aNow, length);
+    Grow(aNow);
   }
 }
 
@@ -299,7 +308,7 @@
 }
 
 void
-ConcurrencyLimit::Grow(core::TimePoint aNow, double aSeconds)
+ConcurrencyLimit::Grow(core::TimePoint aNow)
 {
   if (aNow < mNoGrowthBefore || mLimit >= mSettings.mSlots) {
     mGrownFrom = 0;
@@ -310,37 +319,39 @@
   }
   // Slow near the limit of the last cut, and fast once it is clear that more
   // is possible now.
-  const double windows = aSeconds / Seconds(mSettings.mWindow).count();
-  const double growth =
-    mLimit > kBeyondKnee * mKnee ? kMostGrowth : mSettings.mGrowth * windows;
-  SetLimit(
-    std::max(mLimit * (1 + std::min(growth, kMostGrowth)), mLimit + 0.5));
+  double growth = mSettings.mGrowth;
+  if (mKnee <= 0) {
+    growth = kColdGrowth;
+  } else if (mLimit > kBeyondKnee * mKnee) {
+    growth = kFastGrowth;
+  }
+  SetLimit(std::max(mLimit * (1 + growth), mLimit + 0.5));
 }
 
 void
-ConcurrencyLimit::EndBaseline(core::TimePoint aNow)
+ConcurrencyLimit::SetBaseline(core::TimePoint aNow,
+                              const LatencySample& aSample)
 {
-  if (mBaseline.Agrees(mLow)) {
-    mBaseline.Pool(mLow);
+  if (mBaseline.Agrees(aSample)) {
+    mBaseline.Pool(aSample);
   } else {
-    mBaseline = mLow;
+    mBaseline = aSample;
   }
   mBaselineAt = aNow;
-  mLow = {};
 }
 
 void
 ConcurrencyLimit::StartProbe(core::TimePoint aNow)
 {
   if (AdaptedLimit() <= 1) {
-    mBaseline = mLoaded;
-    mBaselineAt = aNow;
+    mBaseline = {};
+    SetBaseline(aNow, mLoaded);
     SetLimit(mLimit + 0.5);
     return;
   }
   mProbing = true;
-  mLow = {};
-  StartCounting(aNow);
+  mProbeStart = aNow;
+  StartSample();
 }
 
 void
@@ -358,30 +369,29 @@
 ConcurrencyLimit::EndProbe(core::TimePoint aNow)
 {
   mProbing = false;
-  if (mLow.Count() < 2) {
-    // No answer at half the limit either; lower it until calls come back.
-    SetLimit(mLimit * kMostCut);
+  const LatencySample lower = mSample;
+  const double share = mShare;
+  StartSample();
+  mShare = kUsualShare;
+  if (lower.Count() < kFewestCalls / 4.0) {
+    // Too little work for a measurement.
     mKneeGuess = 0;
-    mShare = kUsualShare;
-    mLow = {};
-    StartCounting(aNow);
     return;
   }
-  const LatencySample lower = mLow;
-  EndBaseline(aNow);
+  SetBaseline(aNow, lower);
   const double ratio = mLoaded.Mean() / mBaseline.Mean();
-  const double share = mShare;
-  mShare = kUsualShare;
-  if (Excess(kProbeSigmas) > 0 && ratio * share >= kNothingLost) {
+  const bool saturated = Excess(kProbeSigmas) > 0;
+  if (saturated && ratio * share >= kNothingLost) {
     // The lower limit completes as much: keep it, and try half of that.
     mKneeGuess = mLimit * std::max(share, mSettings.mTolerance / ratio);
     Cut(aNow, mLimit * share);
     mLoaded = lower;
+    mLoadedLimit = mLimit;
     mBaseline = {};
     StartProbe(aNow);
     return;
   }
-  if (Excess(kProbeSigmas) > 0) {
+  if (saturated) {
     Cut(aNow, mLimit * mSettings.mTolerance / ratio);
   } else if (mKneeGuess > mLimit) {
     // The last step down lost throughput, so the knee is where the ratio of
@@ -390,7 +400,6 @@
     mKnee = mLimit;
   }
   mKneeGuess = 0;
-  StartCounting(aNow);
 }
 
 } // namespace nutmegrock::limits
