--- a/src/nutmegrock/limits/AdmissionLevel.cpp
+++ b/src/nutmegrock/limits/AdmissionLevel.cpp
@@ -11,17 +11,19 @@
 
 /// Time constants of the usual rates, in seconds. Arrivals below the level are
 /// remembered for longer, since callers that know the level do not send them.
-constexpr double kArrivalTime = 0.3;
+constexpr double kArrivalTime = 0.6;
 constexpr double kHiddenTime = 10;
 /// Cost of lowering the level by one cohort without known arrivals, as a share
 /// of the admitted work. Bounds the step into work whose amount is not known.
 constexpr double kUnknownCohort = 0.005;
 /// Cut of the admitted work per unit of relative excess delay.
-constexpr double kMarginPerDelay = 0.1;
+constexpr double kMarginPerDelay = 0.05;
 /// Change per window of the share of the capacity that is admitted.
 constexpr double kCorrectDown = 0.9;
 constexpr double kCorrectUp = 1.05;
 constexpr double kLeastCorrection = 0.05;
+/// Share of the capacity from which on it counts as used.
+constexpr double kUsed = 0.9;
 /// Further doublings of the growth do not change the time of a fall.
 constexpr std::uint32_t kMostDoublings = 6;
 
@@ -159,7 +161,8 @@
   if (!mWindowOpen || aNow < NextAdapt()) {
     return;
   }
-  UpdateRates(std::max(1e-6, Seconds(aNow - mWindowStart).count()));
+  const double seconds = std::max(1e-6, Seconds(aNow - mWindowStart).count());
+  UpdateRates(seconds);
   const double target =
     std::max(Seconds(mSettings.mTargetDelay).count(),
              mSettings.mTargetShare * Seconds(aInput.mServiceTime).count());
@@ -184,7 +187,10 @@
       const double growth =
         mSettings.mFallGrowth *
         std::exp2(static_cast<double>(std::min(mCalmWindows, kMostDoublings)));
-      ++mCalmWindows;
+      // More and more is let in only while capacity is unused: the arrivals
+      // expected below the level may be long gone.
+      const bool unused = mAdmitted / seconds < kUsed * capacity;
+      mCalmWindows = unused ? mCalmWindows + 1 : 0;
       Fall((1 + growth) * std::max(mCorrection * capacity, admitted));
     }
   }
