--- a/src/nutmegrock/limits/AdmissionLevel.cpp
+++ b/src/nutmegrock/limits/AdmissionLevel.cpp
@@ -13,6 +13,8 @@
 /// remembered for longer, since callers that know the level do not send them.
 constexpr double kArrivalTime = 0.6;
 constexpr double kHiddenTime = 10;
+/// Arrivals above this multiple of the usual rate are a surge.
+constexpr double kSurge = 1.5;
 /// Cost of lowering the level by one cohort without known arrivals, as a share
 /// of the admitted work. Bounds the step into work whose amount is not known.
 constexpr double kUnknownCohort = 0.005;
@@ -25,7 +27,7 @@
 /// Share of the capacity from which on it counts as used.
 constexpr double kUsed = 0.9;
 /// Further doublings of the growth do not change the time of a fall.
-constexpr std::uint32_t kMostDoublings = 6;
+constexpr std::uint32_t kMostDoublings = 8;
 
 std::size_t
 PositionOf(core::Importance aImportance, core::Cohort aCohort)
@@ -78,7 +80,8 @@
                        core::Cohort aCohort)
 {
   if (!mWindowOpen) {
-    StartWindow(aNow);
+    mWindowStart = aNow;
+    mWindowOpen = true;
   }
   const std::size_t position = PositionOf(aImportance, aCohort);
   ++mArrivals.at(position);
@@ -118,7 +121,7 @@
 AdmissionLevel::StartWindow(core::TimePoint aNow)
 {
   mWindowStart = aNow;
-  mWindowOpen = true;
+  mWindowOpen = mPosition > 0;
   mArrivals.fill(0);
   mArrived = 0;
   mAdmitted = 0;
@@ -136,6 +139,15 @@
     const bool hidden = i < mPosition && now < rate;
     rate = Blend(rate, now, aSeconds, hidden ? kHiddenTime : kArrivalTime);
   }
+  // The averages follow a surge too slowly to raise the level for it.
+  const double arriving = mArrived / aSeconds;
+  const double usual = RateFrom(0);
+  if (mArrived >= mSettings.mWindowCalls && usual > 0 &&
+      arriving > kSurge * usual) {
+    for (double& rate : mRates) {
+      rate *= arriving / usual;
+    }
+  }
 }
 
 double
@@ -196,7 +208,6 @@
   }
   mLastWaiting = aInput.mWaiting;
   StartWindow(aNow);
-  mWindowOpen = mPosition > 0 || mArrived > 0;
 }
 
 void
--- a/src/nutmegrock/limits/AdmissionLevel.h
+++ b/src/nutmegrock/limits/AdmissionLevel.h
@@ -31,7 +31,7 @@
   double mMostMargin = 0.3;
   /// Admitted work above the capacity in the first calm window; doubles with
   /// each further one.
-  double mFallGrowth = 0.04;
+  double mFallGrowth = 0.06;
 
   bool operator==(const AdmissionLevelSettings&) const = default;
 };
