--- a/src/nutmegrock/retry/RetryPolicy.cpp
+++ b/src/nutmegrock/retry/RetryPolicy.cpp
@@ -71,6 +71,10 @@
   if (aError.mRetryDecided) {
     return Stop(RetryReason::DecidedBelow);
   }
+  // A key has to come from the caller.
+  if (aError.mKind == ErrorKind::KeyRequired) {
+    return Stop(RetryReason::NoUse);
+  }
   const core::RetryAdvice advice = core::RowOf(aError.mKind).mAdvice;
   if (advice == core::RetryAdvice::No ||
       aError.mRun == core::RunCertainty::Ran) {
--- /dev/null
+++ b/tests/retry/RetryBudgetTest.cpp
@@ -0,0 +1,87 @@
+#include "retry/RetryBudget.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace nutmegrock::retry;
+
+namespace {
+
+/// Runs one call with aGiven at aDepth and random nested calls in parallel.
+/// Counts what the whole tree spends, and returns what it hands back.
+std::uint32_t
+RunCall(std::uint32_t aGiven, int aDepth, std::uint32_t& aSpent)
+{
+  RetryBudget budget(aGiven);
+  std::vector<std::pair<RetryGrant, std::uint32_t>> answers;
+  const auto steps = *rc::gen::inRange(0, 8);
+  for (int step = 0; step < steps; ++step) {
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        aSpent += budget.Spend() ? 1 : 0;
+        break;
+      case 1: {
+        const RetryGrant grant = budget.Grant();
+        const std::uint32_t back =
+          aDepth > 0 ? RunCall(grant.mAmount, aDepth - 1, aSpent) : 0;
+        answers.emplace_back(grant, back);
+        break;
+      }
+      case 2:
+        // An answer, possibly out of order, possibly repeated.
+        if (!answers.empty()) {
+          const auto& [grant, back] = *rc::gen::elementOf(answers);
+          budget.Return(grant.mId, back);
+        }
+        break;
+      default:
+        // A faulty peer claims more than it was given.
+        if (!answers.empty()) {
+          budget.Return(answers.back().first.mId + 100, 1000);
+        }
+        break;
+    }
+  }
+  return budget.Close();
+}
+
+} // namespace
+
+TEST_SUITE("retry/RetryBudget")
+{
+  // Retries of a customer request multiply per hop without it (invariant I1).
+  TEST_CASE("a whole tree of calls never spends more than the entry's budget")
+  {
+    CHECK(rc::check([] {
+      const auto given = *rc::gen::inRange<std::uint32_t>(0, 20);
+      std::uint32_t spent = 0;
+      const std::uint32_t back = RunCall(given, 4, spent);
+      RC_ASSERT(spent + back <= given);
+    }));
+  }
+
+  TEST_CASE("grants half of what is left, rounded up")
+  {
+    RetryBudget budget(5);
+    CHECK(budget.Grant().mAmount == 3);
+    CHECK(budget.Grant().mAmount == 1);
+    CHECK(budget.Grant().mAmount == 1);
+    CHECK(budget.Grant().mAmount == 0);
+    CHECK_FALSE(budget.Spend());
+  }
+
+  TEST_CASE("takes back at most the grant, once, and nothing after the end")
+  {
+    RetryBudget budget(4);
+    const RetryGrant one = budget.Grant();
+    const RetryGrant two = budget.Grant();
+    budget.Return(one.mId, 1000);
+    CHECK(budget.Left() == 3);
+    budget.Return(one.mId, 2);
+    CHECK(budget.Left() == 3);
+    CHECK(budget.Close() == 3);
+    budget.Return(two.mId, 1);
+    CHECK(budget.Left() == 0);
+    CHECK(budget.Close() == 0);
+  }
+}
