--- a/src/nutmegrock/limits/Admission.cpp
+++ b/src/nutmegrock/limits/Admission.cpp
@@ -14,8 +14,8 @@
 /// to fall, and a longer pause would outlast the overload.
 constexpr std::chrono::milliseconds kShortestPause{ 100 };
 constexpr std::chrono::milliseconds kLongestPause{ 1000 };
-/// Time between ticks while the level waits for the end of a measurement.
-constexpr std::chrono::milliseconds kProbingTick{ 10 };
+/// Time after a measurement of the limit in which its queue drains.
+constexpr std::chrono::milliseconds kAfterProbe{ 50 };
 
 } // namespace
 
@@ -100,7 +100,7 @@
     // The backend server may have ended early on the cancellation.
     outcome.mKind = CallEnd::Cancelled;
   }
-  mLimit.OnFinish(aNow, running.mInFlight, outcome);
+  mLimit.OnFinish(aNow, running.mInFlight, running.mSample, outcome);
   mServiceTimes.at(static_cast<std::size_t>(running.mImportance))
     .Add(aNow, outcome);
   if (outcome.mKind == CallEnd::Shed) {
@@ -141,8 +141,8 @@
 Admission::NextTick(core::TimePoint aNow) const
 {
   core::TimePoint adapt = mLevel.NextAdapt();
-  if (mLimit.IsProbing() && adapt != core::TimePoint::max()) {
-    adapt = std::max(adapt, aNow + kProbingTick);
+  if (adapt != core::TimePoint::max()) {
+    adapt = std::max(adapt, mAdaptFrom);
   }
   return std::min(mQueue.NextExpiry(ServiceTimesAt(aNow)), adapt);
 }
@@ -168,8 +168,13 @@
                  const Ticket& aTicket,
                  AdmissionResult& aResult)
 {
+  const std::uint32_t inFlight = InFlight() + 1;
   mRunning.emplace(aTicket.mId,
-                   Running{ aNow, InFlight() + 1, aTicket.mImportance, false });
+                   Running{ aNow,
+                            inFlight,
+                            mLimit.OnStart(aNow, inFlight),
+                            aTicket.mImportance,
+                            false });
   aResult.mStart.push_back(aTicket.mId);
 }
 
@@ -209,7 +214,10 @@
 Admission::Adapt(core::TimePoint aNow)
 {
   if (mLimit.IsProbing()) {
-    // The delay of a measurement at half the limit is no overload.
+    // The queue that a measurement below the limit leaves is no overload.
+    mAdaptFrom = aNow + kAfterProbe;
+  }
+  if (aNow < mAdaptFrom) {
     return;
   }
   LevelInput input;
