--- a/src/nutmegrock/admin/AdminServer.h
+++ b/src/nutmegrock/admin/AdminServer.h
@@ -23,7 +23,7 @@
 
   struct Settings
   {
-    core::Address mListen;
+    core::Address mListen{};
     /// Longest request body, in bytes.
     std::size_t mMaxBody = std::size_t{ 2 } * 1024 * 1024;
     std::size_t mWorkers = 2;
--- a/src/nutmegrock/cli/CommandLine.cpp
+++ b/src/nutmegrock/cli/CommandLine.cpp
@@ -19,12 +19,10 @@
 }
 
 const CommandLine::PositionalArg&
-CommandLine::Positional(const std::string& aName,
-                        const std::string& aSummary,
-                        bool aRequired)
+CommandLine::Positional(const std::string& aName, const std::string& aSummary)
 {
   auto argument =
-    std::make_unique<PositionalArg>(aName, aSummary, aRequired, "", aName);
+    std::make_unique<PositionalArg>(aName, aSummary, true, "", aName);
   const PositionalArg& added = *argument;
   mCommand.add(*argument);
   mArguments.push_back(std::move(argument));
--- a/src/nutmegrock/cli/CommandLine.h
+++ b/src/nutmegrock/cli/CommandLine.h
@@ -29,8 +29,7 @@
 
   /// Adds an argument; it lives as long as this object.
   const PositionalArg& Positional(const std::string& aName,
-                                  const std::string& aSummary,
-                                  bool aRequired = true);
+                                  const std::string& aSummary);
   const ValueArg& Value(const std::string& aFlag,
                         const std::string& aType,
                         const std::string& aSummary,
--- a/src/nutmegrock/cli/ProfileCommand.cpp
+++ b/src/nutmegrock/cli/ProfileCommand.cpp
@@ -310,7 +310,7 @@
                    aOutput.mOut,
                    aOutput.mErr);
   const auto& version =
-    line.Positional("VERSION", "Version; by default the current one.", false);
+    line.Value("at", "VERSION", "Version; by default the current one.", false);
   const auto& admin = line.Admin();
   const auto& inForce =
     line.Switch("in-force", "Print the profiles in force on the node instead.");
--- a/src/nutmegrock/profiles/ProfileSync.cpp
+++ b/src/nutmegrock/profiles/ProfileSync.cpp
@@ -129,7 +129,9 @@
     if (now != succeeded) {
       succeeded = now;
       if (now) {
-        spdlog::info("the store can be read again");
+        spdlog::info("the profiles can be read from the store again");
+      } else {
+        spdlog::warn("the profiles cannot be read from the store");
       }
     }
     schedule.OnRead(now);
@@ -168,9 +170,12 @@
   auto published = record ? PublishedSet::Of(std::move(*record))
                           : tl::make_unexpected(record.error());
   if (!published) {
-    spdlog::warn("profiles version {} of the store cannot be used: {}",
-                 row.mRecord.mVersion,
-                 published.error().mMessage);
+    if (mUnusable != row.mRecord.mVersion) {
+      mUnusable = row.mRecord.mVersion;
+      spdlog::warn("profiles version {} of the store cannot be used: {}",
+                   mUnusable,
+                   published.error().mMessage);
+    }
     return false;
   }
   Adopt(std::move(*published));
@@ -196,9 +201,10 @@
     if (published) {
       Adopt(std::move(*published));
     } else {
-      spdlog::warn("profiles pulled from {} cannot be used: {}",
-                   pulled.mFrom.Text(),
-                   published.error().mMessage);
+      // Counted; a line for each would repeat while the member stays broken.
+      spdlog::debug("profiles pulled from {} cannot be used: {}",
+                    pulled.mFrom.Text(),
+                    published.error().mMessage);
     }
     lock.lock();
     mShared->mCounts.mPullFailures += published ? 0 : 1;
--- a/src/nutmegrock/profiles/ProfileSync.h
+++ b/src/nutmegrock/profiles/ProfileSync.h
@@ -100,6 +100,9 @@
   Settings mSettings;
   /// Outlives this object in callbacks of pulls that answer late.
   std::shared_ptr<Shared> mShared;
+  /// Version of the store last found unusable, so that it is logged once. Used
+  /// by the polling thread only.
+  std::uint64_t mUnusable = 0;
   std::thread mPollThread;
   std::thread mWorkThread;
 };
--- a/standins/standin_platform/PlatformServer.h
+++ b/standins/standin_platform/PlatformServer.h
@@ -55,23 +55,27 @@
 
   void Handle(const Request& aRequest)
   {
-    aRequest.content_ready().then([this](const pplx::task<Request>& aTask) {
-      try {
-        Serve(aTask.get());
-      } catch (const std::exception&) {
-        // The caller closed the connection or sent an unreadable request.
-        return;
-      }
-    });
+    // The body is awaited by continuations: waiting on the threads of the pool
+    // would hold those which the body needs.
+    aRequest.extract_vector().then(
+      [this, aRequest](const pplx::task<std::vector<unsigned char>>& aTask) {
+        try {
+          const auto bytes = aTask.get();
+          Serve(aRequest, std::string(bytes.begin(), bytes.end()));
+        } catch (const std::exception&) {
+          // The caller closed the connection or sent an unreadable request.
+          return;
+        }
+      });
   }
 
-  void Serve(const Request& aRequest)
+  void Serve(const Request& aRequest, const std::string& aBody)
   {
     const std::vector<std::string> path =
       web::uri::split_path(aRequest.absolute_uri().path());
     const std::string first = path.empty() ? "" : path.front();
     if (first == "faults" || first == "counts") {
-      return Reply(aRequest, Control(aRequest, first), {});
+      return Reply(aRequest, Control(first, aBody), {});
     }
     const PlatformFaults faults = mState.Faults();
     if (faults.mDown) {
@@ -79,7 +83,7 @@
     }
     Response response(Status::NotFound);
     try {
-      response = Store(aRequest, path);
+      response = Store(aRequest, path, aBody);
     } catch (const std::exception& exception) {
       response = Response(Status::BadRequest);
       response.set_body(std::string(exception.what()));
@@ -91,7 +95,9 @@
     Reply(aRequest, response, faults.mDelay);
   }
 
-  Response Store(const Request& aRequest, const std::vector<std::string>& aPath)
+  Response Store(const Request& aRequest,
+                 const std::vector<std::string>& aPath,
+                 const std::string& aBody)
   {
     if (aPath.size() == 1 && aPath[0] == "table") {
       return Scan(aRequest);
@@ -101,13 +107,15 @@
     }
     const std::string name = web::uri::decode(aPath[1]);
     if (aPath[0] == "table") {
-      return Table(aRequest, name);
+      return Table(aRequest, name, aBody);
     }
-    return aPath[0] == "object" ? Object(aRequest, name)
+    return aPath[0] == "object" ? Object(aRequest, name, aBody)
                                 : Response(Status::NotFound);
   }
 
-  Response Table(const Request& aRequest, const std::string& aKey)
+  Response Table(const Request& aRequest,
+                 const std::string& aKey,
+                 const std::string& aBody)
   {
     if (aRequest.method() == web::http::methods::GET) {
       const auto row = mState.ReadRow(aKey);
@@ -119,7 +127,7 @@
       if (!expected) {
         return Response(Status::BadRequest);
       }
-      const auto result = mState.WriteRow(aKey, BodyOf(aRequest), *expected);
+      const auto result = mState.WriteRow(aKey, aBody, *expected);
       return result.mWritten ? WithVersion(result.mVersion, "")
                              : Response(Status::PreconditionFailed);
     }
@@ -130,7 +138,9 @@
     return Response(Status::MethodNotAllowed);
   }
 
-  Response Object(const Request& aRequest, const std::string& aName)
+  Response Object(const Request& aRequest,
+                  const std::string& aName,
+                  const std::string& aBody)
   {
     if (aRequest.method() == web::http::methods::GET) {
       const auto object = mState.ReadObject(aName);
@@ -139,7 +149,7 @@
       return response;
     }
     if (aRequest.method() == web::http::methods::PUT) {
-      mState.WriteObject(aName, BodyOf(aRequest));
+      mState.WriteObject(aName, aBody);
       return Response(Status::OK);
     }
     return Response(Status::MethodNotAllowed);
@@ -164,7 +174,7 @@
     return response;
   }
 
-  Response Control(const Request& aRequest, const std::string& aName)
+  Response Control(const std::string& aName, const std::string& aBody)
   {
     Response response(Status::OK);
     if (aName == "counts") {
@@ -176,7 +186,7 @@
       return response;
     }
     try {
-      SetFaults(Value::parse(BodyOf(aRequest)));
+      SetFaults(Value::parse(aBody));
     } catch (const std::exception& exception) {
       response.set_status_code(Status::BadRequest);
       response.set_body(std::string(exception.what()));
@@ -232,12 +242,6 @@
     return version;
   }
 
-  static std::string BodyOf(const Request& aRequest)
-  {
-    const auto bytes = aRequest.extract_vector().get();
-    return { bytes.begin(), bytes.end() };
-  }
-
   static Response WithVersion(std::uint64_t aVersion, const std::string& aBody)
   {
     Response response(Status::OK);
--- /dev/null
+++ b/tests/profiles/DisseminationTest.cpp
@@ -0,0 +1,202 @@
+#include "profiles/PollSchedule.h"
+#include "profiles/ProfileExchange.h"
+#include "profiles/ProfileHolder.h"
+#include "tests/profiles/Documents.h"
+
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace nutmegrock;
+using namespace nutmegrock::profiles;
+using namespace nutmegrock::tests;
+using namespace std::chrono_literals;
+using core::ErrorKind;
+
+TEST_SUITE("profiles/ProfileHolder")
+{
+  TEST_CASE("only a higher version is adopted")
+  {
+    struct Case
+    {
+      std::uint64_t mOffered;
+      bool mAdopted;
+    };
+    ProfileHolder holder;
+    std::vector<std::uint64_t> seen;
+    holder.OnChange([&seen](const ProfileHolder::Snapshot& aSnapshot) {
+      seen.push_back(aSnapshot->mVersion);
+    });
+    CHECK(holder.Current() == nullptr);
+    CHECK(holder.Record() == nullptr);
+    CHECK(holder.Version() == 0);
+    for (const Case& entry : std::vector<Case>{ { 3, true },
+                                                { 2, false },
+                                                { 3, false },
+                                                { 7, true },
+                                                { 6, false } }) {
+      const auto before = holder.Current();
+      CHECK(holder.Adopt(PublishedOf(entry.mOffered)) == entry.mAdopted);
+      CHECK((holder.Current() == before) != entry.mAdopted);
+    }
+    CHECK(holder.Version() == 7);
+    CHECK(*holder.Current() == PublishedOf(7).mSet);
+    CHECK(*holder.Record() == PublishedOf(7).mRecord);
+    CHECK(seen == std::vector<std::uint64_t>{ 3, 7 });
+  }
+
+  // Guards against a revert, and against hooks out of order, when the poll and
+  // several pulls adopt at the same time.
+  TEST_CASE("the version never falls while several threads adopt")
+  {
+    ProfileHolder holder;
+    std::vector<std::uint64_t> seen;
+    holder.OnChange([&seen](const ProfileHolder::Snapshot& aSnapshot) {
+      seen.push_back(aSnapshot->mVersion);
+    });
+    std::atomic<bool> done = false;
+    std::atomic<bool> fell = false;
+    std::jthread reader([&] {
+      std::uint64_t last = 0;
+      while (!done) {
+        const auto snapshot = holder.Current();
+        const std::uint64_t version = snapshot ? snapshot->mVersion : 0;
+        fell = fell || version < last;
+        last = version;
+      }
+    });
+    {
+      std::vector<std::jthread> writers;
+      for (std::uint64_t writer = 0; writer < 3; ++writer) {
+        writers.emplace_back([&holder, writer] {
+          for (std::uint64_t i = 1; i < 50; ++i) {
+            holder.Adopt(PublishedOf(i * 3 + writer));
+          }
+        });
+      }
+    }
+    done = true;
+    reader.join();
+    CHECK(!fell);
+    CHECK(holder.Version() == 149);
+    CHECK(std::is_sorted(seen.begin(), seen.end()));
+  }
+}
+
+TEST_SUITE("profiles/PollSchedule")
+{
+  // Guards against exceeding the share of the store's reads that the mesh may
+  // use, and against polling slower than the publication target allows.
+  TEST_CASE("the interval follows the number of members and the store")
+  {
+    struct Case
+    {
+      std::size_t mMembers;
+      int mFailures;
+      core::Duration mMean;
+    };
+    const std::vector<Case> cases = {
+      { 0, 0, 1s },   { 1, 0, 1s },     { 50, 0, 1s },
+      { 200, 0, 4s }, { 3800, 0, 76s }, { 1, 1, 2s },
+      { 1, 2, 4s },   { 1, 9, 4s },     { 3800, 9, 304s },
+    };
+    for (const Case& entry : cases) {
+      PollSchedule schedule{ PollSchedule::Settings() };
+      for (int i = 0; i < entry.mFailures; ++i) {
+        schedule.OnRead(false);
+      }
+      CHECK(schedule.MeanInterval(entry.mMembers) == entry.mMean);
+      const core::TimePoint now{ 100s };
+      CHECK(schedule.Next(now, entry.mMembers, 0.0) == now + entry.mMean / 2);
+      CHECK(schedule.Next(now, entry.mMembers, 0.5) == now + entry.mMean);
+      // One success ends the back-off.
+      schedule.OnRead(true);
+      CHECK(schedule.MeanInterval(1) == 1s);
+    }
+  }
+}
+
+TEST_SUITE("profiles/ProfileExchange")
+{
+  const core::Address kA{ "127.0.0.1", 1 };
+  const core::Address kB{ "127.0.0.1", 2 };
+  const core::Address kC{ "127.0.0.1", 3 };
+
+  TEST_CASE("when to pull")
+  {
+    /// What happens, in order, with 5 in force.
+    struct Step
+    {
+      core::Duration mAt;
+      core::Address mFrom;
+      /// Version the member shows, or nothing: its pull ends.
+      std::optional<std::uint64_t> mVersion;
+      /// Whether a pull starts, or whether the ended one was usable.
+      bool mExpected;
+    };
+    struct Case
+    {
+      const char* mName;
+      std::vector<Step> mSteps;
+    };
+    const std::vector<Case> cases = {
+      { "older and equal versions",
+        { { 0s, kA, 4, false }, { 0s, kA, 5, false } } },
+      { "higher version", { { 0s, kA, 6, true } } },
+      { "the same version is under way",
+        { { 0s, kA, 6, true }, { 1s, kB, 6, false } } },
+      { "a higher version than the one under way",
+        { { 0s, kA, 6, true }, { 1s, kB, 7, true } } },
+      { "too many under way",
+        { { 0s, kA, 6, true }, { 0s, kB, 7, true }, { 0s, kC, 8, false } } },
+      { "an answer never comes",
+        { { 0s, kA, 6, true },
+          { 1999ms, kB, 6, false },
+          { 2s, kB, 6, true } } },
+      { "a failed pull lets another member be asked at once",
+        { { 0s, kA, 6, true }, { 1s, kA, {}, false }, { 1s, kB, 6, true } } },
+      { "a member that failed is left alone for a while",
+        { { 0s, kA, 6, true },
+          { 1s, kA, {}, false },
+          { 10s, kA, 6, false },
+          { 11s, kA, 6, true } } },
+      { "a usable pull lets the member be asked again",
+        { { 0s, kA, 6, true }, { 1s, kA, {}, true }, { 1s, kA, 7, true } } },
+    };
+    for (const Case& entry : cases) {
+      CAPTURE(entry.mName);
+      ProfileExchange exchange{ ProfileExchange::Settings() };
+      for (const Step& step : entry.mSteps) {
+        const core::TimePoint now{ step.mAt };
+        if (step.mVersion) {
+          CHECK(exchange.OnVersionSeen(step.mFrom, *step.mVersion, 5, now) ==
+                step.mExpected);
+        } else {
+          exchange.OnPulled(step.mFrom, step.mExpected, now);
+        }
+      }
+    }
+  }
+
+  TEST_CASE("a set is answered, checked and adopted by another node")
+  {
+    ProfileHolder from;
+    CHECK(ProfileExchange::Answer(from).error().mKind == ErrorKind::NoProfiles);
+    from.Adopt(PublishedOf(6));
+    const auto pulled = ProfileExchange::Check(ProfileExchange::Answer(from));
+    REQUIRE(pulled);
+    CHECK(*pulled == PublishedOf(6));
+  }
+
+  TEST_CASE("a failed pull or a broken set is not adopted")
+  {
+    ProfileRecord broken = PublishedOf(6).mRecord;
+    broken.mDocument = "profiles: {}\nservices: {}\n";
+    CHECK(ProfileExchange::Check(broken.Encode()).error().mKind ==
+          ErrorKind::InvalidProfiles);
+    CHECK(ProfileExchange::Check(std::string("x")).error().mKind ==
+          ErrorKind::InvalidProfiles);
+    CHECK(ProfileExchange::Check(core::Fail(ErrorKind::PeerLost, "x"))
+            .error()
+            .mKind == ErrorKind::PeerLost);
+  }
+}
