Send waiting answers before the administration API closes

Closing the cpprestsdk listener cut off answers that were not yet sent: the test of shutdown saw "Failed to read HTTP status line" for an accepted request. The server now finishes the requests it has accepted, waits up to 2 s for their answers to be sent and then closes.

--- a/src/nutmegrock/admin/AdminServer.cpp
+++ b/src/nutmegrock/admin/AdminServer.cpp
@@ -22,6 +22,8 @@
 
 /// Time for a client to send its body.
 constexpr std::chrono::seconds kReceiveTimeout{ 30 };
+/// Time for clients to take their answers when the server closes.
+constexpr std::chrono::seconds kSendTimeout{ 2 };
 
 std::string
 LowerCase(std::string aText)
@@ -52,36 +54,21 @@
   return request;
 }
 
-void
-Reply(const http_request& aRequest, const AdminAnswer& aAnswer, bool aClose)
+http_response
+ResponseOf(const AdminAnswer& aAnswer)
 {
   http_response response(static_cast<web::http::status_code>(aAnswer.mStatus));
   for (const auto& [name, value] : aAnswer.mHeaders) {
     response.headers().add(name, value);
   }
-  if (aClose) {
-    response.headers().add("Connection", "close");
-  }
   response.set_body(aAnswer.mBody, aAnswer.mContentType);
-  aRequest.reply(response).then([](const pplx::task<void>& aTask) {
-    try {
-      aTask.get();
-    } catch (const std::exception&) {
-      // The client no longer waits.
-      return;
-    }
-  });
+  return response;
 }
 
-void
-ReplyError(const http_request& aRequest,
-           core::ErrorKind aKind,
-           std::string aMessage,
-           bool aClose)
+AdminAnswer
+ErrorAnswer(core::ErrorKind aKind, std::string aMessage)
 {
-  Reply(aRequest,
-        AdminAnswer::Error(core::MakeError(aKind, std::move(aMessage))),
-        aClose);
+  return AdminAnswer::Error(core::MakeError(aKind, std::move(aMessage)));
 }
 
 } // namespace
@@ -115,13 +102,6 @@
 
   void Close()
   {
-    // Workers go on while the listener closes, so that requests received are
-    // answered.
-    try {
-      mListener.close().wait();
-    } catch (const std::exception& exception) {
-      spdlog::warn("closing the administration API: {}", exception.what());
-    }
     {
       const std::scoped_lock lock(mMutex);
       mStopped = true;
@@ -130,6 +110,16 @@
     for (std::thread& worker : mWorkers) {
       worker.join();
     }
+    // Closing the listener cuts off answers that are not yet sent.
+    {
+      std::unique_lock lock(mMutex);
+      mChanged.wait_for(lock, kSendTimeout, [this] { return mReplies == 0; });
+    }
+    try {
+      mListener.close().wait();
+    } catch (const std::exception& exception) {
+      spdlog::warn("closing the administration API: {}", exception.what());
+    }
   }
 
 private:
@@ -140,17 +130,17 @@
     // so that the rest is not read.
     const auto& headers = aRequest.headers();
     if (headers.has("Transfer-Encoding")) {
-      return ReplyError(aRequest,
-                        core::ErrorKind::BadRequest,
-                        "a body needs a Content-Length",
-                        true);
+      return Reply(aRequest,
+                   ErrorAnswer(core::ErrorKind::BadRequest,
+                               "a body needs a Content-Length"),
+                   true);
     }
     if (headers.content_length() > mSettings.mMaxBody) {
-      return ReplyError(
-        aRequest,
-        core::ErrorKind::BodyTooLarge,
-        fmt::format("the body is longer than {} bytes", mSettings.mMaxBody),
-        true);
+      return Reply(aRequest,
+                   ErrorAnswer(core::ErrorKind::BodyTooLarge,
+                               fmt::format("the body is longer than {} bytes",
+                                           mSettings.mMaxBody)),
+                   true);
     }
     aRequest.content_ready().then(
       [weak = weak_from_this()](const pplx::task<http_request>& aTask) {
@@ -166,18 +156,22 @@
 
   void Enqueue(const http_request& aRequest)
   {
+    bool stopped = false;
     {
       const std::scoped_lock lock(mMutex);
-      if (!mStopped && mWaiting.size() < mSettings.mMaxWaiting) {
+      stopped = mStopped;
+      if (!stopped && mWaiting.size() < mSettings.mMaxWaiting) {
         mWaiting.push_back(aRequest);
         mChanged.notify_one();
         return;
       }
     }
-    ReplyError(aRequest,
-               core::ErrorKind::QueueFull,
-               "too many administration requests are waiting",
-               false);
+    Reply(aRequest,
+          stopped ? ErrorAnswer(core::ErrorKind::Draining,
+                                "the administration API is closing")
+                  : ErrorAnswer(core::ErrorKind::QueueFull,
+                                "too many administration requests are waiting"),
+          false);
   }
 
   void Work()
@@ -196,14 +190,40 @@
     }
   }
 
-  void Serve(const http_request& aRequest) const
+  void Serve(const http_request& aRequest)
   {
+    AdminAnswer answer;
     try {
-      Reply(aRequest, mRoutes.Serve(RequestOf(aRequest)), false);
+      answer = mRoutes.Serve(RequestOf(aRequest));
     } catch (const std::exception& exception) {
-      ReplyError(
-        aRequest, core::ErrorKind::BadRequest, exception.what(), false);
+      answer = ErrorAnswer(core::ErrorKind::BadRequest, exception.what());
     }
+    Reply(aRequest, answer, false);
+  }
+
+  void Reply(const http_request& aRequest,
+             const AdminAnswer& aAnswer,
+             bool aClose)
+  {
+    http_response response = ResponseOf(aAnswer);
+    if (aClose) {
+      response.headers().add("Connection", "close");
+    }
+    {
+      const std::scoped_lock lock(mMutex);
+      ++mReplies;
+    }
+    aRequest.reply(response).then(
+      [self = shared_from_this()](const pplx::task<void>& aTask) {
+        try {
+          aTask.get();
+        } catch (const std::exception& exception) {
+          spdlog::debug("administration answer: {}", exception.what());
+        }
+        const std::scoped_lock lock(self->mMutex);
+        --self->mReplies;
+        self->mChanged.notify_all();
+      });
   }
 
   Settings mSettings;
@@ -213,6 +233,8 @@
   std::condition_variable mChanged;
   bool mStopped = false;
   std::deque<http_request> mWaiting;
+  /// Answers given to cpprestsdk and not yet sent.
+  std::size_t mReplies = 0;
   std::vector<std::thread> mWorkers;
 };
 
