Cover the whole profile record by its digest and split the command

The digest covered the document only, so a version damaged to a high number on the way from a peer would have been adopted and kept later publications out. The test that flips each byte of a record guards against it.

--- a/src/nutmegrock/admin/AdminServer.cpp
+++ b/src/nutmegrock/admin/AdminServer.cpp
@@ -182,7 +182,7 @@
       if (mWaiting.empty()) {
         return;
       }
-      const http_request request = std::move(mWaiting.front());
+      const http_request request = mWaiting.front();
       mWaiting.pop_front();
       lock.unlock();
       Serve(request);
--- a/src/nutmegrock/cli/ProfileCommand.cpp
+++ b/src/nutmegrock/cli/ProfileCommand.cpp
@@ -1,16 +1,11 @@
 #include "cli/ProfileCommand.h"
 
-#include "admin/ProfileJson.h"
-#include "cli/AdminClient.h"
 #include "cli/CommandLine.h"
+#include "cli/CommandOutput.h"
+#include "cli/PublishCommand.h"
 #include "profiles/ProfileDocument.h"
 
 #include <array>
-#include <cstdlib>
-#include <fstream>
-#include <iterator>
-#include <optional>
-#include <random>
 #include <spdlog/fmt/fmt.h>
 #include <utility>
 
@@ -21,117 +16,8 @@
 using web::json::value;
 using Arguments = std::vector<std::string>;
 
-/// Where a subcommand writes and how.
-struct Output
-{
-  std::ostream& mOut;
-  std::ostream& mErr;
-  bool mJson = false;
-
-  ExitCode Fail(ExitCode aCode, const std::string& aMessage) const
-  {
-    mErr << "nutmegrock profile: " << aMessage << "\n";
-    return aCode;
-  }
-};
-
-std::optional<std::string>
-ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath, std::ios::binary);
-  std::string text((std::istreambuf_iterator<char>(file)), {});
-  return file.bad() || !file.is_open() ? std::nullopt
-                                       : std::optional(std::move(text));
-}
-
-std::string
-DefaultAuthor()
-{
-  const char* user = std::getenv("USER");
-  return user != nullptr && *user != '\0' ? user : "unknown";
-}
-
-std::string
-NewPublicationId()
-{
-  std::random_device random;
-  return fmt::format("{:08x}{:08x}", random(), random());
-}
-
-void
-PrintFaults(const std::vector<profiles::DocumentFault>& aFaults,
-            const std::string& aFile,
-            const Output& aOutput)
-{
-  if (aOutput.mJson) {
-    value body = value::object();
-    body["valid"] = value::boolean(aFaults.empty());
-    body["faults"] = admin::JsonOf(aFaults);
-    aOutput.mOut << body.serialize() << "\n";
-    return;
-  }
-  for (const profiles::DocumentFault& fault : aFaults) {
-    aOutput.mOut << aFile << ": " << fault.Text() << "\n";
-  }
-  if (aFaults.empty()) {
-    aOutput.mOut << aFile << ": no faults\n";
-  }
-}
-
-void
-PrintChanges(const value& aChanges, std::ostream& aOut)
-{
-  const auto text = [](const value& aValue) {
-    return aValue.is_string() ? std::optional(aValue.as_string())
-                              : std::nullopt;
-  };
-  for (const value& change : aChanges.as_array()) {
-    aOut << profiles::ProfileChange{ change.at("path").as_string(),
-                                     text(change.at("before")),
-                                     text(change.at("after")) }
-              .Text()
-         << "\n";
-  }
-  if (aChanges.size() == 0) {
-    aOut << "no difference\n";
-  }
-}
-
-/// Reports a refusal of the API.
-ExitCode
-Refused(const AdminClient::Answer& aAnswer, const Output& aOutput)
-{
-  const std::string kind = aAnswer.Text("error");
-  if (aOutput.mJson) {
-    aOutput.mOut << aAnswer.mBody.serialize() << "\n";
-  }
-  const bool unreachable = kind == "store_unavailable" || kind == "queue_full";
-  return aOutput.Fail(unreachable ? ExitCode::NotReachable : ExitCode::Refused,
-                      fmt::format("{}: {}", kind, aAnswer.Text("message")));
-}
-
-/// Sends a GET and gives the answer's body, or reports why there is none.
-tl::expected<value, ExitCode>
-Fetch(const core::Address& aAdmin,
-      const std::string& aPath,
-      const Output& aOutput)
-{
-  const auto client = AdminClient::Make(aAdmin);
-  const auto answer = client ? client->Send("GET", aPath)
-                             : core::Expected<AdminClient::Answer>(
-                                 tl::make_unexpected(client.error()));
-  if (!answer) {
-    return tl::make_unexpected(
-      aOutput.Fail(ExitCode::NotReachable, answer.error().mMessage));
-  }
-  if (!answer->IsSuccess()) {
-    return tl::make_unexpected(Refused(*answer, aOutput));
-  }
-  return answer->mBody;
-}
-
 ExitCode
-Check(const Arguments& aArguments, Output aOutput)
+Check(const Arguments& aArguments, CommandOutput aOutput)
 {
   CommandLine line("profile check",
                    "Lists the faults of a profile document. Needs no node.",
@@ -148,161 +34,12 @@
     return aOutput.Fail(ExitCode::WrongUsage, "cannot read " + file.getValue());
   }
   const auto checked = profiles::ProfileDocument::Check(*text);
-  PrintFaults(checked.mFaults, file.getValue(), aOutput);
+  aOutput.PrintFaults(checked.mFaults, file.getValue());
   return checked.mFaults.empty() ? ExitCode::Ok : ExitCode::Refused;
 }
 
-/// What `publish` was asked to do.
-struct PublishArguments
-{
-  core::Address mAdmin;
-  std::string mDocument;
-  std::uint64_t mExpected = 0;
-  std::string mAuthor;
-  std::string mPublication;
-  bool mYes = false;
-};
-
-/// The difference from the expected version to the document.
-tl::expected<value, ExitCode>
-ShowDifference(const AdminClient& aClient,
-               const PublishArguments& aArguments,
-               const Output& aOutput)
-{
-  const auto answer =
-    aClient.Send("POST",
-                 fmt::format("/profiles/diff?from={}", aArguments.mExpected),
-                 aArguments.mDocument);
-  if (!answer) {
-    return tl::make_unexpected(
-      aOutput.Fail(ExitCode::NotReachable, answer.error().mMessage));
-  }
-  if (!answer->IsSuccess()) {
-    return tl::make_unexpected(Refused(*answer, aOutput));
-  }
-  const value& changes = answer->mBody.at("changes");
-  if (!aOutput.mJson) {
-    PrintChanges(changes, aOutput.mOut);
-  }
-  return changes;
-}
-
-ExitCode
-Put(const AdminClient& aClient,
-    const PublishArguments& aArguments,
-    const value& aChanges,
-    const Output& aOutput)
-{
-  const auto answer = aClient.Send(
-    "PUT",
-    fmt::format("/profiles?author={}&publication={}",
-                platform::http::EncodeSegment(aArguments.mAuthor),
-                platform::http::EncodeSegment(aArguments.mPublication)),
-    aArguments.mDocument,
-    { { "If-Match", fmt::format("\"{}\"", aArguments.mExpected) } });
-  const std::string repeat = fmt::format(
-    "to repeat it safely, add --publication {}", aArguments.mPublication);
-  if (!answer) {
-    return aOutput.Fail(
-      ExitCode::NotReachable,
-      fmt::format("it is not known whether the publication was accepted: {}; "
-                  "{}",
-                  answer.error().mMessage,
-                  repeat));
-  }
-  if (!answer->IsSuccess()) {
-    const ExitCode code = Refused(*answer, aOutput);
-    if (code == ExitCode::NotReachable) {
-      aOutput.mErr << repeat << "\n";
-    }
-    return code;
-  }
-  if (aOutput.mJson) {
-    value body = value::object();
-    body["changes"] = aChanges;
-    body["published"] = answer->mBody;
-    aOutput.mOut << body.serialize() << "\n";
-  } else {
-    aOutput.mOut << "published as version "
-                 << answer->mBody.at("version").serialize() << "\n";
-  }
-  return ExitCode::Ok;
-}
-
-ExitCode
-RunPublish(const PublishArguments& aArguments, const Output& aOutput)
-{
-  const auto client = AdminClient::Make(aArguments.mAdmin);
-  if (!client) {
-    return aOutput.Fail(ExitCode::WrongUsage, client.error().mMessage);
-  }
-  const auto changes = ShowDifference(*client, aArguments, aOutput);
-  if (!changes) {
-    return changes.error();
-  }
-  if (!aArguments.mYes) {
-    if (aOutput.mJson) {
-      value body = value::object();
-      body["changes"] = *changes;
-      aOutput.mOut << body.serialize() << "\n";
-    }
-    return aOutput.Fail(ExitCode::Refused,
-                        "nothing was published; add --yes to publish");
-  }
-  return Put(*client, aArguments, *changes, aOutput);
-}
-
-ExitCode
-Publish(const Arguments& aArguments, Output aOutput)
-{
-  CommandLine line("profile publish",
-                   "Shows how a profile document differs from the expected "
-                   "version and, with --yes, publishes it as the next one.",
-                   aOutput.mOut,
-                   aOutput.mErr);
-  const auto& file = line.Positional("FILE", "Profile document in YAML.");
-  const auto& admin = line.Admin();
-  const auto& expect = line.Value(
-    "expect", "VERSION", "Version that is current; 0 for the first.", true);
-  const auto& author = line.Value(
-    "author", "NAME", "Who publishes; by default the user's name.", false);
-  const auto& publication =
-    line.Value("publication",
-               "ID",
-               "Id of an earlier try whose outcome is not known.",
-               false);
-  const auto& yes = line.Switch("yes", "Publish.");
-  const auto& json = line.Switch("json", "Print JSON.");
-  if (const auto code = line.Parse(aArguments)) {
-    return *code;
-  }
-  aOutput.mJson = json.getValue();
-  const auto address = line.AddressOf(admin);
-  const auto version = line.NumberOf(expect);
-  if (!address || !version) {
-    return ExitCode::WrongUsage;
-  }
-  const auto text = ReadFile(file.getValue());
-  if (!text) {
-    return aOutput.Fail(ExitCode::WrongUsage, "cannot read " + file.getValue());
-  }
-  const auto checked = profiles::ProfileDocument::Check(*text);
-  if (!checked.mFaults.empty()) {
-    PrintFaults(checked.mFaults, file.getValue(), aOutput);
-    return ExitCode::Refused;
-  }
-  return RunPublish(
-    { *address,
-      *text,
-      *version,
-      author.isSet() ? author.getValue() : DefaultAuthor(),
-      publication.isSet() ? publication.getValue() : NewPublicationId(),
-      yes.getValue() },
-    aOutput);
-}
-
 ExitCode
-Show(const Arguments& aArguments, Output aOutput)
+Show(const Arguments& aArguments, CommandOutput aOutput)
 {
   CommandLine line("profile show",
                    "Prints the current profile document of the store, or that "
@@ -345,7 +82,7 @@
 }
 
 ExitCode
-History(const Arguments& aArguments, Output aOutput)
+History(const Arguments& aArguments, CommandOutput aOutput)
 {
   CommandLine line("profile history",
                    "Lists published versions, latest first.",
@@ -388,7 +125,7 @@
 }
 
 ExitCode
-Difference(const Arguments& aArguments, Output aOutput)
+Difference(const Arguments& aArguments, CommandOutput aOutput)
 {
   CommandLine line("profile diff",
                    "Prints what differs between two versions.",
@@ -416,7 +153,7 @@
   if (aOutput.mJson) {
     aOutput.mOut << body->serialize() << "\n";
   } else {
-    PrintChanges(body->at("changes"), aOutput.mOut);
+    aOutput.PrintChanges(body->at("changes"));
   }
   return ExitCode::Ok;
 }
@@ -426,12 +163,12 @@
 {
   std::string_view mName;
   std::string_view mSummary;
-  ExitCode (*mRun)(const Arguments&, Output);
+  ExitCode (*mRun)(const Arguments&, CommandOutput);
 };
 
 constexpr std::array kSubcommands = {
   Subcommand{ "check", "list the faults of a profile document", Check },
-  Subcommand{ "publish", "publish a profile document", Publish },
+  Subcommand{ "publish", "publish a profile document", RunPublishCommand },
   Subcommand{ "show", "print a published profile document", Show },
   Subcommand{ "history", "list published versions", History },
   Subcommand{ "diff", "print what differs between two versions", Difference },
@@ -462,7 +199,7 @@
   }
   for (const Subcommand& subcommand : kSubcommands) {
     if (subcommand.mName == name) {
-      const Output output{ aOut, aErr };
+      const CommandOutput output{ aOut, aErr };
       try {
         return static_cast<int>(subcommand.mRun(
           { aArguments.begin() + 1, aArguments.end() }, output));
--- /dev/null
+++ b/src/nutmegrock/cli/PublishCommand.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "cli/CommandOutput.h"
+#include "cli/ExitCode.h"
+
+#include <string>
+#include <vector>
+
+namespace nutmegrock::cli {
+
+/// Runs `nutmegrock profile publish` with the arguments behind it.
+ExitCode
+RunPublishCommand(const std::vector<std::string>& aArguments,
+                  CommandOutput aOutput);
+
+} // namespace nutmegrock::cli
--- a/src/nutmegrock/profiles/ProfileRecord.cpp
+++ b/src/nutmegrock/profiles/ProfileRecord.cpp
@@ -16,6 +16,11 @@
 /// Between the header of a record and its document, which is kept byte for
 /// byte. The header cannot contain it, since its texts are quoted.
 constexpr std::string_view kSeparator = "\n---\n";
+/// First line of a record: the digest of everything after that line. It covers
+/// the version too, since a version damaged to a high number would keep later
+/// publications from being adopted.
+constexpr std::string_view kDigestKey = "digest: ";
+constexpr std::size_t kDigestLine = kDigestKey.size() + 16 + 1;
 /// Room for the header beside the longest document.
 constexpr std::size_t kMaxHeader = 64 * 1024;
 
@@ -83,9 +88,10 @@
   YAML::Emitter out;
   out << YAML::BeginMap << YAML::Key << "version" << YAML::Value << mVersion;
   EmitCommon(out, *this);
-  EmitText(out, "document_digest", DigestOf(mDocument));
   out << YAML::EndMap;
-  return std::string(out.c_str()) + std::string(kSeparator) + mDocument;
+  const std::string covered =
+    std::string(out.c_str()) + std::string(kSeparator) + mDocument;
+  return fmt::format("{}{}\n{}", kDigestKey, DigestOf(covered), covered);
 }
 
 core::Expected<ProfileRecord>
@@ -95,20 +101,24 @@
   if (aBytes.size() > ProfileDocument::kMaxBytes + kMaxHeader) {
     return Damaged(kWhat, "it is too long");
   }
-  const auto end = aBytes.find(kSeparator);
+  if (aBytes.size() < kDigestLine) {
+    return Damaged(kWhat, "it is too short");
+  }
+  const std::string_view covered = aBytes.substr(kDigestLine);
+  if (aBytes.substr(0, kDigestLine) !=
+      fmt::format("{}{}\n", kDigestKey, DigestOf(covered))) {
+    return Damaged(kWhat, "it does not match its digest");
+  }
+  const auto end = covered.find(kSeparator);
   if (end == std::string_view::npos || end > kMaxHeader) {
     return Damaged(kWhat, "it has no document");
   }
   try {
-    const YAML::Node header = YAML::Load(std::string(aBytes.substr(0, end)));
+    const YAML::Node header = YAML::Load(std::string(covered.substr(0, end)));
     ProfileRecord record;
     record.mVersion = header["version"].as<std::uint64_t>();
     ReadCommon(header, record);
-    record.mDocument = aBytes.substr(end + kSeparator.size());
-    if (header["document_digest"].as<std::string>() !=
-        DigestOf(record.mDocument)) {
-      return Damaged(kWhat, "the document does not match its digest");
-    }
+    record.mDocument = covered.substr(end + kSeparator.size());
     if (record.mVersion == 0 || record.mPrevious.mVersion >= record.mVersion ||
         record.mSkip.mVersion > record.mPrevious.mVersion) {
       return Damaged(kWhat, "its versions are out of order");
--- a/src/nutmegrock/profiles/ProfileRecord.h
+++ b/src/nutmegrock/profiles/ProfileRecord.h
@@ -44,8 +44,8 @@
 
   /// The bytes to store.
   std::string Encode() const;
-  /// Reads what Encode() wrote and checks the digest of the document. Fails
-  /// with InvalidProfiles.
+  /// Reads what Encode() wrote and checks its digest. Fails with
+  /// InvalidProfiles.
   static core::Expected<ProfileRecord> Decode(std::string_view aBytes);
 
   bool operator==(const ProfileRecord&) const = default;
--- a/tests/profiles/ProfileDocumentTest.cpp
+++ b/tests/profiles/ProfileDocumentTest.cpp
@@ -224,6 +224,13 @@
     zero.mVersion = 0;
     ProfileRecord loop = PublishedOf(3).mRecord;
     loop.mPrevious.mVersion = 3;
+    // Each byte counts: a version damaged to a high number would keep later
+    // publications from being adopted.
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+      std::string flipped = bytes;
+      flipped[i] = static_cast<char>(flipped[i] ^ 1);
+      CHECK(!PublishedSet::Read(flipped));
+    }
     for (const std::string& damaged : { std::string(),
                                         std::string("x"),
                                         bytes.substr(0, bytes.size() - 1),
