--- a/experiment/ClientOperation.cpp
+++ b/experiment/ClientOperation.cpp
@@ -44,23 +44,28 @@
   Exchange(mLoad.RandomEntry(),
            std::move(request),
            [self = shared_from_this()](const HttpResult& aResult) {
-             self->mKey = aResult.mError
-                            ? std::string()
-                            : std::string(aResult.mResponse["Nutmegrock-Key"]);
-             if (!self->mKey.empty()) {
-               self->mRecord.mHadKey = true;
-               self->mRecord.mSends = 0;
-               self->Send();
-             } else if (self->mRecord.mSends <= self->mBehaviour.mResends) {
-               self->RequestKey();
-             } else {
-               self->Classify(aResult);
-               self->mRecord.mReason = "key:" + self->mRecord.mReason;
-               self->Finish();
-             }
+             self->OnKey(aResult);
            });
 }
 
+void
+ClientOperation::OnKey(const HttpResult& aResult)
+{
+  if (!aResult.mError && aResult.mResponse.result_int() / 100 == 2) {
+    mKey = std::string(aResult.mResponse["Nutmegrock-Key"]);
+    // Without a key, the answer 428 to the request itself brings one.
+    mRecord.mHadKey = !mKey.empty();
+    mRecord.mSends = 0;
+    Send();
+  } else if (mRecord.mSends <= mBehaviour.mResends) {
+    RequestKey();
+  } else {
+    Classify(aResult);
+    mRecord.mReason = "key:" + mRecord.mReason;
+    Finish();
+  }
+}
+
 HttpRequest
 ClientOperation::MakeRequest() const
 {
@@ -198,6 +203,16 @@
 void
 ClientOperation::OnAnswer(const HttpResult& aResult)
 {
+  if (!aResult.mError && aResult.mResponse.result_int() == 428 &&
+      mKey.empty()) {
+    mKey = std::string(aResult.mResponse["Nutmegrock-Key"]);
+    if (!mKey.empty()) {
+      mRecord.mHadKey = true;
+      mRecord.mSends = 0;
+      Send();
+      return;
+    }
+  }
   Classify(aResult);
   if (mRecord.mOutcome != OutcomeKind::Completed &&
       mRecord.mSends <= mBehaviour.mResends) {
--- a/experiment/ClientOperation.h
+++ b/experiment/ClientOperation.h
@@ -29,6 +29,7 @@
 
 private:
   void RequestKey();
+  void OnKey(const HttpResult& aResult);
   void Send();
   void SendCopy();
   HttpRequest MakeRequest() const;
