--- a/src/nutmegrock/node/NodeParts.cpp
+++ b/src/nutmegrock/node/NodeParts.cpp
@@ -81,7 +81,7 @@
                            &Parts::OpenPeers,
                            &Parts::OpenMembership,
                            &Parts::OpenAdmin }) {
-    const auto opened = (this->*step)();
+    auto opened = (this->*step)();
     if (!opened) {
       return opened;
     }
@@ -179,14 +179,14 @@
   return true;
 }
 
-core::Expected<bool>
-NodeRuntime::Parts::OpenCalling()
+std::shared_ptr<const OutgoingServices>
+NodeRuntime::Parts::MakeOutgoing()
 {
   transport::peer::PeerClientSettings client;
   client.mIncarnation = mSelf;
   client.mSecret = mSecret;
   mPeerClient = transport::peer::PeerClient::Create(mIo.Context(), client);
-  auto services = std::make_shared<OutgoingServices>(OutgoingServices{
+  return std::make_shared<OutgoingServices>(OutgoingServices{
     mEnvironment,
     mSettings.mAvailabilityZone,
     *mRouter,
@@ -201,6 +201,12 @@
     },
     mSettings.mOverload.mUnboundedRetries,
     mSettings.mOverload.mEnabled });
+}
+
+core::Expected<bool>
+NodeRuntime::Parts::OpenCalling()
+{
+  const auto services = MakeOutgoing();
   mKeyed = std::make_unique<KeyedCalls>(
     services,
     OnceServices{
@@ -228,6 +234,12 @@
     [this](const std::string& aName, const std::string& aBody) {
       return OnNotice(aName, aBody);
     });
+  return OpenListeners();
+}
+
+core::Expected<bool>
+NodeRuntime::Parts::OpenListeners()
+{
   transport::http::CallListenerSettings listener;
   listener.mAddress = mSettings.mListen.mCaller;
   auto caller = transport::http::CallListener::Create(
--- a/src/nutmegrock/node/NodeParts.h
+++ b/src/nutmegrock/node/NodeParts.h
@@ -53,7 +53,9 @@
   core::Expected<bool> OpenPlatform();
   core::Expected<bool> OpenServing();
   core::Expected<bool> OpenPeers();
+  std::shared_ptr<const OutgoingServices> MakeOutgoing();
   core::Expected<bool> OpenCalling();
+  core::Expected<bool> OpenListeners();
   core::Expected<bool> OpenMembership();
   core::Expected<bool> OpenAdmin();
   void SendAttempt(const routing::Choice& aChoice,
--- a/src/nutmegrock/once/Outcome.h
+++ b/src/nutmegrock/once/Outcome.h
@@ -10,7 +10,7 @@
 struct Outcome
 {
   /// Longest kept body in bytes.
-  static constexpr std::size_t kMaxBody = 64 * 1024;
+  static constexpr std::size_t kMaxBody = 65'536;
 
   unsigned mStatus = 200;
   std::vector<std::pair<std::string, std::string>> mHeaders;
--- a/src/nutmegrock/settings/SettingsFile.cpp
+++ b/src/nutmegrock/settings/SettingsFile.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxFileBytes = 1024 * 1024;
+constexpr std::size_t kMaxFileBytes = 1'048'576;
 constexpr std::uint64_t kMaxSlots = 100'000;
 constexpr std::uint64_t kMaxConnections = 100'000;
 constexpr std::uint64_t kMaxThreads = 64;
@@ -153,7 +153,7 @@
   }
   std::string text;
   for (const std::string& line : faults.Lines()) {
-    text += (text.empty() ? "" : "\n") + aName + ": " + line;
+    text += fmt::format("{}{}: {}", text.empty() ? "" : "\n", aName, line);
   }
   return core::Fail(core::ErrorKind::InvalidSettings, text);
 }
--- a/src/nutmegrock/settings/YamlReader.cpp
+++ b/src/nutmegrock/settings/YamlReader.cpp
@@ -31,8 +31,10 @@
   return fmt::format("{}", fmt::join(mLines, "\n"));
 }
 
-YamlReader::YamlReader(YAML::Node aNode, std::string aPath, FaultList& aFaults)
-  : mNode(std::move(aNode))
+YamlReader::YamlReader(const YAML::Node& aNode,
+                       std::string aPath,
+                       FaultList& aFaults)
+  : mNode(aNode)
   , mPath(std::move(aPath))
   , mFaults(aFaults)
 {
--- a/src/nutmegrock/settings/YamlReader.h
+++ b/src/nutmegrock/settings/YamlReader.h
@@ -31,7 +31,7 @@
 {
 public:
   /// aPath is the dotted name of the map, empty for the document.
-  YamlReader(YAML::Node aNode, std::string aPath, FaultList& aFaults);
+  YamlReader(const YAML::Node& aNode, std::string aPath, FaultList& aFaults);
 
   /// The text of a required key, or empty after a fault.
   std::string Text(const std::string& aKey);
--- a/tests/metrics/RegistryTest.cpp
+++ b/tests/metrics/RegistryTest.cpp
@@ -46,6 +46,7 @@
   {
     Registry registry;
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int t = 0; t < 4; ++t) {
       threads.emplace_back([&registry] {
         for (int i = 0; i < 1000; ++i) {
--- a/tests/node/Fakes.h
+++ b/tests/node/Fakes.h
@@ -90,7 +90,7 @@
 {
   std::string body;
   transport::ReadWhole(
-    aAnswer.mBody, 1 << 20, [&body](core::Expected<std::string> aBody) {
+    aAnswer.mBody, 1 << 20, [&body](const core::Expected<std::string>& aBody) {
       body = aBody.value_or("");
     });
   return body;
--- a/tests/node/OutgoingCallTest.cpp
+++ b/tests/node/OutgoingCallTest.cpp
@@ -224,10 +224,11 @@
     Fixture f;
     f.Start(true, 2, std::make_shared<TwoChunks>());
     std::string body;
-    transport::ReadWhole(
-      f.mSent[0].mCall.mCall.mBody,
-      100,
-      [&](core::Expected<std::string> aBody) { body = aBody.value_or(""); });
+    transport::ReadWhole(f.mSent[0].mCall.mCall.mBody,
+                         100,
+                         [&](const core::Expected<std::string>& aBody) {
+                           body = aBody.value_or("");
+                         });
     CHECK(body == "onetwo");
     f.Fail(0, core::ErrorKind::QueueFull, 1);
     CHECK(f.mSent.size() == 1);
--- a/tests/once/StateModel.h
+++ b/tests/once/StateModel.h
@@ -92,7 +92,7 @@
                              mLeft.mResends,
                              mLeft.mCrashes,
                              mLeft.mLosses }) {
-      add(static_cast<std::uint64_t>(value + 1));
+      add(static_cast<std::uint64_t>(value) + 1);
     }
     for (const Executor& executor : mExecutors) {
       text += '|';
@@ -319,14 +319,14 @@
       return;
     }
     const core::Incarnation executor{ aMessage.mRun };
-    if (aMessage.mKind == Kind::NotRun) {
+    const bool promised =
+      aMessage.mKind == Kind::Gone && mFault == Fault::GoneMeansFenced;
+    if (aMessage.mKind == Kind::NotRun || promised) {
       record.OnNotRun(executor);
     } else if (aMessage.mKind == Kind::Done) {
       record.OnOutcome(executor, nullptr);
     } else if (aMessage.mKind == Kind::Settled) {
       record.OnSettled(executor, aMessage.mSettle, nullptr);
-    } else if (mFault == Fault::GoneMeansFenced) {
-      record.OnNotRun(executor);
     } else {
       record.OnExecutorGone(executor);
     }
