Test routing; forgive servers that get no attempts

A server with a few failures, not enough for an ejection, was avoided for ever: its failed share only faded with attempts. A probe now has to be as fast as the ejection rule asks, or a slow server would come back and be ejected in turn.

--- a/src/nutmegrock/routing/Ejection.cpp
+++ b/src/nutmegrock/routing/Ejection.cpp
@@ -11,6 +11,9 @@
 
 /// Relative step of the running median per answer.
 constexpr double kMedianStep = 0.06;
+/// Time constant over which a server without attempts is forgiven; below the
+/// 3 s allowed for recovery.
+constexpr double kForgiveSeconds = 1;
 /// Answers after which the median over the servers is computed again.
 constexpr std::uint32_t kMedianEvery = 16;
 
@@ -104,7 +107,7 @@
     if (health.mProbing) {
       const bool slow =
         mMedian > 0 &&
-        Seconds(aLatency).count() > 2 * mSettings.mLatencyFactor * mMedian &&
+        Seconds(aLatency).count() > mSettings.mLatencyFactor * mMedian &&
         aLatency > mSettings.mLatencyFloor;
       OnProbeEnd(aNow, health, !failed && !slow);
     }
@@ -152,12 +155,18 @@
 }
 
 double
-Ejection::FailedShare(std::size_t aServer) const
+Ejection::FailedShare(core::TimePoint aNow, std::size_t aServer) const
 {
   const Health& health = mServers.at(aServer);
+  if (health.mFailures <= 0) {
+    return 0;
+  }
   // One attempt of each kind is assumed, so that the first failure after a
-  // silence is not a share of 1.
-  return health.mFailures / (health.mAttempts + 2);
+  // silence is not a share of 1. A server that is avoided gets no attempts that
+  // could clear it, so the share fades by time as well.
+  const double age = std::max(0.0, Seconds(aNow - health.mFadedAt).count());
+  return health.mFailures / (health.mAttempts + 2) *
+         std::exp(-age / kForgiveSeconds);
 }
 
 core::Duration
--- a/src/nutmegrock/routing/Ejection.h
+++ b/src/nutmegrock/routing/Ejection.h
@@ -100,8 +100,8 @@
   /// never was ejected.
   core::TimePoint ReturnedAt(std::size_t aServer) const;
   std::uint32_t InFlight(std::size_t aServer) const;
-  /// Share of recent attempts that failed.
-  double FailedShare(std::size_t aServer) const;
+  /// Share of recent attempts that failed; fades while there are none.
+  double FailedShare(core::TimePoint aNow, std::size_t aServer) const;
   /// Median latency of answers over all servers; zero when not known.
   core::Duration Median() const;
 
--- a/src/nutmegrock/routing/ServiceRouter.cpp
+++ b/src/nutmegrock/routing/ServiceRouter.cpp
@@ -129,7 +129,8 @@
 ServiceRouter::LoadOf(core::TimePoint aNow, std::size_t aIndex) const
 {
   return mEjection.InFlight(aIndex) / Weight(aNow, aIndex) +
-         kReportWeight * Reported(aNow, aIndex) + mEjection.FailedShare(aIndex);
+         kReportWeight * Reported(aNow, aIndex) +
+         mEjection.FailedShare(aNow, aIndex);
 }
 
 std::size_t
--- /dev/null
+++ b/tests/routing/RouterTest.cpp
@@ -0,0 +1,239 @@
+#include "routing/Router.h"
+
+#include <doctest/doctest.h>
+#include <map>
+#include <string>
+
+using namespace nutmegrock;
+using namespace std::chrono_literals;
+using core::ErrorKind;
+using core::Incarnation;
+using routing::AttemptOutcome;
+using routing::Candidate;
+using routing::CandidateState;
+using routing::Router;
+
+namespace {
+
+constexpr core::TimePoint kNow{ 1h };
+
+Candidate
+Server(std::uint64_t aId,
+       const std::string& aZone = "a",
+       CandidateState aState = CandidateState::Serving,
+       std::uint32_t aSlots = 10)
+{
+  return { Incarnation{ aId },
+           { "10.0.0.1", static_cast<std::uint16_t>(aId) },
+           aZone,
+           aSlots,
+           aState,
+           kNow - 1h };
+}
+
+std::uint64_t
+HashOf(std::uint64_t aRequest)
+{
+  return aRequest * 0x9e3779b97f4a7c15ULL;
+}
+
+/// Shares of 2000 requests from aZone per server.
+std::map<std::uint64_t, double>
+Shares(Router& aRouter,
+       const std::string& aZone = "a",
+       core::TimePoint aNow = kNow)
+{
+  std::map<std::uint64_t, double> shares;
+  for (std::uint64_t request = 1; request <= 2000; ++request) {
+    const auto choice =
+      aRouter.Choose(aNow, "till", HashOf(request), aZone, {});
+    REQUIRE(choice.has_value());
+    shares[choice->mIncarnation.mBits] += 1.0 / 2000;
+  }
+  return shares;
+}
+
+void
+Attempt(Router& aRouter,
+        std::uint64_t aServer,
+        AttemptOutcome aOutcome,
+        core::TimePoint aNow = kNow,
+        core::Duration aLatency = 10ms)
+{
+  aRouter.OnStart(aNow - aLatency, Incarnation{ aServer });
+  aRouter.OnEnd(aNow, Incarnation{ aServer }, aOutcome, aLatency, nullptr);
+}
+
+} // namespace
+
+TEST_SUITE("routing/Router")
+{
+  TEST_CASE("unknown services and services without a usable server fail")
+  {
+    const auto router = *Router::Create({});
+    const auto unknown = router->Choose(kNow, "till", 1, "a", {});
+    REQUIRE_FALSE(unknown.has_value());
+    CHECK(unknown.error().mKind == ErrorKind::UnknownService);
+
+    for (const CandidateState state : { CandidateState::Starting,
+                                        CandidateState::Draining,
+                                        CandidateState::Left }) {
+      router->Update(kNow, "till", { Server(1, "a", state) });
+      const auto none = router->Choose(kNow, "till", 1, "a", {});
+      REQUIRE_FALSE(none.has_value());
+      CHECK(none.error().mKind == ErrorKind::NoBackendServer);
+    }
+
+    router->Update(kNow, "till", { Server(1), Server(2) });
+    const std::array one{ Incarnation{ 1 } };
+    const std::array both{ Incarnation{ 1 }, Incarnation{ 2 } };
+    CHECK(router->Choose(kNow, "till", 1, "a", one)->mIncarnation.mBits == 2);
+    CHECK(router->Available(kNow, "till", one) == 1);
+    CHECK_FALSE(router->Choose(kNow, "till", 1, "a", both).has_value());
+    router->Update(kNow, "till", {});
+    CHECK(router->Choose(kNow, "till", 1, "a", {}).error().mKind ==
+          ErrorKind::UnknownService);
+  }
+
+  // Resends from different entry nodes must meet, so that a copy in flight is
+  // joined and not run again.
+  TEST_CASE("equal requests meet at the same server from any node")
+  {
+    const auto one = *Router::Create({});
+    const auto two = *Router::Create({});
+    one->Update(kNow, "till", { Server(1), Server(2), Server(3), Server(4) });
+    two->Update(kNow, "till", { Server(4), Server(2), Server(1), Server(3) });
+    for (std::uint64_t request = 1; request < 500; ++request) {
+      const auto hash = HashOf(request);
+      CHECK(one->Choose(kNow, "till", hash, "a", {}) ==
+            two->Choose(kNow, "till", hash, "a", {}));
+    }
+    // A server that joins takes requests only for itself.
+    two->Update(
+      kNow, "till", { Server(1), Server(2), Server(3), Server(4), Server(5) });
+    for (std::uint64_t request = 1; request < 500; ++request) {
+      const auto hash = HashOf(request);
+      const auto after = two->Choose(kNow, "till", hash, "a", {});
+      if (after->mIncarnation.mBits != 5) {
+        CHECK(one->Choose(kNow, "till", hash, "a", {}) == after);
+      }
+    }
+  }
+
+  TEST_CASE("requests are spread by slots")
+  {
+    const auto router = *Router::Create({});
+    router->Update(kNow,
+                   "till",
+                   { Server(1, "a", CandidateState::Serving, 30),
+                     Server(2, "a", CandidateState::Serving, 10) });
+    auto shares = Shares(*router);
+    CHECK(shares[1] == doctest::Approx(0.75).epsilon(0.1));
+  }
+
+  TEST_CASE("the own zone is preferred until it is nearly full")
+  {
+    for (const auto& [load, local] : { std::pair{ 0U, 1.0 },
+                                       std::pair{ 850U, 0.75 },
+                                       std::pair{ 1000U, 0.5 } }) {
+      CAPTURE(load);
+      const auto router = *Router::Create({});
+      router->Update(kNow, "till", { Server(1, "a"), Server(2, "b") });
+      const core::CallFeedback feedback{ {}, {}, load, 0 };
+      for (const std::uint64_t id : { 1U, 2U }) {
+        router->OnStart(kNow, Incarnation{ id });
+        router->OnEnd(
+          kNow, Incarnation{ id }, AttemptOutcome::Ok, 1ms, &feedback);
+      }
+      auto shares = Shares(*router);
+      CHECK(shares[1] == doctest::Approx(local).epsilon(0.1));
+      // A zone without servers uses the others.
+      CHECK(Shares(*router, "c").size() == 2);
+    }
+  }
+
+  TEST_CASE("the less loaded of the two is taken, by own calls before reports")
+  {
+    const auto router = *Router::Create({});
+    router->Update(kNow, "till", { Server(1), Server(2) });
+    for (int i = 0; i < 8; ++i) {
+      router->OnStart(kNow, Incarnation{ 1 });
+    }
+    CHECK(Shares(*router)[2] == doctest::Approx(1));
+    // A report of no load at server 1 does not outweigh the calls in flight.
+    const core::CallFeedback idle{ {}, {}, 0, 0 };
+    router->OnStart(kNow, Incarnation{ 1 });
+    router->OnEnd(kNow, Incarnation{ 1 }, AttemptOutcome::Ok, 0ms, &idle);
+    CHECK(Shares(*router)[2] == doctest::Approx(1));
+  }
+
+  // The member table lags behind a server that leaves (invariant I6).
+  TEST_CASE("a server that refused as leaving is left out, not ejected")
+  {
+    const auto router = *Router::Create({});
+    router->Update(kNow, "till", { Server(1), Server(2) });
+    Attempt(*router, 1, AttemptOutcome::Gone);
+    CHECK(Shares(*router)[2] == doctest::Approx(1));
+    CHECK(router->Ejections().mEjected == 0);
+    // Known servers keep what was observed about them over an update.
+    router->Update(kNow, "till", { Server(1), Server(2), Server(3) });
+    CHECK(Shares(*router)[1] == 0.0);
+    CHECK(router->Available(kNow, "till", {}) == 2);
+    CHECK(router->Available(kNow + 6s, "till", {}) == 3);
+  }
+
+  TEST_CASE("a new server gets its share over 10 s")
+  {
+    const auto router = *Router::Create({});
+    Candidate fresh = Server(2);
+    fresh.mJoined = kNow;
+    router->Update(kNow, "till", { Server(1), fresh });
+    CHECK(Shares(*router, "a", kNow)[2] < 0.15);
+    CHECK(Shares(*router, "a", kNow + 5s)[2] ==
+          doctest::Approx(0.55 / 1.55).epsilon(0.1));
+    CHECK(Shares(*router, "a", kNow + 10s)[2] ==
+          doctest::Approx(0.5).epsilon(0.1));
+  }
+
+  // One bad release must not leave a service without servers.
+  TEST_CASE("at most half of a service is ejected when all of it fails")
+  {
+    const auto router = *Router::Create({});
+    router->Update(
+      kNow, "till", { Server(1), Server(2), Server(3), Server(4) });
+    core::TimePoint now = kNow;
+    for (int i = 0; i < 100; ++i) {
+      for (std::uint64_t id = 1; id <= 4; ++id) {
+        Attempt(*router, id, AttemptOutcome::Failed, now += 1ms);
+      }
+    }
+    CHECK(router->Ejections().mEjected <= 2);
+    CHECK(router->Choose(now, "till", 1, "a", {}).has_value());
+  }
+
+  TEST_CASE("an ejected server is used when nothing else is left")
+  {
+    const auto router = *Router::Create({});
+    router->Update(kNow, "till", { Server(1), Server(2) });
+    for (int i = 0; i < 5; ++i) {
+      Attempt(*router, 1, AttemptOutcome::Failed);
+    }
+    REQUIRE(router->Ejections().mEjected == 1);
+    const std::array other{ Incarnation{ 2 } };
+    CHECK(router->Choose(kNow, "till", 1, "a", other)->mIncarnation.mBits == 1);
+  }
+
+  TEST_CASE("attempts at forgotten servers are ignored")
+  {
+    const auto router = *Router::Create({});
+    Attempt(*router, 77, AttemptOutcome::Failed);
+    router->Update(kNow, "till", { Server(1) });
+    router->OnStart(kNow, Incarnation{ 1 });
+    router->Update(kNow, "till", { Server(2) });
+    router->OnEnd(kNow, Incarnation{ 1 }, AttemptOutcome::Ok, 1ms, nullptr);
+    CHECK(Shares(*router)[2] == doctest::Approx(1));
+    routing::RouterSettings never;
+    never.mProbeEvery = 0;
+    CHECK_FALSE(Router::Create(never).has_value());
+  }
+}
