--- a/src/nutmegrock/routing/Ejection.h
+++ b/src/nutmegrock/routing/Ejection.h
@@ -86,6 +86,11 @@
   /// Whether the server is left out. Also ejects a server whose calls in flight
   /// are overdue.
   bool IsEjected(core::TimePoint aNow, std::size_t aServer);
+  /// Whether the server is left out, without looking for overdue calls.
+  bool IsMarked(std::size_t aServer) const
+  {
+    return mServers.at(aServer).mEjected;
+  }
   /// Whether a call may test the ejected server: its back-off is over and no
   /// other test is in flight.
   bool IsProbeDue(core::TimePoint aNow, std::size_t aServer) const;
--- a/src/nutmegrock/routing/ServiceRouter.cpp
+++ b/src/nutmegrock/routing/ServiceRouter.cpp
@@ -15,6 +15,9 @@
 /// Larger reported loads count as this share; a report may be wrong.
 constexpr double kMostReported = 2;
 
+/// Time for which the load of a zone is not computed again.
+constexpr std::chrono::milliseconds kSpillEvery{ 5 };
+
 /// Mixes the request hash with an incarnation (the finalizer of MurmurHash3,
 /// Appleby).
 std::uint64_t
@@ -49,20 +52,51 @@
 void
 ServiceRouter::Update(const std::vector<Candidate>& aCandidates)
 {
-  std::vector<Load> loads;
+  std::vector<Entry> entries;
   std::vector<core::Incarnation> incarnations;
   std::unordered_map<std::uint64_t, std::size_t> indexOf;
+  mZones.clear();
   for (const Candidate& candidate : aCandidates) {
-    const auto known = mIndexOf.find(candidate.mIncarnation.mBits);
-    loads.push_back(known == mIndexOf.end() ? Load{}
-                                            : mLoads.at(known->second));
-    indexOf.emplace(candidate.mIncarnation.mBits, incarnations.size());
+    const std::uint64_t bits = candidate.mIncarnation.mBits;
+    const auto known = mIndexOf.find(bits);
+    Entry entry =
+      known == mIndexOf.end() ? Entry{} : mEntries.at(known->second);
+    entry.mHash = Mix(bits);
+    entry.mWeight = std::max(1U, candidate.mSlots);
+    entry.mServing = candidate.mState == CandidateState::Serving;
+    entry.mZone = ZoneIndex(candidate.mZone);
+    if (entry.mZone == mZones.size()) {
+      mZones.push_back(candidate.mZone);
+    }
+    entries.push_back(entry);
+    indexOf.emplace(bits, incarnations.size());
     incarnations.push_back(candidate.mIncarnation);
   }
   mCandidates = aCandidates;
-  mLoads = std::move(loads);
+  mEntries = std::move(entries);
   mIndexOf = std::move(indexOf);
+  mSpillZone = UINT32_MAX;
   mEjection.SetServers(incarnations);
+  for (std::size_t i = 0; i < mEntries.size(); ++i) {
+    Refresh(i);
+  }
+}
+
+void
+ServiceRouter::Refresh(std::size_t aIndex)
+{
+  Entry& entry = mEntries.at(aIndex);
+  entry.mEjected = mEjection.IsMarked(aIndex);
+  entry.mRampUntil =
+    std::max(mCandidates.at(aIndex).mJoined + mSettings.mRamp,
+             mEjection.ReturnedAt(aIndex) + mSettings.mReturnRamp);
+}
+
+std::uint32_t
+ServiceRouter::ZoneIndex(std::string_view aZone) const
+{
+  const auto found = std::find(mZones.begin(), mZones.end(), aZone);
+  return static_cast<std::uint32_t>(found - mZones.begin());
 }
 
 void
@@ -84,45 +118,79 @@
                         std::size_t aIndex,
                         std::span<const core::Incarnation> aExcluded) const
 {
-  const Candidate& candidate = mCandidates.at(aIndex);
-  return candidate.mState == CandidateState::Serving &&
-         mLoads.at(aIndex).mGoneUntil <= aNow &&
-         std::find(aExcluded.begin(),
-                   aExcluded.end(),
-                   candidate.mIncarnation) == aExcluded.end();
+  const Entry& entry = mEntries[aIndex];
+  return entry.mServing && entry.mGoneUntil <= aNow &&
+         (aExcluded.empty() ||
+          std::find(aExcluded.begin(),
+                    aExcluded.end(),
+                    mCandidates[aIndex].mIncarnation) == aExcluded.end());
 }
 
 double
 ServiceRouter::Weight(core::TimePoint aNow, std::size_t aIndex) const
 {
-  const Candidate& candidate = mCandidates.at(aIndex);
-  return std::max(1U, candidate.mSlots) *
-         mJoining.Share(aNow, candidate.mJoined) *
+  const Entry& entry = mEntries[aIndex];
+  if (aNow >= entry.mRampUntil) {
+    return entry.mWeight;
+  }
+  return entry.mWeight * mJoining.Share(aNow, mCandidates[aIndex].mJoined) *
          mReturning.Share(aNow, mEjection.ReturnedAt(aIndex));
 }
 
-double
+ServiceRouter::Ranking
 ServiceRouter::Rank(core::TimePoint aNow,
-                    std::size_t aIndex,
-                    std::uint64_t aRequestHash) const
+                    std::uint64_t aRequestHash,
+                    std::uint32_t aZone,
+                    std::span<const core::Incarnation> aExcluded) const
 {
   // The smallest of exponentially distributed ranks of rate w falls to each
   // candidate with a share proportional to w.
-  const std::uint64_t hash =
-    Mix(aRequestHash ^ Mix(mCandidates.at(aIndex).mIncarnation.mBits));
-  return -std::log(UnitOf(hash)) / Weight(aNow, aIndex);
+  Ranking ranking;
+  for (std::size_t i = 0; i < mEntries.size(); ++i) {
+    if (!IsUsable(aNow, i, aExcluded)) {
+      continue;
+    }
+    const Entry& entry = mEntries[i];
+    const double unit = UnitOf(Mix(aRequestHash ^ entry.mHash));
+    const double weight = Weight(aNow, i);
+    // -ln(u) is at least 1 - u.
+    const double bound = (1 - unit) / weight;
+    Best& best = entry.mEjected ? ranking.mEjected : ranking.mAll;
+    const bool near = !entry.mEjected && entry.mZone == aZone;
+    if (best.MayTake(bound) || (near && ranking.mNear.MayTake(bound))) {
+      const double rank = -std::log(unit) / weight;
+      best.Add(i, rank);
+      if (near) {
+        ranking.mNear.Add(i, rank);
+      }
+    }
+  }
+  return ranking;
+}
+
+bool
+ServiceRouter::EjectOverdue(core::TimePoint aNow, const Best& aBest)
+{
+  bool any = false;
+  for (const std::size_t index : { aBest.mFirst, aBest.mSecond }) {
+    if (index != Best::kNone && mEjection.IsEjected(aNow, index)) {
+      Refresh(index);
+      any = true;
+    }
+  }
+  return any;
 }
 
 double
 ServiceRouter::Reported(core::TimePoint aNow, std::size_t aIndex) const
 {
-  const Load& load = mLoads.at(aIndex);
-  if (load.mReportedAt <= aNow - mSettings.mReportLifetime) {
+  const Entry& entry = mEntries[aIndex];
+  if (entry.mReportedAt <= aNow - mSettings.mReportLifetime) {
     return 0;
   }
-  const double age = static_cast<double>((aNow - load.mReportedAt).count()) /
+  const double age = static_cast<double>((aNow - entry.mReportedAt).count()) /
                      static_cast<double>(mSettings.mReportLifetime.count());
-  return std::min(load.mReported / 1000.0, kMostReported) * (1 - age);
+  return std::min(entry.mReported / 1000.0, kMostReported) * (1 - age);
 }
 
 double
@@ -145,12 +213,28 @@
 }
 
 double
-ServiceRouter::SpillShare(double aZoneLoad) const
+ServiceRouter::SpillShare(core::TimePoint aNow, std::uint32_t aZone)
 {
-  return std::clamp((aZoneLoad - mSettings.mSpillBegin) /
-                      (mSettings.mSpillFull - mSettings.mSpillBegin),
-                    0.0,
-                    1.0);
+  if (aZone == mSpillZone && aNow - mSpillAt < kSpillEvery) {
+    return mSpill;
+  }
+  double slots = 0;
+  double used = 0;
+  for (std::size_t i = 0; i < mEntries.size(); ++i) {
+    const Entry& entry = mEntries[i];
+    if (entry.mZone == aZone && entry.mServing && !entry.mEjected) {
+      slots += entry.mWeight;
+      used += std::max<double>(mEjection.InFlight(i),
+                               entry.mWeight * Reported(aNow, i));
+    }
+  }
+  mSpillZone = aZone;
+  mSpillAt = aNow;
+  mSpill = std::clamp((used / std::max(1.0, slots) - mSettings.mSpillBegin) /
+                        (mSettings.mSpillFull - mSettings.mSpillBegin),
+                      0.0,
+                      1.0);
+  return mSpill;
 }
 
 Choice
@@ -185,43 +269,21 @@
   if (const auto probe = Probe(aNow, aExcluded)) {
     return Make(*probe, true);
   }
-  Best all;
-  Best near;
-  Best ejected;
-  double zoneSlots = 0;
-  double zoneUsed = 0;
-  for (std::size_t i = 0; i < mCandidates.size(); ++i) {
-    if (!IsUsable(aNow, i, aExcluded)) {
-      continue;
-    }
-    const double rank = Rank(aNow, i, aRequestHash);
-    if (mEjection.IsEjected(aNow, i)) {
-      ejected.Add(i, rank);
-      continue;
-    }
-    all.Add(i, rank);
-    if (mCandidates.at(i).mZone == aZone) {
-      near.Add(i, rank);
-      const double slots = std::max(1U, mCandidates.at(i).mSlots);
-      zoneSlots += slots;
-      zoneUsed +=
-        std::max<double>(mEjection.InFlight(i), slots * Reported(aNow, i));
-    }
+  const std::uint32_t zone = ZoneIndex(aZone);
+  Ranking ranking = Rank(aNow, aRequestHash, zone, aExcluded);
+  if (EjectOverdue(aNow, ranking.mAll) || EjectOverdue(aNow, ranking.mNear)) {
+    ranking = Rank(aNow, aRequestHash, zone, aExcluded);
   }
-  if (all.mFirst == Best::kNone) {
+  if (ranking.mAll.mFirst == Best::kNone) {
     // A server that looks bad is better than none.
-    if (ejected.mFirst == Best::kNone) {
+    if (ranking.mEjected.mFirst == Best::kNone) {
       return std::nullopt;
     }
-    return Make(LessLoaded(aNow, ejected), false);
-  }
-  if (near.mFirst != Best::kNone) {
-    const double spill = SpillShare(zoneUsed / zoneSlots);
-    if (UnitOf(Mix(aRequestHash)) >= spill) {
-      return Make(LessLoaded(aNow, near), false);
-    }
+    return Make(LessLoaded(aNow, ranking.mEjected), false);
   }
-  return Make(LessLoaded(aNow, all), false);
+  const bool near = ranking.mNear.mFirst != Best::kNone &&
+                    UnitOf(Mix(aRequestHash)) >= SpillShare(aNow, zone);
+  return Make(LessLoaded(aNow, near ? ranking.mNear : ranking.mAll), false);
 }
 
 void
@@ -245,13 +307,14 @@
     return;
   }
   mEjection.OnEnd(aNow, found->second, aOutcome, aLatency);
-  Load& load = mLoads.at(found->second);
+  Refresh(found->second);
+  Entry& entry = mEntries.at(found->second);
   if (aOutcome == AttemptOutcome::Gone) {
-    load.mGoneUntil = aNow + mSettings.mGoneFor;
+    entry.mGoneUntil = aNow + mSettings.mGoneFor;
   }
   if (aFeedback != nullptr) {
-    load.mReported = aFeedback->mLoadPermille;
-    load.mReportedAt = aNow;
+    entry.mReported = aFeedback->mLoadPermille;
+    entry.mReportedAt = aNow;
   }
 }
 
--- a/src/nutmegrock/routing/ServiceRouter.h
+++ b/src/nutmegrock/routing/ServiceRouter.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -25,6 +26,8 @@
 
   void Update(const std::vector<Candidate>& aCandidates);
   /// As Router::Choose(); does not allocate. Nothing when there is no server.
+  /// Scans all candidates, but computes a logarithm only for those that may be
+  /// among the two best, about 2 ln(n) of n.
   std::optional<Choice> Choose(core::TimePoint aNow,
                                std::uint64_t aRequestHash,
                                std::string_view aZone,
@@ -41,13 +44,23 @@
   const Ejection& Ejections() const { return mEjection; }
 
 private:
-  /// What is known about a candidate beside its health.
-  struct Load
+  /// What Choose() reads of each candidate, kept together for the scan.
+  struct Entry
   {
-    std::uint32_t mReported = 0;
-    core::TimePoint mReportedAt = core::TimePoint::min();
+    /// Hash of the incarnation.
+    std::uint64_t mHash = 0;
+    /// Weight after slow start.
+    double mWeight = 1;
+    /// Index in mZones.
+    std::uint32_t mZone = 0;
+    bool mServing = false;
+    bool mEjected = false;
     /// It has refused a call since it is leaving; the member table lags.
     core::TimePoint mGoneUntil = core::TimePoint::min();
+    /// End of slow start.
+    core::TimePoint mRampUntil = core::TimePoint::min();
+    std::uint32_t mReported = 0;
+    core::TimePoint mReportedAt = core::TimePoint::min();
   };
   /// The two best of some candidates by rendezvous rank; smaller is better.
   struct Best
@@ -58,16 +71,30 @@
     double mFirstRank = 0;
     double mSecondRank = 0;
 
+    /// Whether a rank of at least aLowerBound may be among the two.
+    bool MayTake(double aLowerBound) const
+    {
+      return mSecond == kNone || aLowerBound < mSecondRank;
+    }
     void Add(std::size_t aIndex, double aRank);
   };
+  /// Ranking of the usable candidates for one request.
+  struct Ranking
+  {
+    Best mAll;
+    Best mNear;
+    Best mEjected;
+  };
 
   bool IsUsable(core::TimePoint aNow,
                 std::size_t aIndex,
                 std::span<const core::Incarnation> aExcluded) const;
-  /// Rank of a candidate for a request, by weighted rendezvous hash.
-  double Rank(core::TimePoint aNow,
-              std::size_t aIndex,
-              std::uint64_t aRequestHash) const;
+  Ranking Rank(core::TimePoint aNow,
+               std::uint64_t aRequestHash,
+               std::uint32_t aZone,
+               std::span<const core::Incarnation> aExcluded) const;
+  /// Ejects the ranked servers whose calls are overdue; whether there were any.
+  bool EjectOverdue(core::TimePoint aNow, const Best& aBest);
   double Weight(core::TimePoint aNow, std::size_t aIndex) const;
   /// Reported load as a share, fading with its age.
   double Reported(core::TimePoint aNow, std::size_t aIndex) const;
@@ -77,18 +104,27 @@
     core::TimePoint aNow,
     std::span<const core::Incarnation> aExcluded);
   std::size_t LessLoaded(core::TimePoint aNow, const Best& aBest) const;
-  /// Share of requests that leave the own zone at this load.
-  double SpillShare(double aZoneLoad) const;
+  std::uint32_t ZoneIndex(std::string_view aZone) const;
+  /// Share of requests that leave the zone at its present load.
+  double SpillShare(core::TimePoint aNow, std::uint32_t aZone);
   Choice Make(std::size_t aIndex, bool aProbe) const;
+  /// Takes over what the ejection says about a server.
+  void Refresh(std::size_t aIndex);
 
   RouterSettings mSettings;
   SlowStart mJoining;
   SlowStart mReturning;
   std::vector<Candidate> mCandidates;
-  std::vector<Load> mLoads;
+  std::vector<Entry> mEntries;
+  std::vector<std::string> mZones;
   std::unordered_map<std::uint64_t, std::size_t> mIndexOf;
   Ejection mEjection;
   std::uint32_t mSinceProbe = 0;
+  /// Spill share of one zone, computed at most every few milliseconds. A node
+  /// asks for its own zone only.
+  double mSpill = 0;
+  std::uint32_t mSpillZone = UINT32_MAX;
+  core::TimePoint mSpillAt;
 };
 
 } // namespace nutmegrock::routing
