Let the level fall by free slots, not by the estimated capacity

After slow service the estimated capacity stayed too low for seconds, since few calls ended to correct it.

--- a/perf/perf_limits/Rules.cpp
+++ b/perf/perf_limits/Rules.cpp
@@ -11,6 +11,9 @@
 using limits::CallOutcome;
 
 constexpr double kColdShare = 0.5;
+/// Calls before the smallest latency counts: the first calls to end are the
+/// short ones.
+constexpr std::uint32_t kWarmUp = 1000;
 
 double
 SecondsOf(const CallOutcome& aOutcome)
@@ -77,7 +80,8 @@
     if (!shed) {
       mSmoothed =
         mSmoothed <= 0 ? seconds : mSmoothed + (seconds - mSmoothed) / 100;
-      mSmallest = ++mCalls < 100 ? mSmoothed : std::min(mSmallest, mSmoothed);
+      mSmallest =
+        ++mCalls < kWarmUp ? mSmoothed : std::min(mSmallest, mSmoothed);
     }
     if (shed || mSmoothed > 2 * mSmallest) {
       if (aNow >= mNoCutBefore) {
@@ -151,7 +155,7 @@
     if (++mCalls % 100 != 0) {
       return;
     }
-    mSmallest = std::min(mSmallest, mShort);
+    mSmallest = mCalls < kWarmUp ? mShort : std::min(mSmallest, mShort);
     // The smallest latency is forgotten slowly, or a slower server would never
     // be believed.
     mSmallest *= 1.002;
--- a/perf/perf_limits/main.cpp
+++ b/perf/perf_limits/main.cpp
@@ -191,23 +191,23 @@
     aChange(model);
     return model;
   };
-  const ServerModel slow = with([](auto& m) { m.mSeconds *= 5; });
-  const ServerModel less = with([](auto& m) { m.mWorkers /= 5; });
-  const ServerModel lessThrash = with([](auto& m) {
-    m.mWorkers /= 5;
-    m.mExponent = 1.5;
+  const ServerModel slow = with([](auto& aModel) { aModel.mSeconds *= 5; });
+  const ServerModel less = with([](auto& aModel) { aModel.mWorkers /= 5; });
+  const ServerModel lessThrash = with([](auto& aModel) {
+    aModel.mWorkers /= 5;
+    aModel.mExponent = 1.5;
   });
-  const ServerModel third = with([](auto& m) { m.mWorkers /= 3; });
-  const ServerModel thirdThrash = with([](auto& m) {
-    m.mWorkers /= 3;
-    m.mExponent = 1.5;
+  const ServerModel third = with([](auto& aModel) { aModel.mWorkers /= 3; });
+  const ServerModel thirdThrash = with([](auto& aModel) {
+    aModel.mWorkers /= 3;
+    aModel.mExponent = 1.5;
   });
-  const ServerModel thirdSheds = with([](auto& m) {
-    m.mWorkers = 43;
-    m.mSheds = true;
+  const ServerModel thirdSheds = with([](auto& aModel) {
+    aModel.mWorkers = 43;
+    aModel.mSheds = true;
   });
-  const ServerModel triple = with([](auto& m) { m.mWorkers *= 3; });
-  const ServerModel slope = with([](auto& m) { m.mSlope = 0.5; });
+  const ServerModel triple = with([](auto& aModel) { aModel.mWorkers *= 3; });
+  const ServerModel slope = with([](auto& aModel) { aModel.mSlope = 0.5; });
   const ServerModel dispatch{ 25, 0.2, 1, 0, false };
   const ServerModel dispatchSlow{ 25, 1.0, 1, 0, false };
   const ServerModel dispatchLess{ 5, 0.2, 1, 0, false };
--- a/src/nutmegrock/limits/Admission.cpp
+++ b/src/nutmegrock/limits/Admission.cpp
@@ -8,8 +8,11 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/// Calls over which the time that a call holds its slot is averaged.
+/// Most calls over which the time that a call holds its slot is averaged; as
+/// many as there are slots if those are fewer.
 constexpr double kSlotTimeCalls = 50;
+/// Share of the limit below which slots count as free.
+constexpr double kIdleShare = 0.8;
 /// Bounds of the pause named to refused callers. The level needs some windows
 /// to fall, and a longer pause would outlast the overload.
 constexpr std::chrono::milliseconds kShortestPause{ 100 };
@@ -107,8 +110,8 @@
     mLevel.OnQueueRefusal();
   } else {
     const double held = Seconds(aNow - running.mStarted).count();
-    mSlotSeconds +=
-      (held - mSlotSeconds) / std::min<double>(++mEnded, kSlotTimeCalls);
+    const double most = std::min<double>(kSlotTimeCalls, mLimit.AdaptedLimit());
+    mSlotSeconds += (held - mSlotSeconds) / std::min(++mEnded, most);
   }
   Adapt(aNow);
   Pump(aNow, result);
@@ -230,6 +233,7 @@
   if (mSlotSeconds > 0) {
     input.mCapacity = mLimit.AdaptedLimit() / mSlotSeconds;
   }
+  input.mIdle = input.mWaiting == 0 && InFlight() < kIdleShare * Limit();
   mLevel.Adapt(aNow, input);
   mQueue.SetOverloaded(mLevel.Current() > core::Level{});
 }
--- a/src/nutmegrock/limits/AdmissionLevel.cpp
+++ b/src/nutmegrock/limits/AdmissionLevel.cpp
@@ -24,8 +24,6 @@
 constexpr double kCorrectDown = 0.9;
 constexpr double kCorrectUp = 1.05;
 constexpr double kLeastCorrection = 0.05;
-/// Share of the capacity from which on it counts as used.
-constexpr double kUsed = 0.9;
 /// Further doublings of the growth do not change the time of a fall.
 constexpr std::uint32_t kMostDoublings = 8;
 
@@ -199,10 +197,10 @@
       const double growth =
         mSettings.mFallGrowth *
         std::exp2(static_cast<double>(std::min(mCalmWindows, kMostDoublings)));
-      // More and more is let in only while capacity is unused: the arrivals
-      // expected below the level may be long gone.
-      const bool unused = mAdmitted / seconds < kUsed * capacity;
-      mCalmWindows = unused ? mCalmWindows + 1 : 0;
+      // More and more is let in only while slots are free: the arrivals
+      // expected below the level may be long gone, and the capacity may be
+      // higher.
+      mCalmWindows = aInput.mIdle ? mCalmWindows + 1 : 0;
       Fall((1 + growth) * std::max(mCorrection * capacity, admitted));
     }
   }
--- a/src/nutmegrock/limits/AdmissionLevel.h
+++ b/src/nutmegrock/limits/AdmissionLevel.h
@@ -31,7 +31,7 @@
   double mMostMargin = 0.3;
   /// Admitted work above the capacity in the first calm window; doubles with
   /// each further one.
-  double mFallGrowth = 0.06;
+  double mFallGrowth = 0.12;
 
   bool operator==(const AdmissionLevelSettings&) const = default;
 };
@@ -47,6 +47,8 @@
   /// Calls per second that the server completes with all slots in use; zero
   /// when not known.
   double mCapacity = 0;
+  /// Slots are free and no call waits.
+  bool mIdle = false;
 
   bool operator==(const LevelInput&) const = default;
 };
--- a/src/nutmegrock/limits/ConcurrencyLimit.cpp
+++ b/src/nutmegrock/limits/ConcurrencyLimit.cpp
@@ -44,7 +44,7 @@
 /// risen the share is the one that the rise suggests, which tells a loss of
 /// capacity from slower calls in few calls.
 constexpr double kUsualShare = 0.5;
-constexpr double kSmallestShare = 0.25;
+constexpr double kSmallestShare = 0.33;
 /// Time without growth after a cut: at least this many latencies, at most this
 /// many seconds.
 constexpr double kHoldLatencies = 20;
--- a/tests/limits/AdmissionLevelTest.cpp
+++ b/tests/limits/AdmissionLevelTest.cpp
@@ -41,8 +41,8 @@
 
 /// 64 calls per window.
 constexpr double kCapacity = 64 / 0.05;
-const limits::LevelInput kBusy{ 60ms, 50, 10ms, kCapacity };
-const limits::LevelInput kCalm{ 0ms, 0, 10ms, kCapacity };
+const limits::LevelInput kBusy{ 60ms, 50, 10ms, kCapacity, false };
+const limits::LevelInput kCalm{ 0ms, 0, 10ms, kCapacity, true };
 
 } // namespace
 
@@ -80,7 +80,7 @@
   {
     AdmissionLevel level = *AdmissionLevel::Create({});
     core::TimePoint now = kStart;
-    limits::LevelInput stuck{ 1s, 1000, 10ms, 1 };
+    limits::LevelInput stuck{ 1s, 1000, 10ms, 1, false };
     for (int i = 0; i < 200; ++i) {
       CHECK(Window(
               level, now, 128, Importance::Low, Importance::Normal, stuck) > 0);
--- a/tests/limits/AdmissionTest.cpp
+++ b/tests/limits/AdmissionTest.cpp
@@ -208,6 +208,10 @@
     for (const double importantLoad : { 0.5, 2.0 }) {
       CAPTURE(importantLoad);
       Admission admission = Make(10);
+      // Capacity is 1000 calls/s; unimportant work is 2 times that. The first
+      // second, in which the level adapts, does not count.
+      const auto perSecond =
+        static_cast<std::uint64_t>(1000 * (2 + importantLoad));
       std::mt19937 random(5);
       std::deque<std::pair<core::TimePoint, std::uint64_t>> running;
       std::array<unsigned, 5> offered{};
@@ -216,15 +220,12 @@
       const auto apply = [&](core::TimePoint aNow, const AdmissionResult& aR) {
         for (const std::uint64_t id : aR.mStart) {
           running.emplace_back(aNow + 10ms, id);
-          // The first second, in which the level adapts, does not count.
-          if (id > 1000 * (2 + importantLoad)) {
+          if (id > perSecond) {
             ++started.at(static_cast<std::size_t>(importances.at(id)));
           }
         }
       };
-      // Capacity is 1000 calls/s; unimportant work is 2 times that.
-      const auto gap = std::chrono::duration_cast<core::Duration>(
-        1s / (1000 * (2 + importantLoad)));
+      const core::Duration gap = core::Duration(1s) / perSecond;
       core::TimePoint now = kStart;
       for (std::uint64_t id = 1; id < 20000; ++id) {
         now += gap;
@@ -233,12 +234,11 @@
           running.pop_front();
           apply(end, admission.Finish(end, done, { 10ms, CallEnd::Ok }));
         }
-        const bool important =
-          random() % 1000 < 1000 * importantLoad / (2 + importantLoad);
+        const bool important = random() % perSecond >= 2000;
         const auto importance =
           important ? Importance::High : static_cast<Importance>(random() % 3);
         importances.push_back(importance);
-        if (id > 1000 * (2 + importantLoad)) {
+        if (id > perSecond) {
           ++offered.at(static_cast<std::size_t>(importance));
         }
         Ticket call =
--- a/tests/limits/LevelCacheTest.cpp
+++ b/tests/limits/LevelCacheTest.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 #include <string>
+#include <thread>
 
 using namespace nutmegrock;
 using namespace std::chrono_literals;
@@ -110,4 +111,30 @@
     CHECK(cache->Size() <= 32);
     CHECK_FALSE(LevelCache::Create({ .mMaxEntries = 1 }).has_value());
   }
+
+  // Run it with -fsanitize=thread: nodes call from all their threads.
+  TEST_CASE("is safe from several threads")
+  {
+    const auto cache = *LevelCache::Create({ .mMaxEntries = 32, .mShards = 4 });
+    std::vector<std::thread> threads;
+    threads.reserve(4);
+    for (int thread = 0; thread < 4; ++thread) {
+      threads.emplace_back([&, thread] {
+        for (int i = 0; i < 3000; ++i) {
+          const std::string service = "service" + std::to_string(i % 50);
+          const auto now = kStart + std::chrono::milliseconds(i);
+          cache->Learn(now, service, "pay", Report(kHalf, kHalf));
+          cache->Check(now,
+                       service,
+                       "pay",
+                       Importance::Normal,
+                       static_cast<core::Cohort>(thread));
+        }
+      });
+    }
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    CHECK(cache->Size() <= 32);
+  }
 }
--- a/tests/retry/RetryPolicyTest.cpp
+++ b/tests/retry/RetryPolicyTest.cpp
@@ -5,7 +5,6 @@
 using namespace nutmegrock;
 using namespace std::chrono_literals;
 using core::ErrorKind;
-using core::RunCertainty;
 using retry::RetryAction;
 using retry::RetryPolicy;
 using retry::RetryReason;
--- a/tests/routing/RouterTest.cpp
+++ b/tests/routing/RouterTest.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <map>
 #include <string>
+#include <thread>
 
 using namespace nutmegrock;
 using namespace std::chrono_literals;
@@ -136,7 +137,6 @@
     for (const auto& [load, local] : { std::pair{ 0U, 1.0 },
                                        std::pair{ 850U, 0.75 },
                                        std::pair{ 1000U, 0.5 } }) {
-      CAPTURE(load);
       const auto router = *Router::Create({});
       router->Update(kNow, "till", { Server(1, "a"), Server(2, "b") });
       const core::CallFeedback feedback{ {}, {}, load, 0 };
@@ -236,4 +236,43 @@
     never.mProbeEvery = 0;
     CHECK_FALSE(Router::Create(never).has_value());
   }
+
+  // Run it with -fsanitize=thread: nodes call from all their threads.
+  TEST_CASE("is safe from several threads")
+  {
+    const auto router = *Router::Create({});
+    const std::vector<std::string> services{ "till", "tracker", "dispatch" };
+    const auto update = [&](std::uint64_t aSalt) {
+      for (std::uint64_t i = 0; i < services.size(); ++i) {
+        router->Update(kNow,
+                       services.at(i),
+                       { Server(i * 10 + 1),
+                         Server(i * 10 + 2 + aSalt % 2),
+                         Server(i * 10 + 5) });
+      }
+    };
+    update(0);
+    std::vector<std::thread> threads;
+    threads.reserve(4);
+    for (std::uint64_t thread = 0; thread < 4; ++thread) {
+      threads.emplace_back([&, thread] {
+        for (std::uint64_t i = 0; i < 3000; ++i) {
+          const std::string& service = services.at(i % 3);
+          const auto choice =
+            router->Choose(kNow, service, HashOf(i * 4 + thread), "a", {});
+          if (choice) {
+            Attempt(*router, choice->mIncarnation.mBits, AttemptOutcome::Ok);
+          }
+          if (i % 500 == 0) {
+            update(i / 500 + thread);
+            router->Ejections();
+          }
+        }
+      });
+    }
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    CHECK(router->Available(kNow, "till", {}) == 3);
+  }
 }
