--- a/src/nutmegrock/routing/Ejection.h
+++ b/src/nutmegrock/routing/Ejection.h
@@ -86,6 +86,11 @@
   /// Whether the server is left out. Also ejects a server whose calls in flight
   /// are overdue.
   bool IsEjected(core::TimePoint aNow, std::size_t aServer);
+  /// Whether the server is left out, without looking for overdue calls.
+  bool IsMarked(std::size_t aServer) const
+  {
+    return mServers.at(aServer).mEjected;
+  }
   /// Whether a call may test the ejected server: its back-off is over and no
   /// other test is in flight.
   bool IsProbeDue(core::TimePoint aNow, std::size_t aServer) const;
@@ -100,8 +105,8 @@
   /// never was ejected.
   core::TimePoint ReturnedAt(std::size_t aServer) const;
   std::uint32_t InFlight(std::size_t aServer) const;
-  /// Share of recent attempts that failed.
-  double FailedShare(std::size_t aServer) const;
+  /// Share of recent attempts that failed; fades while there are none.
+  double FailedShare(core::TimePoint aNow, std::size_t aServer) const;
   /// Median latency of answers over all servers; zero when not known.
   core::Duration Median() const;
 
