--- a/perf/perf_membership/main.cpp
+++ b/perf/perf_membership/main.cpp
@@ -48,8 +48,8 @@
          static_cast<double>(now.tv_nsec) * 1e-9;
 }
 
-/// Bursts are measured up to this size; at 3,800 one did not end within 20
-/// minutes of wall-clock time.
+/// Bursts are measured up to this size; a run at 3,800 was stopped after 16
+/// minutes without its result.
 constexpr std::size_t kLargestBurst = 400;
 
 /// Sum over the nodes, for figures per node.
