--- a/experiment/LoadSummary.cpp
+++ b/experiment/LoadSummary.cpp
@@ -59,6 +59,11 @@
     mKinds.push_back(std::move(summary));
   }
   for (const OperationRecord& record : aRecords) {
+    const double end = record.mArrival + record.mLatency;
+    if (record.mOutcome == OutcomeKind::Completed && end >= aFrom &&
+        end < aTo) {
+      ++mCompletedWithin;
+    }
     if (!Within(record, aFrom, aTo)) {
       continue;
     }
@@ -119,7 +124,7 @@
 double
 LoadSummary::Goodput() const
 {
-  return static_cast<double>(Completed()) / (mTo - mFrom);
+  return static_cast<double>(mCompletedWithin) / (mTo - mFrom);
 }
 
 double
--- a/experiment/LoadSummary.h
+++ b/experiment/LoadSummary.h
@@ -40,7 +40,9 @@
   std::size_t Offered() const;
   std::size_t Completed() const;
   std::size_t Mismatched() const;
-  /// Completed requests/s.
+  /// Requests/s that completed between the two times, whenever they arrived:
+  /// in an overload, requests that arrived in the window may complete only
+  /// after the load has ended.
   double Goodput() const;
   /// Share of the important requests that completed, among those that arrived
   /// in a half second in which an unimportant request was admitted; 1 if there
@@ -61,6 +63,7 @@
   double mTo;
   std::vector<KindSummary> mKinds;
   std::vector<Bin> mBins;
+  std::size_t mCompletedWithin = 0;
 };
 
 /// Time from aCauseEnd until the share of completed requests stays at aShare of
