--- a/src/nutmegrock/limits/Admission.h
+++ b/src/nutmegrock/limits/Admission.h
@@ -70,6 +70,8 @@
     core::TimePoint mStarted;
     /// Calls in flight when it started, itself included.
     std::uint32_t mInFlight = 0;
+    /// Sample of the concurrency limit that it belongs to.
+    std::uint32_t mSample = 0;
     core::Importance mImportance = core::Importance::Normal;
     bool mCancelled = false;
   };
@@ -94,6 +96,8 @@
   AdmissionLevel mLevel;
   /// Profiles of one importance have similar work, so times are kept apart.
   std::array<ServiceTime, core::kImportances> mServiceTimes;
+  /// The level is not adapted before it.
+  core::TimePoint mAdaptFrom;
   /// Usual time that a call holds its slot, and calls it is based on.
   double mSlotSeconds = 0;
   double mEnded = 0;
