Start servers once their nodes answer, and report a node that ended

A node that is told 'announce' before its membership exists crashes; the experiment waited 30 s for it without a reason.

--- a/experiment/Deployment.cpp
+++ b/experiment/Deployment.cpp
@@ -77,6 +77,9 @@
     }
     for (Instance& instance : mInstances) {
       StartNode(instance);
+    }
+    for (Instance& instance : mInstances) {
+      WaitForNode(instance);
       if (mOptions.mWithServers) {
         StartServer(instance);
       }
@@ -245,6 +248,24 @@
     StartProcess(aInstance.mNodeCommand, aInstance.mName + "-node");
 }
 
+void
+Deployment::WaitForNode(Instance& aInstance)
+{
+  const auto answers = [&aInstance] {
+    const auto code =
+      aInstance.mNode.value().Wait(std::chrono::milliseconds(0));
+    if (code) {
+      throw ExperimentError("the node of " + aInstance.mName +
+                            " ended with exit code " + std::to_string(*code));
+    }
+    return !Get(aInstance.mAdmin, "/v1/status").empty();
+  };
+  if (!WaitFor(answers, kStartLimit)) {
+    throw ExperimentError("the node of " + aInstance.mName +
+                          " does not answer");
+  }
+}
+
 void
 Deployment::StartServer(Instance& aInstance)
 {
--- a/experiment/Deployment.h
+++ b/experiment/Deployment.h
@@ -79,6 +79,8 @@
 
   void StartNode(Instance& aInstance);
   void StartServer(Instance& aInstance);
+  /// Waits until a node answers operators, which it does last of all.
+  void WaitForNode(Instance& aInstance);
   /// Runs a program of the folder to its end; its exit code, or -1 at the
   /// limit. Output goes to aLog in Folder().
   int Run(const std::vector<std::string>& aCommand,
