Leave room for important work in the mix; say outcomes; order the overload cases

At four times the demand crew-booking alone filled dispatch, so that its refusals were no fault of the node. once compares the store outage with a healthy phase.

--- a/experiment/DeploymentSpec.cpp
+++ b/experiment/DeploymentSpec.cpp
@@ -70,7 +70,7 @@
                        "assessor",
                        "photo",
                        "",
-                       0.35,
+                       0.37,
                        core::Importance::Low,
                        kPhotoBytes),
                   Kind("deposit",
@@ -83,7 +83,7 @@
                        "dispatch",
                        "booking",
                        "till/check+tracker/order",
-                       0.05,
+                       0.03,
                        core::Importance::Critical) };
   spec.mDeepService = "assessor";
   return spec;
@@ -111,7 +111,7 @@
                        "inspections",
                        "photo",
                        "",
-                       0.35,
+                       0.37,
                        core::Importance::Low,
                        kPhotoBytes),
                   Kind("reservation",
@@ -124,7 +124,7 @@
                        "dispatch",
                        "truck",
                        "reservations/check+depot-stock/order",
-                       0.05,
+                       0.03,
                        core::Importance::Critical) };
   spec.mDeepService = "inspections";
   return spec;
--- a/experiment/nutmegrock_experiment/OnceExperiment.cpp
+++ b/experiment/nutmegrock_experiment/OnceExperiment.cpp
@@ -151,8 +151,9 @@
   LoadGenerator load(settings);
   FaultSequence faults(deployment, aContext.mSeed);
   load.SetRate(rate);
-  Pause(std::chrono::seconds(3));
-
+  Pause(std::chrono::seconds(4));
+  const double healthy_from = load.Seconds();
+  Pause(kOutage);
   const double outage_from = load.Seconds();
   faults.SetStoreDown(true);
   Pause(kOutage);
@@ -171,6 +172,8 @@
   Pause(std::chrono::seconds(2));
   const auto records = load.RecordsWithUnfinished();
   const OnceCounts counts = Check(deployment.Counts(), records);
+  const LoadSummary healthy(
+    options.mSpec.mKinds, records, healthy_from, outage_from);
   const LoadSummary outage(
     options.mSpec.mKinds, records, outage_from, outage_to);
   const LoadSummary all(
@@ -192,9 +195,13 @@
             static_cast<double>(all.Mismatched()),
             "requests",
             none);
+  SayOutcomes("healthy", healthy);
+  SayOutcomes("store down", outage);
+  SayOutcomes("node and store faults", all);
+  table.Add("completed_while_healthy", healthy.CompletedShare(true), "share");
   table.Add("completed_in_store_outage",
-            outage.CompletedShare(true),
-            "share",
+            outage.CompletedShare(true) / healthy.CompletedShare(true),
+            "of the healthy share",
             Target{ Comparison::AtLeast, kOutageTarget });
   table.Add("completed_with_node_faults", all.CompletedShare(true), "share");
   return table;
--- a/experiment/nutmegrock_experiment/OverloadExperiment.cpp
+++ b/experiment/nutmegrock_experiment/OverloadExperiment.cpp
@@ -15,11 +15,11 @@
 // Time for limits and levels to adapt, and for the backend servers' counts to
 // be collected, in seconds per case.
 constexpr double kRampSeconds = 2.0;
-constexpr double kOverheadSeconds = 6.0;
+constexpr double kOverheadSeconds = 5.0;
 constexpr double kShortest = 2.0;
 constexpr double kLongest = 20.0;
 constexpr std::chrono::seconds kSettleLimit{ 4 };
-constexpr double kStartSeconds = 12.0;
+constexpr double kStartSeconds = 8.0;
 
 struct OverloadCase
 {
@@ -39,17 +39,18 @@
 const std::vector<OverloadCase>&
 Cases()
 {
+  // The most telling ones first, since the bound may cut off the last ones.
   static const std::vector<OverloadCase> sCases{
     { "normal", 0.7 },
-    { "demand_1.5x", 1.5 },
     { "demand_2x", 2.0, 1.0, false, "{}", false, true },
-    { "demand_4x", 4.0 },
-    { "slow_deep_5x", 0.9, kSlowdown },
-    { "retrying_clients", 1.5, 1.0, true, "{}", false, true },
     { "all_together", 2.0, kSlowdown, true, "{}", false, true },
+    { "full_failure", 0.5, 1.0, false, "{}", true, true },
+    { "retrying_clients", 1.5, 1.0, true, "{}", false, true },
+    { "slow_deep_5x", 0.9, kSlowdown },
+    { "demand_1.5x", 1.5 },
+    { "demand_4x", 4.0 },
     { "load_reports_zero", 2.0, 1.0, false, R"({"lie_load":"zero"})" },
     { "load_reports_times3", 2.0, 1.0, false, R"({"lie_load":"times3"})" },
-    { "full_failure", 0.5, 1.0, false, "{}", true, true },
   };
   return sCases;
 }
@@ -163,6 +164,7 @@
   const auto records = load.RecordsWithUnfinished();
   const auto counts = aDeployment.Counts();
   const LoadSummary summary(spec.mKinds, records, from, to);
+  SayOutcomes(aCase.mName, summary);
   const IdealCapacity ideal(spec, { { spec.mDeepService, aCase.mSlowdown } });
   result.mGoodput = summary.Goodput();
   result.mIdeal = ideal.Goodput(rate);
--- a/experiment/nutmegrock_experiment/RunContext.cpp
+++ b/experiment/nutmegrock_experiment/RunContext.cpp
@@ -77,6 +77,20 @@
   std::fprintf(stderr, "%s\n", aLine.c_str());
 }
 
+void
+SayOutcomes(const std::string& aPhase, const LoadSummary& aSummary)
+{
+  for (const KindSummary& kind : aSummary.Kinds()) {
+    std::string line = "  " + aPhase + ": " + kind.mName + " " +
+                       std::to_string(kind.mCompleted) + " of " +
+                       std::to_string(kind.mOffered);
+    for (const auto& [reason, count] : kind.mReasons) {
+      line += ", " + reason + " " + std::to_string(count);
+    }
+    Say(line);
+  }
+}
+
 void
 Settle(LoadGenerator& aLoad, std::chrono::seconds aLimit)
 {
--- a/experiment/nutmegrock_experiment/RunContext.h
+++ b/experiment/nutmegrock_experiment/RunContext.h
@@ -3,6 +3,7 @@
 #include "experiment/Deployment.h"
 #include "experiment/FigureTable.h"
 #include "experiment/LoadGenerator.h"
+#include "experiment/LoadSummary.h"
 
 #include <chrono>
 #include <cstdint>
@@ -40,6 +41,10 @@
 void
 Say(const std::string& aLine);
 
+/// Says how many requests of each kind completed, and why others did not.
+void
+SayOutcomes(const std::string& aPhase, const LoadSummary& aSummary);
+
 /// Ends the arrivals and waits until the requests in progress have ended, at
 /// most for the given time.
 void
--- a/tests/experiment/IdealCapacityTest.cpp
+++ b/tests/experiment/IdealCapacityTest.cpp
@@ -60,8 +60,11 @@
     CHECK(only_important[0] == Approx(0.0));
   }
 
-  // The overload cases assume that important work alone fits.
-  TEST_CASE("important work of both deployments fits in every overload case")
+  // The overload cases assume that important work alone fits, with room for
+  // chance arrivals: at four times the demand, and at twice the demand with a
+  // slow deep service.
+  TEST_CASE(
+    "important work of both deployments takes at most 80% of any service")
   {
     for (const char* name : { "haufiku", "daugava" }) {
       const auto spec = DeploymentSpec::Named(name);
@@ -70,12 +73,18 @@
       const IdealCapacity slow(*spec, { { spec->mDeepService, 5.0 } });
       for (const auto& [ideal, demand] :
            { std::pair{ IdealCapacity(*spec), 4.0 }, std::pair{ slow, 2.0 } }) {
-        const auto completed = ideal.Completed(demand * capacity);
-        for (std::size_t i = 0; i < spec->mKinds.size(); ++i) {
-          if (spec->mKinds[i].mImportant) {
-            CHECK(completed[i] ==
-                  Approx(demand * capacity * spec->mKinds[i].mShare));
+        for (const ServiceSpec& service : spec->mServices) {
+          double needed = 0.0;
+          for (const RequestKind& kind : spec->mKinds) {
+            const auto seconds = ideal.SlotSeconds(kind);
+            const auto found = seconds.find(service.mName);
+            if (kind.mImportant && found != seconds.end()) {
+              needed += demand * capacity * kind.mShare * found->second;
+            }
           }
+          const auto slots =
+            static_cast<double>(service.mServers * service.mSlots);
+          CHECK_MESSAGE(needed <= 0.8 * slots, name << " " << service.mName);
         }
       }
     }
