--- a/experiment/Deployment.h
+++ b/experiment/Deployment.h
@@ -37,6 +37,8 @@
   /// The most runs at the servers of one service; a plan calls each service at
   /// most once for an operation, so two mean that work ran twice.
   unsigned mMostRuns = 0;
+  /// The most attempts at the servers of one service.
+  unsigned mMostAttempts = 0;
   unsigned mRuns = 0;
   double mSlotSeconds = 0.0;
 };
@@ -77,6 +79,8 @@
 
   void StartNode(Instance& aInstance);
   void StartServer(Instance& aInstance);
+  /// Waits until a node answers operators, which it does last of all.
+  void WaitForNode(Instance& aInstance);
   /// Runs a program of the folder to its end; its exit code, or -1 at the
   /// limit. Output goes to aLog in Folder().
   int Run(const std::vector<std::string>& aCommand,
--- a/experiment/nutmegrock_experiment/RunContext.cpp
+++ b/experiment/nutmegrock_experiment/RunContext.cpp
@@ -1,6 +1,8 @@
 #include "experiment/nutmegrock_experiment/RunContext.h"
 
 #include "experiment/Interrupt.h"
+#include "profiles/ProfileDocument.h"
+#include "settings/SettingsFile.h"
 
 #include <cstdio>
 
@@ -45,6 +47,24 @@
   return settings;
 }
 
+std::map<std::string, unsigned>
+RunContext::RetryBudgets() const
+{
+  const auto text = settings::ReadTextFile(mProfilesFile);
+  if (!text) {
+    throw ExperimentError(text.error().mMessage);
+  }
+  const auto set = profiles::ProfileDocument::Parse(*text, 1);
+  if (!set) {
+    throw ExperimentError(set.error().mMessage);
+  }
+  std::map<std::string, unsigned> budgets;
+  for (const auto& [name, profile] : set->mProfiles) {
+    budgets[name] = profile.mRetryBudget;
+  }
+  return budgets;
+}
+
 FigureTable
 RunContext::Table(const std::string& aExperiment) const
 {
@@ -57,6 +77,20 @@
   std::fprintf(stderr, "%s\n", aLine.c_str());
 }
 
+void
+SayOutcomes(const std::string& aPhase, const LoadSummary& aSummary)
+{
+  for (const KindSummary& kind : aSummary.Kinds()) {
+    std::string line = "  " + aPhase + ": " + kind.mName + " " +
+                       std::to_string(kind.mCompleted) + " of " +
+                       std::to_string(kind.mOffered);
+    for (const auto& [reason, count] : kind.mReasons) {
+      line += ", " + reason + " " + std::to_string(count);
+    }
+    Say(line);
+  }
+}
+
 void
 Settle(LoadGenerator& aLoad, std::chrono::seconds aLimit)
 {
--- a/experiment/nutmegrock_experiment/RunContext.h
+++ b/experiment/nutmegrock_experiment/RunContext.h
@@ -3,9 +3,11 @@
 #include "experiment/Deployment.h"
 #include "experiment/FigureTable.h"
 #include "experiment/LoadGenerator.h"
+#include "experiment/LoadSummary.h"
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace nutmegrock::experiment {
@@ -28,6 +30,9 @@
   /// Settings of patient clients that send to all nodes of a deployment.
   LoadSettings Load(const Deployment& aDeployment,
                     const std::string& aPrefix) const;
+  /// Retry budgets of the published profiles, by profile name. Throws
+  /// ExperimentError if the document cannot be read.
+  std::map<std::string, unsigned> RetryBudgets() const;
   /// An empty result of an experiment.
   FigureTable Table(const std::string& aExperiment) const;
 };
@@ -36,6 +41,10 @@
 void
 Say(const std::string& aLine);
 
+/// Says how many requests of each kind completed, and why others did not.
+void
+SayOutcomes(const std::string& aPhase, const LoadSummary& aSummary);
+
 /// Ends the arrivals and waits until the requests in progress have ended, at
 /// most for the given time.
 void
