Break the reference cycle of a listener's connection and its answer

The connection owned its AnswerWriter, which owns the connection's socket. A connection that closed while the end of an answer was being drained was never freed. The writer is now held weakly and lives by its own operations.

--- a/perf/perf_transport/main.cpp
+++ b/perf/perf_transport/main.cpp
@@ -252,6 +252,7 @@
   MeasureRest(io);
   auto work = boost::asio::make_work_guard(io);
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&io] { io.run(); });
   }
--- a/src/nutmegrock/transport/http/AnswerWriter.cpp
+++ b/src/nutmegrock/transport/http/AnswerWriter.cpp
@@ -172,7 +172,7 @@
   mEnded = true;
   mAnswer.mBody.reset();
   const AnswerHooks hooks = std::exchange(mHooks, {});
-  hooks.mDone(aComplete);
+  hooks.mDone(aComplete, aComplete && mResponse.keep_alive());
 }
 
 } // namespace nutmegrock::transport::http
--- a/src/nutmegrock/transport/http/AnswerWriter.h
+++ b/src/nutmegrock/transport/http/AnswerWriter.h
@@ -20,14 +20,15 @@
   /// A part of the answer is being written, or waits for its body.
   std::function<void(bool aWriting)> mWriting;
   /// The end. Unless complete, the connection must be closed so that the
-  /// caller sees the answer as broken.
-  std::function<void(bool aComplete)> mDone;
+  /// caller sees the answer as broken. A complete answer announced whether the
+  /// connection stays open.
+  std::function<void(bool aComplete, bool aKeepAlive)> mDone;
 };
 
 /// Writes one answer, with Content-Length if its size is known and chunked
 /// otherwise. Works on the strand of the socket. Takes the first chunk of the
 /// body before it writes the head, so that a body which fails at once becomes
-/// an error answer.
+/// an error answer. Kept alive by its own pending operations.
 class AnswerWriter : public std::enable_shared_from_this<AnswerWriter>
 {
 public:
@@ -38,8 +39,6 @@
   void Start(core::Expected<Answer> aAnswer);
   /// Writes nothing further and calls no hook.
   void Abort();
-  /// Whether the answer announced that the connection stays open.
-  bool KeepsAlive() const { return mResponse.keep_alive(); }
 
 private:
   using Code = boost::system::error_code;
--- a/src/nutmegrock/transport/http/ServerConnection.cpp
+++ b/src/nutmegrock/transport/http/ServerConnection.cpp
@@ -131,8 +131,8 @@
     if (!self->mExchange) {
       return;
     }
-    if (self->mExchange->mWriter) {
-      self->mExchange->mWriter->Abort();
+    if (const auto writer = self->mExchange->mWriter.lock()) {
+      writer->Abort();
     }
     self->CancelCall();
     if (!self->mExchange->mReading) {
@@ -487,9 +487,10 @@
                            core::Expected<Answer> aAnswer)
 {
   if (mClosed || !mExchange || mExchange->mId != aExchange ||
-      mExchange->mWriter) {
+      mExchange->mAnswered) {
     return;
   }
+  mExchange->mAnswered = true;
   AnswerHooks hooks;
   hooks.mMayKeepAlive = [this] { return MayKeepAlive(); };
   hooks.mWriting = [this](bool aWriting) {
@@ -499,13 +500,14 @@
       mLimit = core::TimePoint::max();
     }
   };
-  hooks.mDone = [this](bool aComplete) { OnAnswerWritten(aComplete); };
-  mExchange->mWriter = std::make_shared<AnswerWriter>(
+  hooks.mDone = [this](bool aComplete, bool aKeepAlive) {
+    OnAnswerWritten(aComplete, aKeepAlive);
+  };
+  const auto writer = std::make_shared<AnswerWriter>(
     std::shared_ptr<net::ip::tcp::socket>(shared_from_this(), &mSocket),
     mExchange->mIsHead,
     std::move(hooks));
-  // Kept here too, since a failed write can end the exchange at once.
-  const auto writer = mExchange->mWriter;
+  mExchange->mWriter = writer;
   writer->Start(std::move(aAnswer));
 }
 
@@ -524,13 +526,13 @@
 }
 
 void
-ServerConnection::OnAnswerWritten(bool aComplete)
+ServerConnection::OnAnswerWritten(bool aComplete, bool aKeepAlive)
 {
   if (!aComplete) {
     Close();
     return;
   }
-  mKeepAlive = mExchange->mWriter->KeepsAlive();
+  mKeepAlive = aKeepAlive;
   mExchange->mAnswerWritten = true;
   mExchange->mToken.reset();
   mExchange->mCancellation->Clear();
--- a/src/nutmegrock/transport/http/ServerConnection.h
+++ b/src/nutmegrock/transport/http/ServerConnection.h
@@ -57,7 +57,7 @@
   bool MayKeepAlive() const;
   /// Whether the rest of the body is read without the handler's help.
   bool BodyIsShort() const;
-  void OnAnswerWritten(bool aComplete);
+  void OnAnswerWritten(bool aComplete, bool aKeepAlive);
   void EndCall();
 
   void CancelCall();
--- a/src/nutmegrock/transport/http/ServerExchange.h
+++ b/src/nutmegrock/transport/http/ServerExchange.h
@@ -29,7 +29,9 @@
   /// The body was read to its end, or failed.
   bool mBodyEnded = false;
 
-  std::shared_ptr<AnswerWriter> mWriter;
+  /// Weak, since the writer owns the connection.
+  std::weak_ptr<AnswerWriter> mWriter;
+  bool mAnswered = false;
   bool mAnswerWritten = false;
 };
 
