Split the connection classes of the transport adapters

Moves the parsing of heads, the time limit, the draining of a closed connection, the body readers, and the frames of both peer sides into files of their own. No change of behavior.

--- a/src/nutmegrock/transport/http/BackendExchange.cpp
+++ b/src/nutmegrock/transport/http/BackendExchange.cpp
@@ -1,5 +1,7 @@
 #include "transport/http/BackendExchange.h"
 
+#include "transport/http/AnswerBody.h"
+#include "transport/http/BackendRequest.h"
 #include "transport/http/HeaderRules.h"
 
 #include <algorithm>
@@ -25,33 +27,6 @@
 // A usual head fits, so that it is read with one system call.
 constexpr std::size_t kFirstRead = 4096;
 
-class AnswerBody final : public BodyReader
-{
-public:
-  explicit AnswerBody(std::shared_ptr<BackendExchange> aExchange)
-    : mExchange(std::move(aExchange))
-  {
-  }
-  AnswerBody(const AnswerBody&) = delete;
-  AnswerBody& operator=(const AnswerBody&) = delete;
-  ~AnswerBody() override { mExchange->Abandon(); }
-
-  void Next(ChunkHandler aHandler) override
-  {
-    mExchange->NextChunk(std::move(aHandler));
-  }
-
-private:
-  const std::shared_ptr<BackendExchange> mExchange;
-};
-
-bool
-MayLackLength(std::string_view aMethod)
-{
-  return aMethod == "GET" || aMethod == "HEAD" || aMethod == "DELETE" ||
-         aMethod == "OPTIONS" || aMethod == "TRACE";
-}
-
 } // namespace
 
 BackendExchange::BackendExchange(std::shared_ptr<ConnectionPool> aPool,
@@ -252,35 +227,17 @@
 void
 BackendExchange::StartRequest()
 {
-  PrepareRequest();
+  const CallHead& head = mCall.mHead;
+  FillRequest(head,
+              mPool->Settings().mAddress,
+              mChunk.mLast ? std::optional(mBytes) : head.mBodySize,
+              mRequest);
+  mSerializer.emplace(mRequest);
   mSent = true;
   WriteChunk();
   ReadHead();
 }
 
-void
-BackendExchange::PrepareRequest()
-{
-  const CallHead& head = mCall.mHead;
-  mRequest.version(11);
-  mRequest.method_string(head.mMethod);
-  mRequest.target(head.mTarget);
-  AddHeaders(head.mHeaders, mRequest);
-  if (mRequest.find(beast_http::field::host) == mRequest.end()) {
-    mRequest.set(beast_http::field::host, mPool->Settings().mAddress.Text());
-  }
-  if (mChunk.mLast) {
-    if (mBytes > 0 || !MayLackLength(head.mMethod)) {
-      mRequest.content_length(mBytes);
-    }
-  } else if (head.mBodySize) {
-    mRequest.content_length(*head.mBodySize);
-  } else {
-    mRequest.chunked(true);
-  }
-  mSerializer.emplace(mRequest);
-}
-
 void
 BackendExchange::WriteChunk()
 {
--- a/src/nutmegrock/transport/http/BackendExchange.h
+++ b/src/nutmegrock/transport/http/BackendExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "transport/Call.h"
+#include "transport/http/BackendRequest.h"
 #include "transport/http/ConnectionPool.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -34,7 +35,6 @@
 
 private:
   using Code = boost::system::error_code;
-  using Request = boost::beast::http::request<boost::beast::http::buffer_body>;
   using Serializer =
     boost::beast::http::request_serializer<boost::beast::http::buffer_body>;
   using Parser =
@@ -51,7 +51,6 @@
   void Connect();
   void OnConnected(Code aCode);
   void StartRequest();
-  void PrepareRequest();
   void WriteChunk();
   void OnWritten(Code aCode);
 
@@ -78,7 +77,7 @@
   AnswerHandler mHandler;
   std::unique_ptr<PooledConnection> mConnection;
 
-  Request mRequest;
+  BackendRequest mRequest;
   std::optional<Serializer> mSerializer;
   /// Being written.
   BodyChunk mChunk;
--- /dev/null
+++ b/src/nutmegrock/transport/http/DrainSocket.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace nutmegrock::transport::http {
+
+/// Reads and drops bytes until the other side closes, the socket is closed
+/// here, or more than aMost bytes came.
+void
+DrainSocket(std::shared_ptr<boost::asio::ip::tcp::socket> aSocket,
+            std::size_t aMost,
+            std::function<void()> aDone);
+
+} // namespace nutmegrock::transport::http
--- a/src/nutmegrock/transport/http/ServerConnection.cpp
+++ b/src/nutmegrock/transport/http/ServerConnection.cpp
@@ -1,8 +1,9 @@
 #include "transport/http/ServerConnection.h"
 
-#include "transport/http/ErrorAnswer.h"
-#include "transport/http/HeaderRules.h"
+#include "transport/http/DrainSocket.h"
 #include "transport/http/ListenerState.h"
+#include "transport/http/RequestHead.h"
+#include "transport/http/ServerBody.h"
 
 #include <algorithm>
 #include <boost/asio/dispatch.hpp>
@@ -30,50 +31,18 @@
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
-class ServerBody final : public BodyReader
-{
-public:
-  ServerBody(std::weak_ptr<ServerConnection> aConnection,
-             std::uint64_t aExchange)
-    : mConnection(std::move(aConnection))
-    , mExchange(aExchange)
-  {
-  }
-
-  void Next(ChunkHandler aHandler) override
-  {
-    if (const auto connection = mConnection.lock()) {
-      connection->NextChunk(mExchange, std::move(aHandler));
-      return;
-    }
-    aHandler(core::Fail(core::ErrorKind::BodyIncomplete,
-                        "the caller's connection is closed"));
-  }
-
-private:
-  const std::weak_ptr<ServerConnection> mConnection;
-  const std::uint64_t mExchange;
-};
-
-std::string
-TextOf(boost::beast::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
 } // namespace
 
 ServerConnection::ServerConnection(net::ip::tcp::socket aSocket,
                                    std::shared_ptr<ListenerState> aListener)
   : mSocket(std::move(aSocket))
   , mListener(std::move(aListener))
-  , mTimer(mSocket.get_executor())
-  , mTick(
-      std::max<core::Duration>(std::chrono::milliseconds(1),
-                               std::min({ mListener->Settings().mHeaderTimeout,
-                                          mListener->Settings().mIdleTimeout,
-                                          core::Duration(kLingerTime) }) /
-                                 4))
+  , mTimer(std::make_shared<LimitTimer>(
+      mSocket.get_executor(),
+      std::min({ mListener->Settings().mHeaderTimeout,
+                 mListener->Settings().mIdleTimeout,
+                 core::Duration(kLingerTime) }) /
+        4))
 {
 }
 
@@ -85,16 +54,14 @@
     self->mSocket.set_option(net::ip::tcp::no_delay(true), ignored);
     self->mSocket.non_blocking(true, ignored);
     self->mBuffer.reserve(kFirstRead);
-    self->Tick();
+    self->mTimer->Start([self] { self->OnTick(); }, [self] { self->Close(); });
     if (!aRefuse) {
       self->ReadHead();
       return;
     }
     self->StartExchange();
-    self->mKeepAlive = false;
-    self->OnAnswer(self->mLastExchange,
-                   core::Fail(core::ErrorKind::TooManyConnections,
-                              "this node has too many open connections"));
+    self->Refuse(core::MakeError(core::ErrorKind::TooManyConnections,
+                                 "this node has too many open connections"));
   });
 }
 
@@ -126,7 +93,7 @@
     self->mClosed = true;
     Code ignored;
     self->mSocket.close(ignored);
-    self->mTimer.cancel();
+    self->mTimer->Stop();
     self->mListener->Remove(self.get());
     if (!self->mExchange) {
       return;
@@ -156,30 +123,16 @@
 void
 ServerConnection::Limit(core::Duration aTime)
 {
-  mLimit = core::Clock::now() + aTime;
+  mTimer->Limit(aTime);
 }
 
-// One timer per connection that checks a time limit now and then costs less
-// than one that is set and cancelled with each call.
 void
-ServerConnection::Tick()
+ServerConnection::OnTick()
 {
-  mTimer.expires_after(mTick);
-  mTimer.async_wait([self = shared_from_this()](Code aCode) {
-    if (aCode || self->mClosed) {
-      return;
-    }
-    const core::TimePoint now = core::Clock::now();
-    if (now >= self->mLimit) {
-      self->Close();
-      return;
-    }
-    if (!self->mExchange && !self->mHeadStarted && self->mBuffer.size() > 0) {
-      self->mHeadStarted = true;
-      self->Limit(self->mListener->Settings().mHeaderTimeout);
-    }
-    self->Tick();
-  });
+  if (!mExchange && !mHeadStarted && mBuffer.size() > 0) {
+    mHeadStarted = true;
+    Limit(mListener->Settings().mHeaderTimeout);
+  }
 }
 
 void
@@ -210,19 +163,23 @@
 void
 ServerConnection::OnHead(Code aCode)
 {
-  mLimit = core::TimePoint::max();
+  mTimer->Clear();
   if (mClosed) {
     return;
   }
+  StartExchange();
   if (aCode) {
-    RefuseHead(aCode);
+    if (auto refusal = RefusalOf(aCode)) {
+      Refuse(std::move(*refusal));
+    } else {
+      Close();
+    }
     return;
   }
-  StartExchange();
-  auto head = TakeHead();
+  mExchange->mIsHead = mParser->get().method() == beast_http::verb::head;
+  auto head = HeadOf(*mParser);
   if (!head) {
-    mKeepAlive = false;
-    OnAnswer(mLastExchange, tl::make_unexpected(std::move(head.error())));
+    Refuse(std::move(head.error()));
     return;
   }
   mKeepAlive = mParser->get().keep_alive();
@@ -230,47 +187,10 @@
 }
 
 void
-ServerConnection::RefuseHead(Code aCode)
+ServerConnection::Refuse(core::Error aError)
 {
-  const bool malformed =
-    aCode.category() ==
-      beast_http::make_error_code(beast_http::error::bad_method).category() &&
-    aCode != beast_http::error::end_of_stream &&
-    aCode != beast_http::error::partial_message;
-  if (!malformed) {
-    Close();
-    return;
-  }
-  StartExchange();
   mKeepAlive = false;
-  const auto kind = aCode == beast_http::error::body_limit
-                      ? core::ErrorKind::BodyTooLarge
-                      : core::ErrorKind::BadRequest;
-  OnAnswer(mLastExchange, core::Fail(kind, "HTTP: " + aCode.message()));
-}
-
-core::Expected<CallHead>
-ServerConnection::TakeHead()
-{
-  const auto& message = mParser->get();
-  if (message.version() != 11) {
-    return core::Fail(core::ErrorKind::BadRequest, "only HTTP/1.1 is accepted");
-  }
-  CallHead head;
-  head.mMethod = TextOf(message.method_string());
-  head.mTarget = TextOf(message.target());
-  mExchange->mIsHead = head.mMethod == "HEAD";
-  if (!IsTarget(head.mTarget) || !IsToken(head.mMethod)) {
-    return core::Fail(core::ErrorKind::BadRequest,
-                      "the request target must be a path");
-  }
-  head.mHeaders = EndToEnd(message);
-  if (const auto length = mParser->content_length()) {
-    head.mBodySize = *length;
-  } else if (!mParser->chunked()) {
-    head.mBodySize = 0;
-  }
-  return head;
+  OnAnswer(mLastExchange, tl::make_unexpected(std::move(aError)));
 }
 
 void
@@ -362,7 +282,7 @@
     Drain();
     return;
   }
-  mLimit = core::TimePoint::max();
+  mTimer->Clear();
   if (aCode == beast_http::error::need_buffer) {
     aCode = {};
   }
@@ -497,7 +417,7 @@
     if (aWriting) {
       Limit(mListener->Settings().mIdleTimeout);
     } else {
-      mLimit = core::TimePoint::max();
+      mTimer->Clear();
     }
   };
   hooks.mDone = [this](bool aComplete, bool aKeepAlive) {
@@ -577,21 +497,10 @@
 void
 ServerConnection::Drain()
 {
-  if (mClosed || mDrained > kLingerBytes) {
-    Close();
-    return;
-  }
-  mBuffer.clear();
-  mSocket.async_read_some(
-    mBuffer.prepare(kChunkBytes),
-    [self = shared_from_this()](Code aCode, std::size_t aBytes) {
-      if (aCode) {
-        self->Close();
-        return;
-      }
-      self->mDrained += aBytes;
-      self->Drain();
-    });
+  DrainSocket(
+    std::shared_ptr<net::ip::tcp::socket>(shared_from_this(), &mSocket),
+    kLingerBytes,
+    [self = shared_from_this()] { self->Close(); });
 }
 
 } // namespace nutmegrock::transport::http
--- a/src/nutmegrock/transport/http/ServerConnection.h
+++ b/src/nutmegrock/transport/http/ServerConnection.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "transport/Call.h"
+#include "transport/http/LimitTimer.h"
+#include "transport/http/RequestHead.h"
 #include "transport/http/ServerExchange.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <optional>
 
@@ -32,14 +32,10 @@
 
 private:
   using Code = boost::system::error_code;
-  using Parser =
-    boost::beast::http::request_parser<boost::beast::http::buffer_body>;
-
   void ReadHead();
   void OnHead(Code aCode);
-  void RefuseHead(Code aCode);
-  /// The call of the parsed head, or why it is refused.
-  core::Expected<CallHead> TakeHead();
+  /// Answers an error and closes.
+  void Refuse(core::Error aError);
   void Continue();
   void StartCall(CallHead aHead);
   AnswerHandler MakeAnswerHandler();
@@ -68,18 +64,15 @@
 
   /// Closes the connection if the present step lasts longer than this.
   void Limit(core::Duration aTime);
-  void Tick();
+  void OnTick();
 
   boost::asio::ip::tcp::socket mSocket;
   const std::shared_ptr<ListenerState> mListener;
-  boost::asio::steady_timer mTimer;
-  const core::Duration mTick;
+  const std::shared_ptr<LimitTimer> mTimer;
   boost::beast::flat_buffer mBuffer;
-  std::optional<Parser> mParser;
+  std::optional<RequestParser> mParser;
   std::unique_ptr<ServerExchange> mExchange;
   std::uint64_t mLastExchange = 0;
-  core::TimePoint mLimit = core::TimePoint::max();
-  std::size_t mDrained = 0;
   bool mHeadStarted = false;
   bool mWatching = false;
   bool mKeepAlive = true;
--- a/src/nutmegrock/transport/peer/ClientCall.h
+++ b/src/nutmegrock/transport/peer/ClientCall.h
@@ -21,6 +21,10 @@
   {
   }
 
+  /// Tells whoever waits for the call or its answer's body; Unknown once the
+  /// call's frame was handed over.
+  void GiveError(core::Error aError);
+
   /// Call id on the connection; 0 until the frame was handed to the socket.
   std::int64_t mId = 0;
   core::TimePoint mDeadline;
--- a/src/nutmegrock/transport/peer/PeerLink.cpp
+++ b/src/nutmegrock/transport/peer/PeerLink.cpp
@@ -1,6 +1,7 @@
 #include "transport/peer/PeerLink.h"
 
 #include "transport/peer/PeerCodec.h"
+#include "transport/peer/PeerFrames.h"
 #include "transport/peer/PeerLimits.h"
 
 #include <algorithm>
@@ -163,17 +164,7 @@
       if (!self || !call || call->mEnded || !mConnection) {
         return;
       }
-      gen::PeerFrame frame;
-      frame.call = call->mId;
-      gen::BodyChunk chunk;
-      if (aChunk) {
-        chunk.bytes = std::move(aChunk->mBytes);
-        chunk.last = aChunk->mLast;
-      } else {
-        chunk.__set_error(PeerCodec::ToWire(aChunk.error()));
-      }
-      frame.payload.__set_chunk(chunk);
-      mConnection->Send(frame);
+      mConnection->Send(ChunkFrame(call->mId, aChunk));
       if (!aChunk) {
         SendCancel(call);
         Fail(call, std::move(aChunk.error()));
@@ -255,10 +246,7 @@
   if (aCall->mEnded || aCall->mId == 0 || !mConnection || !aCall->mCall) {
     return;
   }
-  gen::PeerFrame frame;
-  frame.call = aCall->mId;
-  frame.payload.__set_cancel({});
-  mConnection->Send(frame);
+  mConnection->Send(CancelFrame(aCall->mId));
 }
 
 void
@@ -267,21 +255,8 @@
   if (aCall->mEnded) {
     return;
   }
-  const bool sent = aCall->mId != 0;
-  if (sent) {
-    aError = core::PossiblyRun(std::move(aError));
-  }
   End(aCall);
-  if (const auto handler = std::exchange(aCall->mControlHandler, {})) {
-    handler(tl::make_unexpected(std::move(aError)));
-  } else if (const auto answer = std::exchange(aCall->mHandler, {})) {
-    // A budget that was never handed over is not spent.
-    core::CallFeedback feedback;
-    feedback.mBudgetReturned = sent ? 0 : aCall->mCall->mContext.mRetryBudget;
-    answer({ tl::make_unexpected(std::move(aError)), feedback });
-  } else if (const auto receiver = aCall->mReceiver.lock()) {
-    receiver->Fail(std::move(aError));
-  }
+  aCall->GiveError(std::move(aError));
 }
 
 void
@@ -472,12 +447,7 @@
     std::move(aAnswer.first_bytes),
     [on_link](std::size_t aBytes) {
       on_link([aBytes](PeerLink& aLink, const ClientCallPtr& aLinkCall) {
-        gen::BodyCredit credit;
-        credit.bytes = static_cast<std::int32_t>(aBytes);
-        gen::PeerFrame frame;
-        frame.call = aLinkCall->mId;
-        frame.payload.__set_credit(credit);
-        aLink.mConnection->Send(frame);
+        aLink.mConnection->Send(CreditFrame(aLinkCall->mId, aBytes));
       });
     },
     [on_link] {
--- a/src/nutmegrock/transport/peer/PeerSession.cpp
+++ b/src/nutmegrock/transport/peer/PeerSession.cpp
@@ -1,6 +1,7 @@
 #include "transport/peer/PeerSession.h"
 
 #include "transport/peer/PeerCodec.h"
+#include "transport/peer/PeerFrames.h"
 #include "transport/peer/PeerLimits.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -242,13 +243,8 @@
         return;
       }
       net::post(self->mConnection->Executor(), [self, id, aBytes] {
-        gen::BodyCredit credit;
-        credit.bytes = static_cast<std::int32_t>(aBytes);
-        gen::PeerFrame frame;
-        frame.call = id;
-        frame.payload.__set_credit(credit);
         if (self->mCalls.contains(id)) {
-          self->mConnection->Send(frame);
+          self->mConnection->Send(CreditFrame(id, aBytes));
         }
       });
     },
@@ -419,18 +415,9 @@
 PeerSession::SendChunk(const ServerCallPtr& aCall,
                        core::Expected<BodyChunk> aChunk)
 {
-  gen::BodyChunk chunk;
-  if (aChunk) {
-    chunk.bytes = std::move(aChunk->mBytes);
-    chunk.last = aChunk->mLast;
-  } else {
-    chunk.__set_error(PeerCodec::ToWire(aChunk.error()));
-  }
-  const bool ends = !aChunk || chunk.last;
-  gen::PeerFrame frame;
-  frame.call = aCall->mId;
-  frame.payload.__set_chunk(chunk);
-  mConnection->Send(frame, [token = aCall->mToken] {});
+  const bool ends = !aChunk || aChunk->mLast;
+  mConnection->Send(ChunkFrame(aCall->mId, std::move(aChunk)),
+                    [token = aCall->mToken] {});
   if (ends) {
     End(aCall);
   }
