Give a body reader its result when the answer came first

A handler that answered early and still read a short body got no chunk and no error, since the connection went on to the next call. A keep-alive answer that was begun before a planned stop left its connection open until the idle timeout. Both are fixed; the first is covered by the listener's tests.

--- a/src/nutmegrock/transport/http/ServerConnection.cpp
+++ b/src/nutmegrock/transport/http/ServerConnection.cpp
@@ -101,7 +101,7 @@
     if (const auto writer = self->mExchange->mWriter.lock()) {
       writer->Abort();
     }
-    self->CancelCall();
+    self->mExchange->mCancellation->Cancel();
     if (!self->mExchange->mReading) {
       self->EndBody(core::MakeError(core::ErrorKind::BodyIncomplete,
                                     "the caller's connection is closed"));
@@ -112,26 +112,12 @@
   });
 }
 
-void
-ServerConnection::CancelCall()
-{
-  if (mExchange && mExchange->mCancellation) {
-    mExchange->mCancellation->Cancel();
-  }
-}
-
-void
-ServerConnection::Limit(core::Duration aTime)
-{
-  mTimer->Limit(aTime);
-}
-
 void
 ServerConnection::OnTick()
 {
   if (!mExchange && !mHeadStarted && mBuffer.size() > 0) {
     mHeadStarted = true;
-    Limit(mListener->Settings().mHeaderTimeout);
+    mTimer->Limit(mListener->Settings().mHeaderTimeout);
   }
 }
 
@@ -142,7 +128,7 @@
   mParser->header_limit(mListener->Settings().mMaxHeaderBytes);
   mParser->body_limit(mListener->Settings().mMaxBodyBytes);
   mHeadStarted = false;
-  Limit(mListener->Settings().mIdleTimeout);
+  mTimer->Limit(mListener->Settings().mIdleTimeout);
   beast_http::async_read_header(
     mSocket,
     mBuffer,
@@ -261,7 +247,7 @@
   auto& body = mParser->get().body();
   body.data = exchange.mReadBuffer.data();
   body.size = exchange.mReadBuffer.size();
-  Limit(mListener->Settings().mHeaderTimeout);
+  mTimer->Limit(mListener->Settings().mHeaderTimeout);
   const auto done = [self = shared_from_this()](Code aCode, std::size_t) {
     const std::size_t left = self->mParser->get().body().size;
     self->OnBody(aCode, self->mExchange->mReadBuffer.size() - left);
@@ -299,14 +285,14 @@
   exchange.mReadyChunk = BodyChunk{ std::move(exchange.mReadBuffer), last };
   exchange.mReadBuffer.clear();
   exchange.mBodyEnded = last;
-  if (last && exchange.mAnswerWritten) {
-    EndCall();
-    return;
-  }
-  if (last) {
+  const bool ends_call = last && exchange.mAnswerWritten;
+  if (last && !ends_call) {
     WatchForClose();
   }
   GiveChunk();
+  if (ends_call && !mClosed) {
+    EndCall();
+  }
 }
 
 void
@@ -415,7 +401,7 @@
   hooks.mMayKeepAlive = [this] { return MayKeepAlive(); };
   hooks.mWriting = [this](bool aWriting) {
     if (aWriting) {
-      Limit(mListener->Settings().mIdleTimeout);
+      mTimer->Limit(mListener->Settings().mIdleTimeout);
     } else {
       mTimer->Clear();
     }
@@ -468,11 +454,15 @@
   }
   if (!mExchange->mBodyEnded) {
     // The rest of a short body is on its way; OnBody() comes back here.
-    Limit(mListener->Settings().mHeaderTimeout);
+    mTimer->Limit(mListener->Settings().mHeaderTimeout);
     return;
   }
   mExchange.reset();
   ReadHead();
+  if (mListener->IsStopping()) {
+    // The answer was begun before the stop and did not announce the close.
+    Stop();
+  }
 }
 
 void
@@ -485,7 +475,7 @@
     return;
   }
   mDraining = true;
-  Limit(kLingerTime);
+  mTimer->Limit(kLingerTime);
   EndBody(
     core::MakeError(core::ErrorKind::BodyIncomplete, "the call has ended"));
   // A read in flight goes on with Drain() in OnBody().
--- a/src/nutmegrock/transport/http/ServerConnection.h
+++ b/src/nutmegrock/transport/http/ServerConnection.h
@@ -56,18 +56,17 @@
   void OnAnswerWritten(bool aComplete, bool aKeepAlive);
   void EndCall();
 
-  void CancelCall();
   /// Ends sending, then reads and drops what the caller still sends for a
   /// short time, so that a reset does not destroy the answer on its way.
   void Linger();
   void Drain();
 
-  /// Closes the connection if the present step lasts longer than this.
-  void Limit(core::Duration aTime);
+  /// Limits the time of a head once its first bytes are there.
   void OnTick();
 
   boost::asio::ip::tcp::socket mSocket;
   const std::shared_ptr<ListenerState> mListener;
+  /// Closes the connection if the present step lasts too long.
   const std::shared_ptr<LimitTimer> mTimer;
   boost::beast::flat_buffer mBuffer;
   std::optional<RequestParser> mParser;
--- a/tests/transport/ListenerFaultTest.cpp
+++ b/tests/transport/ListenerFaultTest.cpp
@@ -296,12 +296,16 @@
     CHECK(caller.ReadToEnd().ends_with("\r\n\r\nsize 2"));
   }
 
-  // A call that is shed at once must not cost the caller its connection.
+  // A call that is shed at once must not cost the caller its connection, nor
+  // leave a reader of its body without a result.
   TEST_CASE("an answer before the end of a short body keeps the connection")
   {
     Loop loop;
+    Awaited<core::Expected<BodyChunk>> read;
     const auto listener =
-      Listen(loop, [](const Call&, const AnswerHandler& aAnswer) {
+      Listen(loop, [&](const Call& aCall, const AnswerHandler& aAnswer) {
+        const auto body = aCall.mBody;
+        body->Next([&read, body](auto aChunk) { read.Set(std::move(aChunk)); });
         aAnswer(core::Fail(core::ErrorKind::QueueFull, "full"));
       });
     RawSocket caller(listener->LocalAddress());
@@ -312,6 +316,9 @@
       CHECK_FALSE(Contains(head, "Connection: close"));
       CHECK(caller.ReadUntil("}").ends_with("}"));
       caller.Write("abc");
+      const auto chunk = read.Get();
+      REQUIRE(chunk.has_value());
+      CHECK(chunk->has_value());
     }
   }
 
