--- a/src/nutmegrock/node/NodeParts.cpp
+++ b/src/nutmegrock/node/NodeParts.cpp
@@ -1,6 +1,7 @@
 #include "node/NodeParts.h"
 
 #include "admin/ProfileRoutes.h"
+#include "node/DrainWait.h"
 #include "node/StatusReport.h"
 #include "once/SettleCodec.h"
 #include "routing/RouterSettings.h"
@@ -9,21 +10,12 @@
 #include <boost/algorithm/string/trim.hpp>
 #include <random>
 #include <spdlog/spdlog.h>
-#include <thread>
 #include <utility>
 
 namespace nutmegrock::node {
 
 namespace {
 
-/// Longest wait for calls in flight at a planned stop. Above the longest
-/// timeout of a usual profile.
-constexpr std::chrono::seconds kMaxDrain(60);
-/// After leaving, the node answers "draining" until no call has come for this
-/// time, so that a call already on its way is refused and not cut.
-constexpr std::chrono::milliseconds kQuiet(1000);
-constexpr std::chrono::seconds kMaxLinger(4);
-constexpr std::chrono::milliseconds kDrainPoll(10);
 constexpr std::chrono::seconds kControlTimeout(2);
 
 core::Incarnation
@@ -207,19 +199,20 @@
 NodeRuntime::Parts::OpenCalling()
 {
   const auto services = MakeOutgoing();
+  mSettle = std::make_unique<SettleService>(
+    mSelf, mSecret, mEnvironment, *mLedger, *mPeerClient);
   mKeyed = std::make_unique<KeyedCalls>(
     services,
-    OnceServices{
-      mEnvironment,
-      *mKeyOwner,
-      [this](const core::Address& aAddress,
-             core::Incarnation aExecutor,
-             const std::string& aDispatch,
-             core::TimePoint aDeadline,
-             const std::function<void(core::Expected<once::SettleAnswer>)>&
-               aHandler) {
-        Settle(aAddress, aExecutor, aDispatch, aDeadline, aHandler);
-      } },
+    OnceServices{ mEnvironment,
+                  *mKeyOwner,
+                  [this](const core::Address& aAddress,
+                         core::Incarnation aExecutor,
+                         const std::string& aDispatch,
+                         core::TimePoint aDeadline,
+                         const SettleHandler& aHandler) {
+                    mSettle->Ask(
+                      aAddress, aExecutor, aDispatch, aDeadline, aHandler);
+                  } },
     [this](const core::Address& aAddress,
            transport::PeerCall aCall,
            transport::PeerResultHandler aHandler) {
@@ -316,37 +309,6 @@
   mServing->Handle(std::move(aCall), std::move(aHandler));
 }
 
-core::Expected<once::SettleAnswer>
-NodeRuntime::Parts::SettleHere(const std::string& aDispatch)
-{
-  return once::Dispatch::Parse(aDispatch, mSecret)
-    .map([this](const once::Dispatch& aParsed) {
-      return mLedger->Settle(mEnvironment.mNow(), aParsed);
-    });
-}
-
-void
-NodeRuntime::Parts::Settle(
-  const core::Address& aAddress,
-  core::Incarnation aExecutor,
-  const std::string& aDispatch,
-  core::TimePoint aDeadline,
-  const std::function<void(core::Expected<once::SettleAnswer>)>& aHandler)
-{
-  if (aExecutor == mSelf) {
-    aHandler(SettleHere(aDispatch));
-    return;
-  }
-  mPeerClient->Control(aAddress,
-                       aExecutor,
-                       std::string(once::kSettleMethod),
-                       aDispatch,
-                       aDeadline,
-                       [aHandler](const core::Expected<std::string>& aBytes) {
-                         aHandler(aBytes.and_then(once::DecodeSettle));
-                       });
-}
-
 void
 NodeRuntime::Parts::HandleControl(
   const std::string& aMethod,
@@ -358,7 +320,7 @@
     return;
   }
   if (aMethod == once::kSettleMethod) {
-    aAnswer(SettleHere(aArgument).map(once::EncodeSettle));
+    aAnswer(mSettle->Answer(aArgument).map(once::EncodeSettle));
     return;
   }
   aAnswer(mMembership->HandleControl(aMethod, aArgument));
@@ -522,23 +484,9 @@
 {
   PublishState(ServerState::Draining);
   mCallerListener->StopAccepting();
-  const auto limit = core::Clock::now() + kMaxDrain;
-  while (InFlight() > 0 && core::Clock::now() < limit) {
-    std::this_thread::sleep_for(kDrainPoll);
-  }
-  const std::size_t left = InFlight();
+  const std::size_t left = WaitUntilIdle([this] { return InFlight(); });
   mMembership->Leave();
-  const auto linger = core::Clock::now() + kMaxLinger;
-  std::uint64_t seen = mPeerCalls;
-  auto quiet_since = core::Clock::now();
-  while (core::Clock::now() < linger &&
-         core::Clock::now() < quiet_since + kQuiet) {
-    std::this_thread::sleep_for(kDrainPoll);
-    if (mPeerCalls != seen) {
-      seen = mPeerCalls;
-      quiet_since = core::Clock::now();
-    }
-  }
+  WaitUntilQuiet([this] { return mPeerCalls.load(); });
   spdlog::info("node left calls_not_ended={}", left);
   return left;
 }
