--- a/src/nutmegrock/node/NodeParts.h
+++ b/src/nutmegrock/node/NodeParts.h
@@ -12,6 +12,7 @@
 #include "node/KeyedCalls.h"
 #include "node/NodeRuntime.h"
 #include "node/ServingSide.h"
+#include "node/SettleService.h"
 #include "once/ExecutionLedger.h"
 #include "once/KeyOwner.h"
 #include "platform/http/HttpObjectStore.h"
@@ -63,13 +64,6 @@
                    transport::PeerResultHandler aHandler);
   void HandlePeerCall(transport::PeerCall aCall,
                       transport::PeerResultHandler aHandler);
-  void Settle(
-    const core::Address& aAddress,
-    core::Incarnation aExecutor,
-    const std::string& aDispatch,
-    core::TimePoint aDeadline,
-    const std::function<void(core::Expected<once::SettleAnswer>)>& aHandler);
-  core::Expected<once::SettleAnswer> SettleHere(const std::string& aDispatch);
   void HandleControl(
     const std::string& aMethod,
     const std::string& aArgument,
@@ -103,6 +97,7 @@
   std::unique_ptr<transport::http::HttpBackendClient> mBackend;
   std::shared_ptr<ServingSide> mServing;
   std::unique_ptr<transport::peer::PeerClient> mPeerClient;
+  std::unique_ptr<SettleService> mSettle;
   std::unique_ptr<KeyedCalls> mKeyed;
   std::unique_ptr<CallingSide> mCalling;
   std::unique_ptr<transport::peer::PeerServer> mPeerServer;
