--- a/src/nutmegrock/profiles/ProfileRecord.cpp
+++ b/src/nutmegrock/profiles/ProfileRecord.cpp
@@ -22,7 +22,7 @@
 constexpr std::string_view kDigestKey = "digest: ";
 constexpr std::size_t kDigestLine = kDigestKey.size() + 16 + 1;
 /// Room for the header beside the longest document.
-constexpr std::size_t kMaxHeader = 64 * 1024;
+constexpr std::size_t kMaxHeader = std::size_t{ 64 } * 1024;
 
 void
 EmitText(YAML::Emitter& aOut, const char* aKey, const std::string& aValue)
--- a/tests/admin/AdminServerTest.cpp
+++ b/tests/admin/AdminServerTest.cpp
@@ -16,7 +16,7 @@
 /// A server on a port the system chose, and a client for it.
 struct Fixture
 {
-  explicit Fixture(std::vector<AdminRoute> aRoutes,
+  explicit Fixture(const std::vector<AdminRoute>& aRoutes,
                    AdminServer::Settings aSettings = {})
   {
     for (int i = 0; i < 20 && !mServer; ++i) {
@@ -143,6 +143,7 @@
                               } } },
                           { .mWorkers = kRequests });
     std::vector<pplx::task<std::pair<unsigned, std::string>>> tasks;
+    tasks.reserve(kRequests);
     for (int i = 0; i < kRequests; ++i) {
       tasks.push_back(fixture.Send("GET", "/v1/row"));
     }
--- a/tests/profiles/ProfileDocumentTest.cpp
+++ b/tests/profiles/ProfileDocumentTest.cpp
@@ -33,7 +33,7 @@
 const std::string kDeposit = "profiles.deposit.";
 
 std::vector<FaultCase>
-FaultCases()
+StructureFaults()
 {
   return {
     { "none", DocumentOf(1000), {} },
@@ -63,6 +63,13 @@
     { "name not for a header",
       With("deposit:\n", "de posit:\n"),
       { { 2, "profiles.de posit" }, { 10, "services.till.default" } } },
+  };
+}
+
+std::vector<FaultCase>
+ProfileFaults()
+{
+  return {
     { "importance unknown",
       With("critical", "vital"),
       { { 3, kDeposit + "importance" } } },
@@ -95,6 +102,13 @@
     { "retries too many",
       With("budget: 3", "budget: 65"),
       { { 7, kDeposit + "retry_budget" } } },
+  };
+}
+
+std::vector<FaultCase>
+ServiceFaults()
+{
+  return {
     { "default missing",
       With("    default: deposit\n", "    allowed: []\n"),
       { { 10, "services.till.default" } } },
@@ -131,7 +145,11 @@
 {
   TEST_CASE("every fault is listed with its line and key")
   {
-    for (const FaultCase& entry : FaultCases()) {
+    std::vector<FaultCase> cases = StructureFaults();
+    for (const auto& more : { ProfileFaults(), ServiceFaults() }) {
+      cases.insert(cases.end(), more.begin(), more.end());
+    }
+    for (const FaultCase& entry : cases) {
       CAPTURE(entry.mName);
       const auto outcome = ProfileDocument::Check(entry.mText);
       std::vector<std::pair<std::size_t, std::string>> faults;
@@ -231,15 +249,16 @@
       flipped[i] = static_cast<char>(flipped[i] ^ 1);
       CHECK(!PublishedSet::Read(flipped));
     }
-    for (const std::string& damaged : { std::string(),
-                                        std::string("x"),
-                                        bytes.substr(0, bytes.size() - 1),
-                                        bytes.substr(0, 40),
-                                        bytes + "x",
-                                        invalid.Encode(),
-                                        zero.Encode(),
-                                        loop.Encode(),
-                                        std::string(10'000'000, 'x') }) {
+    for (const std::string& damaged :
+         { std::string(),
+           std::string("x"),
+           bytes.substr(0, bytes.size() - 1),
+           bytes.substr(0, 40),
+           bytes + "x",
+           invalid.Encode(),
+           zero.Encode(),
+           loop.Encode(),
+           std::string(2 * ProfileDocument::kMaxBytes, 'x') }) {
       CHECK(PublishedSet::Read(damaged).error().mKind ==
             core::ErrorKind::InvalidProfiles);
     }
--- a/tests/profiles/ProfileSyncTest.cpp
+++ b/tests/profiles/ProfileSyncTest.cpp
@@ -62,7 +62,7 @@
   {
     const std::scoped_lock lock(mMutex);
     REQUIRE(!mPulls.empty());
-    const auto callback = mPulls.front().second;
+    auto callback = mPulls.front().second;
     mPulls.erase(mPulls.begin());
     return callback;
   }
--- a/tests/profiles/PublicationTest.cpp
+++ b/tests/profiles/PublicationTest.cpp
@@ -326,6 +326,7 @@
     for (const Case& entry : cases) {
       std::vector<std::uint64_t> versions;
       const auto history = reader.History(entry.mLimit, entry.mBefore).value();
+      versions.reserve(history.size());
       for (const auto& record : history) {
         versions.push_back(record.mVersion);
       }
