Let a connection's timer not own it, and order the transport tests

LimitTimer's hooks owned the connection that owns the timer, so connections that were open when the io_context stopped were lost: build-asan/test_transport reported 310817 bytes in 178 indirect allocations. The pending wait now holds the connection in place of the hooks.

One of seven runs of build/test_transport on a busy machine failed one check. Its output was not kept; by reading, it is the check that all calls use one connection: the pool may open a second one while the end of the last write is not yet reported. The test now waits for the idle connection and keeps the check.

--- a/src/nutmegrock/transport/http/LimitTimer.cpp
+++ b/src/nutmegrock/transport/http/LimitTimer.cpp
@@ -13,8 +13,11 @@
 }
 
 void
-LimitTimer::Start(std::function<void()> aTick, std::function<void()> aExpired)
+LimitTimer::Start(const std::shared_ptr<void>& aOwner,
+                  std::function<void()> aTick,
+                  std::function<void()> aExpired)
 {
+  mOwner = aOwner;
   mTick = std::move(aTick);
   mExpired = std::move(aExpired);
   Wait();
@@ -31,16 +34,12 @@
 LimitTimer::Wait()
 {
   mTimer.expires_after(mInterval);
-  mTimer.async_wait(
-    [self = shared_from_this()](boost::system::error_code aCode) {
-      if (aCode || self->mStopped) {
-        // Dropped here and not in Stop(), which a hook may have called.
-        self->mTick = {};
-        self->mExpired = {};
-        return;
-      }
+  mTimer.async_wait([self = shared_from_this(),
+                     owner = mOwner.lock()](boost::system::error_code aCode) {
+    if (!aCode && !self->mStopped) {
       self->OnInterval();
-    });
+    }
+  });
 }
 
 void
@@ -51,10 +50,8 @@
     Wait();
     return;
   }
-  const auto expired = std::exchange(mExpired, {});
-  mTick = {};
   mStopped = true;
-  expired();
+  mExpired();
 }
 
 } // namespace nutmegrock::transport::http
--- a/src/nutmegrock/transport/http/LimitTimer.h
+++ b/src/nutmegrock/transport/http/LimitTimer.h
@@ -19,8 +19,10 @@
              core::Duration aInterval);
 
   /// Runs aTick at each interval, and aExpired once when a limit has passed.
-  void Start(std::function<void()> aTick, std::function<void()> aExpired);
-  /// Drops both hooks.
+  /// Keeps the owner, which the hooks may use, alive until stopped.
+  void Start(const std::shared_ptr<void>& aOwner,
+             std::function<void()> aTick,
+             std::function<void()> aExpired);
   void Stop();
   void Limit(core::Duration aTime) { mLimit = core::Clock::now() + aTime; }
   void Clear() { mLimit = core::TimePoint::max(); }
@@ -32,6 +34,9 @@
   boost::asio::steady_timer mTimer;
   const core::Duration mInterval;
   core::TimePoint mLimit = core::TimePoint::max();
+  /// Weak, since the owner holds this timer; the pending wait is the strong
+  /// reference.
+  std::weak_ptr<void> mOwner;
   std::function<void()> mTick;
   std::function<void()> mExpired;
   bool mStopped = false;
--- a/src/nutmegrock/transport/http/ServerConnection.cpp
+++ b/src/nutmegrock/transport/http/ServerConnection.cpp
@@ -54,7 +54,10 @@
     self->mSocket.set_option(net::ip::tcp::no_delay(true), ignored);
     self->mSocket.non_blocking(true, ignored);
     self->mBuffer.reserve(kFirstRead);
-    self->mTimer->Start([self] { self->OnTick(); }, [self] { self->Close(); });
+    self->mTimer->Start(
+      self,
+      [connection = self.get()] { connection->OnTick(); },
+      [connection = self.get()] { connection->Close(); });
     if (!aRefuse) {
       self->ReadHead();
       return;
--- a/tests/transport/HttpCallTest.cpp
+++ b/tests/transport/HttpCallTest.cpp
@@ -42,6 +42,8 @@
         const auto text = Whole(answer->mBody);
         REQUIRE(text.has_value());
         CHECK(text->size() == size);
+        // The end of the call's last write may be reported after the answer.
+        CHECK(WaitUntil([&] { return client->Idle() == 1; }));
       }
     }
     CHECK(client->Connections() == 1);
--- a/tests/transport/PeerFaultTest.cpp
+++ b/tests/transport/PeerFaultTest.cpp
@@ -612,8 +612,9 @@
     auto taken = given.mNext.Get();
     REQUIRE(taken.has_value());
     server->StopAccepting();
-    const auto other = MakePeerClient(loop);
     CHECK(WaitUntil([&] {
+      // A connection accepted before the stop would stay usable.
+      const auto other = MakePeerClient(loop);
       return !ControlAndWait(*other, server->LocalAddress(), {}, "")
                 .has_value();
     }));
