--- a/src/nutmegrock/node/NodeParts.cpp
+++ b/src/nutmegrock/node/NodeParts.cpp
@@ -94,14 +94,9 @@
   auto policy = retry::RetryPolicy::Create({});
   auto levels = limits::LevelCache::Create({});
   auto resends = retry::ResendLedger::Create({});
-  for (const core::Error* error : { router ? nullptr : &router.error(),
-                                    ratio ? nullptr : &ratio.error(),
-                                    policy ? nullptr : &policy.error(),
-                                    levels ? nullptr : &levels.error(),
-                                    resends ? nullptr : &resends.error() }) {
-    if (error != nullptr) {
-      return tl::make_unexpected(*error);
-    }
+  if (!router || !ratio || !policy || !levels || !resends) {
+    return core::Fail(core::ErrorKind::Internal,
+                      "the default settings of a decision are not valid");
   }
   mRouter = std::move(*router);
   mRatio = std::move(*ratio);
