--- a/experiment/nutmegrock_experiment/OnceExperiment.cpp
+++ b/experiment/nutmegrock_experiment/OnceExperiment.cpp
@@ -136,6 +136,20 @@
   return result;
 }
 
+void
+AddCounts(FigureTable& aTable,
+          const FaultSequence& aFaults,
+          const OnceCounts& aCounts)
+{
+  const Target none{ Comparison::AtMost, 0.0 };
+  aTable.Add("node_kills", static_cast<double>(aFaults.Kills()), "faults");
+  aTable.Add("node_pauses", static_cast<double>(aFaults.Pauses()), "faults");
+  aTable.Add("run_twice", aCounts.mRunTwice, "requests", none);
+  aTable.Add("not_run_but_ran", aCounts.mFalseNotRun, "requests", none);
+  aTable.Add(
+    "completed_without_run", aCounts.mCompletedWithoutRun, "requests", none);
+}
+
 } // namespace
 
 FigureTable
@@ -185,12 +199,7 @@
             static_cast<double>(records.size()),
             "requests",
             Target{ Comparison::AtLeast, kRequests });
-  table.Add("node_kills", static_cast<double>(faults.Kills()), "faults");
-  table.Add("node_pauses", static_cast<double>(faults.Pauses()), "faults");
-  table.Add("run_twice", counts.mRunTwice, "requests", none);
-  table.Add("not_run_but_ran", counts.mFalseNotRun, "requests", none);
-  table.Add(
-    "completed_without_run", counts.mCompletedWithoutRun, "requests", none);
+  AddCounts(table, faults, counts);
   table.Add("mismatched_answers",
             static_cast<double>(all.Mismatched()),
             "requests",
