Open the membership before the listeners and count control bytes

A backend server that announced itself before the membership was open met a null pointer: listeners opened first (found by starting 18 instances at once, log stops at 'backend server state=serving'). Listeners now open after the membership. /v1/metrics gives nutmegrock_control_bytes_total.

--- a/experiment/nutmegrock_experiment/OnceExperiment.cpp
+++ b/experiment/nutmegrock_experiment/OnceExperiment.cpp
@@ -150,6 +150,23 @@
     "completed_without_run", aCounts.mCompletedWithoutRun, "requests", none);
 }
 
+void
+InjectFaults(const RunContext& aContext,
+             LoadGenerator& aLoad,
+             FaultSequence& aFaults)
+{
+  const double bound = static_cast<double>(aContext.mBound.count()) - 25.0;
+  while (static_cast<double>(aLoad.Ended()) < 1.1 * kRequests &&
+         aLoad.Seconds() < bound) {
+    aFaults.Next();
+    Pause(kFaultGap);
+  }
+  aFaults.SetStoreDown(false);
+  Settle(aLoad, std::chrono::seconds(25));
+  // Work that nobody waits for any more may still run.
+  Pause(std::chrono::seconds(2));
+}
+
 } // namespace
 
 FigureTable
@@ -174,16 +191,7 @@
   faults.SetStoreDown(false);
   const double outage_to = load.Seconds();
 
-  const double bound = static_cast<double>(aContext.mBound.count()) - 25.0;
-  while (static_cast<double>(load.Ended()) < 1.1 * kRequests &&
-         load.Seconds() < bound) {
-    faults.Next();
-    Pause(kFaultGap);
-  }
-  faults.SetStoreDown(false);
-  Settle(load, std::chrono::seconds(25));
-  // Work that nobody waits for any more may still run.
-  Pause(std::chrono::seconds(2));
+  InjectFaults(aContext, load, faults);
   const auto records = load.RecordsWithUnfinished();
   const OnceCounts counts = Check(deployment.Counts(), records);
   const LoadSummary healthy(
--- a/src/nutmegrock/node/NodeParts.cpp
+++ b/src/nutmegrock/node/NodeParts.cpp
@@ -7,6 +7,7 @@
 #include "routing/RouterSettings.h"
 #include "settings/SettingsFile.h"
 
+#include <algorithm>
 #include <boost/algorithm/string/trim.hpp>
 #include <random>
 #include <spdlog/spdlog.h>
@@ -72,6 +73,7 @@
                            &Parts::OpenCalling,
                            &Parts::OpenPeers,
                            &Parts::OpenMembership,
+                           &Parts::OpenListeners,
                            &Parts::OpenAdmin }) {
     auto opened = (this->*step)();
     if (!opened) {
@@ -222,7 +224,7 @@
     [this](const std::string& aName, const std::string& aBody) {
       return OnNotice(aName, aBody);
     });
-  return OpenListeners();
+  return true;
 }
 
 core::Expected<bool>
@@ -405,6 +407,7 @@
                       return StatusAnswer();
                     } });
   routes.push_back({ "GET", "/metrics", [this](const admin::AdminRequest&) {
+                      CountControl();
                       return admin::AdminAnswer::Text(
                         mRegistry.PrometheusText(),
                         "text/plain; version=0.0.4");
@@ -419,6 +422,19 @@
   return true;
 }
 
+void
+NodeRuntime::Parts::CountControl()
+{
+  const membership::udp::MembershipCounters& counters = mMembership->Counters();
+  const auto set = [this](const char* aDirection, std::uint64_t aBytes) {
+    metrics::Counter& counter = mRegistry.CounterOf(
+      "nutmegrock_control_bytes_total", { { "direction", aDirection } });
+    counter.Add(aBytes - std::min(aBytes, counter.Value()));
+  };
+  set("sent", counters.mBytesSent);
+  set("received", counters.mBytesReceived);
+}
+
 core::Expected<bool>
 NodeRuntime::Parts::OnNotice(const std::string& aName, const std::string& aBody)
 {
