Raise the limit quickly after a server that shed everything works again

Change: the limit before the first cut is kept while no call ends well, and each call that ends well then adds one up to it.

Tried and taken back: treating a fall of the latency at the limit as a cold start.

--- a/experiment/Deployment.h
+++ b/experiment/Deployment.h
@@ -23,7 +23,7 @@
   std::string mProgramFolder;
   /// Profile document to publish.
   std::string mProfilesFile;
-  unsigned mNodeThreads = 2;
+  unsigned mNodeThreads = 1;
   /// False: only nodes, which then serve no calls.
   bool mWithServers = true;
   std::chrono::milliseconds mColdStart{ 0 };
--- a/src/nutmegrock/limits/ConcurrencyLimit.cpp
+++ b/src/nutmegrock/limits/ConcurrencyLimit.cpp
@@ -148,6 +148,8 @@
 {
   if (aOutcome.mKind == CallEnd::Shed) {
     OnShed(aNow, aInFlight);
+  } else if (aOutcome.mKind == CallEnd::Ok) {
+    RegrowAfterShed(aNow);
   }
   if (aSample == mSampleId && mOpen > 0) {
     --mOpen;
@@ -182,12 +184,37 @@
   if (aNow < mNoShedCutBefore || aInFlight > mLimit + 1) {
     return;
   }
+  // Calls that ended well since the last cut show that the server works at
+  // part of the limit; without any it has failed, and the limit before says
+  // more about it than the cuts.
+  if (mEndedWell || mBeforeShed <= 0) {
+    mBeforeShed = mLimit * kMostCut;
+  }
+  mEndedWell = false;
   SetLimit(std::max(mLimit * kMostCut, aInFlight - 1.0));
   mKnee = mLimit;
   mGrownFrom = 0;
   mNoShedCutBefore = aNow + ToDuration(mLoaded.Mean());
 }
 
+void
+ConcurrencyLimit::RegrowAfterShed(core::TimePoint aNow)
+{
+  mEndedWell = true;
+  if (mBeforeShed <= 0 || aNow < mNoGrowthBefore) {
+    return;
+  }
+  if (mLimit >= mBeforeShed) {
+    mBeforeShed = 0;
+    return;
+  }
+  // One more for each call doubles the limit in one latency. Samples at a limit
+  // of 1 took tens of seconds to raise it again after a server had shed all.
+  SetLimit(std::min(mLimit + 1, mBeforeShed));
+  mKnee = mLimit;
+  StartSample();
+}
+
 void
 ConcurrencyLimit::StartSample()
 {
--- a/src/nutmegrock/limits/ConcurrencyLimit.h
+++ b/src/nutmegrock/limits/ConcurrencyLimit.h
@@ -76,6 +76,8 @@
   explicit ConcurrencyLimit(const ConcurrencyLimitSettings& aSettings);
 
   void OnShed(core::TimePoint aNow, std::uint32_t aInFlight);
+  /// Raises the limit quickly towards the one before the server shed calls.
+  void RegrowAfterShed(core::TimePoint aNow);
   void AddToSample(const CallOutcome& aOutcome);
   void StartSample();
   /// Calls that the present sample takes.
@@ -128,6 +130,10 @@
   double mGrownFrom = 0;
   core::TimePoint mNoGrowthBefore;
   core::TimePoint mNoShedCutBefore;
+  /// Limit to return to quickly once the server sheds no more; 0 for none.
+  double mBeforeShed = 0;
+  /// A call ended well since the last cut by a shed call.
+  bool mEndedWell = true;
 };
 
 } // namespace nutmegrock::limits
--- a/tests/limits/ConcurrencyLimitTest.cpp
+++ b/tests/limits/ConcurrencyLimitTest.cpp
@@ -195,6 +195,23 @@
     CHECK(limit.AdaptedLimit() == 20);
   }
 
+  // Samples at a limit of 1 take so long that important calls alone kept the
+  // limit there for over 30 s after a server had shed everything.
+  TEST_CASE("returns within 3 s once a server that shed everything works again")
+  {
+    for (const std::uint32_t slots : { 13U, 25U, 130U }) {
+      ConcurrencyLimit limit = Make(slots);
+      Drive drive(limit);
+      const Server works{ static_cast<double>(slots), 0.05 };
+      drive.Run(works, 20);
+      const std::uint32_t before = limit.AdaptedLimit();
+      drive.Run({ 0, 0.05, true }, 5);
+      CHECK(limit.AdaptedLimit() < before / 2);
+      drive.Run(works, 3);
+      CHECK(limit.AdaptedLimit() >= before / 2);
+    }
+  }
+
   // Failed and cancelled calls say nothing about the server's speed.
   TEST_CASE("fast errors do not move the limit")
   {
