--- a/src/nutmegrock/node/CallingSide.cpp
+++ b/src/nutmegrock/node/CallingSide.cpp
@@ -84,6 +84,27 @@
   aHandler(tl::make_unexpected(aError));
 }
 
+std::optional<CallingSide::Prepared>
+CallingSide::Prepare(const std::string& aService,
+                     const transport::Call& aCall,
+                     const transport::AnswerHandler& aHandler)
+{
+  auto headers = CallerHeaders::Parse(aCall.mHead.mHeaders);
+  if (!headers) {
+    RefuseEarly(aService, headers.error(), aHandler);
+    return std::nullopt;
+  }
+  Profiles profiles = mProfiles();
+  if (profiles == nullptr) {
+    RefuseEarly(aService,
+                core::MakeError(core::ErrorKind::NoProfiles,
+                                "no profiles are in force at this node yet"),
+                aHandler);
+    return std::nullopt;
+  }
+  return Prepared{ std::move(*headers), std::move(profiles) };
+}
+
 void
 CallingSide::HandleCaller(transport::Call aCall,
                           transport::AnswerHandler aHandler)
@@ -97,36 +118,26 @@
                 aHandler);
     return;
   }
-  const auto headers = CallerHeaders::Parse(aCall.mHead.mHeaders);
-  if (!headers) {
-    RefuseEarly(target->mName, headers.error(), aHandler);
-    return;
-  }
-  const Profiles profiles = mProfiles();
-  if (profiles == nullptr) {
-    RefuseEarly(target->mName,
-                core::MakeError(core::ErrorKind::NoProfiles,
-                                "no profiles are in force at this node yet"),
-                aHandler);
+  const auto ready = Prepare(target->mName, aCall, aHandler);
+  if (!ready) {
     return;
   }
   if (target->mKind == TargetKind::Keys) {
     GiveKey(aHandler);
     return;
   }
-  Enter(*target, *headers, profiles, std::move(aCall), std::move(aHandler));
+  Enter(*target, *ready, std::move(aCall), std::move(aHandler));
 }
 
 void
 CallingSide::Enter(const CallTarget& aTarget,
-                   const CallerHeaders& aHeaders,
-                   const Profiles& aProfiles,
+                   const Prepared& aPrepared,
                    transport::Call aCall,
                    transport::AnswerHandler aHandler)
 {
   const core::TimePoint now = mServices->mEnvironment.mNow();
-  auto context =
-    EntryContext(now, *aProfiles, aTarget.mName, aHeaders, NewRequest());
+  auto context = EntryContext(
+    now, *aPrepared.mProfiles, aTarget.mName, aPrepared.mHeaders, NewRequest());
   if (!context) {
     RefuseEarly(aTarget.mName, context.error(), aHandler);
     return;
@@ -270,45 +281,37 @@
     Notify(*target, aCall, std::move(aHandler));
     return;
   }
-  const auto headers = CallerHeaders::Parse(aCall.mHead.mHeaders);
-  if (!headers) {
-    RefuseEarly(target->mName, headers.error(), aHandler);
-    return;
-  }
-  const Profiles profiles = mProfiles();
-  if (profiles == nullptr) {
-    RefuseEarly(target->mName,
-                core::MakeError(core::ErrorKind::NoProfiles,
-                                "no profiles are in force at this node yet"),
-                aHandler);
-    return;
+  const auto ready = Prepare(target->mName, aCall, aHandler);
+  if (ready) {
+    Nest(*target, *ready, std::move(aCall), std::move(aHandler));
   }
-  Nest(*target, *headers, profiles, std::move(aCall), std::move(aHandler));
 }
 
 void
 CallingSide::Nest(const CallTarget& aTarget,
-                  const CallerHeaders& aHeaders,
-                  const Profiles& aProfiles,
+                  const Prepared& aPrepared,
                   transport::Call aCall,
                   transport::AnswerHandler aHandler)
 {
-  const auto parent = mCalls.Find(aHeaders.mCall);
+  const auto parent = mCalls.Find(aPrepared.mHeaders.mCall);
   if (parent == nullptr) {
-    NestUntied(aTarget, aProfiles, std::move(aCall), std::move(aHandler));
+    NestUntied(
+      aTarget, aPrepared.mProfiles, std::move(aCall), std::move(aHandler));
     return;
   }
   const retry::RetryGrant grant = parent->GrantRetries();
-  auto context =
-    NestedContext(parent->Context(), *aProfiles, aHeaders, grant.mAmount);
+  auto context = NestedContext(
+    parent->Context(), *aPrepared.mProfiles, aPrepared.mHeaders, grant.mAmount);
   if (!context) {
     parent->OnNestedEnd(grant.mId, grant.mAmount, {}, false);
     RefuseEarly(aTarget.mName, context.error(), aHandler);
     return;
   }
   aCall.mHead.mTarget = aTarget.mPath;
-  if (parent->Cancel() != nullptr && aCall.mCancellation != nullptr) {
-    // A caller that gave up stops the calls nested in its request.
+  if (parent->Context().mIdempotent && parent->Cancel() != nullptr &&
+      aCall.mCancellation != nullptr) {
+    // A caller that gave up stops the calls nested in its request, unless its
+    // outcome has to become known.
     parent->Cancel()->OnCancel([weak = std::weak_ptr(aCall.mCancellation)] {
       if (const auto cancellation = weak.lock()) {
         cancellation->Cancel();
--- a/src/nutmegrock/node/CallingSide.h
+++ b/src/nutmegrock/node/CallingSide.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace nutmegrock::node {
@@ -44,9 +45,19 @@
 private:
   using Profiles = std::shared_ptr<const profiles::ProfileSet>;
 
+  /// What both kinds of calls need before anything is decided.
+  struct Prepared
+  {
+    CallerHeaders mHeaders;
+    Profiles mProfiles;
+  };
+
+  /// Answers the caller and returns nothing when the call cannot go on.
+  std::optional<Prepared> Prepare(const std::string& aService,
+                                  const transport::Call& aCall,
+                                  const transport::AnswerHandler& aHandler);
   void Enter(const CallTarget& aTarget,
-             const CallerHeaders& aHeaders,
-             const Profiles& aProfiles,
+             const Prepared& aPrepared,
              transport::Call aCall,
              transport::AnswerHandler aHandler);
   void GiveKey(const transport::AnswerHandler& aHandler);
@@ -60,8 +71,7 @@
             transport::Call aCall,
             OutgoingHandler aHandler);
   void Nest(const CallTarget& aTarget,
-            const CallerHeaders& aHeaders,
-            const Profiles& aProfiles,
+            const Prepared& aPrepared,
             transport::Call aCall,
             transport::AnswerHandler aHandler);
   void NestUntied(const CallTarget& aTarget,
