Open the membership before the peer listener; name shared values once

Cause: the peer listener opened before the membership and the profile exchange that its control handler uses, so a peer that still knew the address of an earlier run could reach a null pointer during start. Found by reading; not reproduced. The name of the retry header stood in two files and the lowest failing status in three; both are in CallerHeaders.h.

--- a/src/nutmegrock/node/CallerHeaders.h
+++ b/src/nutmegrock/node/CallerHeaders.h
@@ -19,6 +19,12 @@
 constexpr std::string_view kCallHeader = "Nutmegrock-Call";
 constexpr std::string_view kStepHeader = "Nutmegrock-Step";
 constexpr std::string_view kRunHeader = "Nutmegrock-Run";
+/// Also set by a serving node on an answer whose failure has been decided
+/// below.
+constexpr std::string_view kRetryHeader = "Nutmegrock-Retry";
+
+/// Lowest HTTP status that counts as a failure of the backend server.
+constexpr unsigned kServerError = 500;
 
 /// What a caller says about its call. Each field is absent unless sent.
 struct CallerHeaders
--- a/src/nutmegrock/node/CallingSide.cpp
+++ b/src/nutmegrock/node/CallingSide.cpp
@@ -13,8 +13,6 @@
 
 constexpr std::size_t kMaxNoticeBytes = 4096;
 
-constexpr unsigned kServerError = 500;
-
 bool
 IsFailure(const OutgoingResult& aResult)
 {
--- a/src/nutmegrock/node/NodeParts.cpp
+++ b/src/nutmegrock/node/NodeParts.cpp
@@ -61,8 +61,8 @@
                            &Parts::OpenPlatform,
                            &Parts::OpenServing,
                            &Parts::OpenCalling,
-                           &Parts::OpenPeers,
                            &Parts::OpenMembership,
+                           &Parts::OpenPeers,
                            &Parts::OpenListeners,
                            &Parts::OpenAdmin }) {
     auto opened = (this->*step)();
--- a/src/nutmegrock/node/OutgoingCall.cpp
+++ b/src/nutmegrock/node/OutgoingCall.cpp
@@ -1,5 +1,6 @@
 #include "node/OutgoingCall.h"
 
+#include "node/CallerHeaders.h"
 #include "transport/BodyTap.h"
 
 #include <algorithm>
@@ -11,9 +12,6 @@
 
 namespace {
 
-constexpr unsigned kServerError = 500;
-constexpr std::string_view kRetryHeader = "Nutmegrock-Retry";
-
 /// Whether the result came from the serving node, so that its feedback counts.
 bool
 CameFromServingNode(const transport::PeerResult& aResult)
--- a/src/nutmegrock/node/ServingSide.cpp
+++ b/src/nutmegrock/node/ServingSide.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// Header between nodes: the hop next to a failure has decided about retries.
-constexpr std::string_view kRetryHeader = "Nutmegrock-Retry";
-constexpr unsigned kServerError = 500;
 constexpr unsigned kUnavailable = 503;
 
 limits::CallEnd
