--- a/src/nutmegrock/admin/AdminServer.cpp
+++ b/src/nutmegrock/admin/AdminServer.cpp
@@ -1,6 +1,6 @@
 #include "admin/AdminServer.h"
 
-#include "platform/http/StoreClient.h"
+#include "store/http/StoreClient.h"
 
 #include <algorithm>
 #include <condition_variable>
@@ -241,7 +241,7 @@
 core::Expected<std::unique_ptr<AdminServer>>
 AdminServer::Open(Settings aSettings, std::vector<AdminRoute> aRoutes)
 {
-  platform::http::InitializePool();
+  store::http::InitializePool();
   const std::string address = aSettings.mListen.Text();
   try {
     auto implementation = std::make_shared<Implementation>(std::move(aSettings),
--- a/src/nutmegrock/admin/ProfileRoutes.h
+++ b/src/nutmegrock/admin/ProfileRoutes.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "admin/AdminServer.h"
-#include "platform/ObjectStore.h"
-#include "platform/TableService.h"
 #include "profiles/ProfileHolder.h"
 #include "profiles/ProfileRecord.h"
+#include "store/ObjectStore.h"
+#include "store/TableService.h"
 
 #include <functional>
 #include <vector>
@@ -28,8 +28,8 @@
 public:
   struct Settings
   {
-    platform::TableService& mTable;
-    platform::ObjectStore& mObjects;
+    store::TableService& mTable;
+    store::ObjectStore& mObjects;
     const profiles::ProfileHolder& mHolder;
     /// Called with each accepted publication, before it is answered.
     std::function<void(const profiles::PublishedSet&)> mOnPublished;
--- a/src/nutmegrock/cli/AdminClient.cpp
+++ b/src/nutmegrock/cli/AdminClient.cpp
@@ -25,7 +25,7 @@
 core::Expected<AdminClient>
 AdminClient::Make(const core::Address& aAdmin)
 {
-  auto client = platform::http::StoreClient::Make(
+  auto client = store::http::StoreClient::Make(
     { .mUrl = "http://" + aAdmin.Text(), .mTimeout = kTimeout });
   if (!client) {
     return tl::make_unexpected(client.error());
@@ -33,7 +33,7 @@
   return AdminClient(std::move(*client));
 }
 
-AdminClient::AdminClient(platform::http::StoreClient aClient)
+AdminClient::AdminClient(store::http::StoreClient aClient)
   : mClient(std::move(aClient))
 {
 }
--- a/src/nutmegrock/cli/AdminClient.h
+++ b/src/nutmegrock/cli/AdminClient.h
@@ -2,7 +2,7 @@
 
 #include "core/Address.h"
 #include "core/Error.h"
-#include "platform/http/StoreClient.h"
+#include "store/http/StoreClient.h"
 
 #include <cpprest/json.h>
 #include <map>
@@ -38,9 +38,9 @@
     const std::map<std::string, std::string>& aHeaders = {}) const;
 
 private:
-  explicit AdminClient(platform::http::StoreClient aClient);
+  explicit AdminClient(store::http::StoreClient aClient);
 
-  platform::http::StoreClient mClient;
+  store::http::StoreClient mClient;
 };
 
 } // namespace nutmegrock::cli
--- a/src/nutmegrock/cli/Program.cpp
+++ b/src/nutmegrock/cli/Program.cpp
@@ -15,13 +15,6 @@
 
 using Arguments = std::vector<std::string>;
 
-struct Subcommand
-{
-  std::string_view mName;
-  std::string_view mSummary;
-  int (*mRun)(const Arguments&, std::ostream&, std::ostream&);
-};
-
 int
 RunVersionCommand(const Arguments&, std::ostream& aOut, std::ostream&)
 {
@@ -42,10 +35,10 @@
 };
 
 void
-PrintUsage(std::ostream& aOut)
+PrintUsage(std::ostream& aOut, const std::vector<Subcommand>& aSubcommands)
 {
   aOut << "Usage: nutmegrock SUBCOMMAND [ARGUMENTS]\n\nSubcommands:\n";
-  for (const Subcommand& subcommand : kSubcommands) {
+  for (const Subcommand& subcommand : aSubcommands) {
     aOut << "  " << subcommand.mName
          << std::string(10 - subcommand.mName.size(), ' ')
          << subcommand.mSummary << "\n";
@@ -56,24 +49,29 @@
 } // namespace
 
 int
-RunProgram(const Arguments& aArguments, std::ostream& aOut, std::ostream& aErr)
+RunProgram(const Arguments& aArguments,
+           std::ostream& aOut,
+           std::ostream& aErr,
+           const std::vector<Subcommand>& aFurther)
 {
+  std::vector<Subcommand> subcommands(kSubcommands.begin(), kSubcommands.end());
+  subcommands.insert(subcommands.end(), aFurther.begin(), aFurther.end());
   if (aArguments.empty()) {
-    PrintUsage(aErr);
+    PrintUsage(aErr, subcommands);
     return static_cast<int>(ExitCode::WrongUsage);
   }
   if (aArguments[0] == "--help" || aArguments[0] == "-h") {
-    PrintUsage(aOut);
+    PrintUsage(aOut, subcommands);
     return static_cast<int>(ExitCode::Ok);
   }
-  for (const Subcommand& subcommand : kSubcommands) {
+  for (const Subcommand& subcommand : subcommands) {
     if (subcommand.mName == aArguments[0]) {
       return subcommand.mRun(
         Arguments(aArguments.begin() + 1, aArguments.end()), aOut, aErr);
     }
   }
   aErr << "nutmegrock: \"" << aArguments[0] << "\" is not a subcommand\n";
-  PrintUsage(aErr);
+  PrintUsage(aErr, subcommands);
   return static_cast<int>(ExitCode::WrongUsage);
 }
 
--- a/src/nutmegrock/cli/PublishCommand.cpp
+++ b/src/nutmegrock/cli/PublishCommand.cpp
@@ -72,8 +72,8 @@
   const auto answer = aClient.Send(
     "PUT",
     fmt::format("/profiles?author={}&publication={}",
-                platform::http::EncodeSegment(aArguments.mAuthor),
-                platform::http::EncodeSegment(aArguments.mPublication)),
+                store::http::EncodeSegment(aArguments.mAuthor),
+                store::http::EncodeSegment(aArguments.mPublication)),
     aArguments.mDocument,
     { { "If-Match", fmt::format("\"{}\"", aArguments.mExpected) } });
   const std::string repeat = fmt::format(
--- /dev/null
+++ b/src/nutmegrock/gateway/Entry.cpp
@@ -0,0 +1,83 @@
+#include "gateway/Entry.h"
+
+#include "gateway/EntryCall.h"
+
+#include <utility>
+#include <vector>
+
+namespace nutmegrock::gateway {
+
+namespace {
+
+/// A caller who says that it waits at least this share of the longest time has
+/// not been refused before.
+constexpr double kFreshShare = 0.97;
+/// Routes whose longest time is remembered.
+constexpr std::size_t kMostRoutes = 1024;
+
+} // namespace
+
+Entry::Entry(EntrySettings aSettings,
+             SharedParts& aParts,
+             Serving& aServing,
+             routes::RouteHolder& aRoutes,
+             routing::Router& aRouter,
+             overload::EntryAdmission& aAdmission,
+             retry::RetryAllowance& aAllowance)
+  : mSettings(std::move(aSettings))
+  , mParts(aParts)
+  , mServing(aServing)
+  , mRoutes(aRoutes)
+  , mRouter(aRouter)
+  , mAdmission(aAdmission)
+  , mAllowance(aAllowance)
+  , mSplits(mSettings.mSelf.mBits)
+{
+}
+
+Entry::~Entry() = default;
+
+std::shared_ptr<proxy::RequestSink>
+Entry::Handle(const proxy::ServerExchangePtr& aExchange)
+{
+  auto call = std::make_shared<EntryCall>(*this, aExchange);
+  mCalls.insert(call);
+  call->Start();
+  return call;
+}
+
+bool
+Entry::IsReturned(const std::string& aRoute,
+                  std::chrono::milliseconds aDeadline)
+{
+  if (mLongestDeadline.size() > kMostRoutes) {
+    mLongestDeadline.clear();
+  }
+  auto& longest = mLongestDeadline[aRoute];
+  longest = std::max(longest, aDeadline);
+  return static_cast<double>(aDeadline.count()) <
+         kFreshShare * static_cast<double>(longest.count());
+}
+
+void
+Entry::Tick()
+{
+  const core::TimePoint now = mParts.mNow();
+  std::vector<std::shared_ptr<EntryCall>> over;
+  for (const auto& call : mCalls) {
+    if (call->Deadline() <= now) {
+      over.push_back(call);
+    }
+  }
+  for (const auto& call : over) {
+    call->Expire();
+  }
+}
+
+void
+Entry::Remove(EntryCall* aCall)
+{
+  mCalls.erase(aCall->shared_from_this());
+}
+
+} // namespace nutmegrock::gateway
--- /dev/null
+++ b/src/nutmegrock/gateway/Entry.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "core/Incarnation.h"
+#include "gateway/Serving.h"
+#include "overload/EntryAdmission.h"
+#include "proxy/ServerExchange.h"
+#include "retry/RetryAllowance.h"
+#include "routes/RouteHolder.h"
+#include "routes/SplitPicker.h"
+#include "routing/Router.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+namespace nutmegrock::gateway {
+
+class EntryCall;
+
+struct EntrySettings
+{
+  core::Incarnation mSelf;
+  /// Service of the backend server beside this node.
+  std::string mService;
+  std::string mZone;
+  /// IP number of the backend server, whose own calls come from there.
+  std::string mServerIp;
+  /// Port at which nodes take requests from each other; the same on all.
+  std::uint16_t mPeerPort = 0;
+};
+
+/// The entry half of a node: takes requests of callers and of the backend
+/// server beside it, and sends each to a serving node. Used on one thread.
+class Entry
+{
+public:
+  /// The parts must outlive it.
+  Entry(EntrySettings aSettings,
+        SharedParts& aParts,
+        Serving& aServing,
+        routes::RouteHolder& aRoutes,
+        routing::Router& aRouter,
+        overload::EntryAdmission& aAdmission,
+        retry::RetryAllowance& aAllowance);
+  Entry(const Entry&) = delete;
+  Entry& operator=(const Entry&) = delete;
+  ~Entry();
+
+  /// Takes a request.
+  std::shared_ptr<proxy::RequestSink> Handle(
+    const proxy::ServerExchangePtr& aExchange);
+  /// Ends requests whose time is over. Call it every 20 ms.
+  void Tick();
+  std::size_t InFlight() const { return mCalls.size(); }
+  /// A new version of the routes is in force.
+  void OnRoutesChanged() { mSplits.Clear(); }
+
+private:
+  friend class EntryCall;
+
+  /// The longest time that callers of a route said they wait. A caller who says
+  /// less has been refused before.
+  bool IsReturned(const std::string& aRoute,
+                  std::chrono::milliseconds aDeadline);
+  void Remove(EntryCall* aCall);
+
+  const EntrySettings mSettings;
+  SharedParts& mParts;
+  Serving& mServing;
+  routes::RouteHolder& mRoutes;
+  routing::Router& mRouter;
+  overload::EntryAdmission& mAdmission;
+  retry::RetryAllowance& mAllowance;
+  routes::SplitPicker mSplits;
+  std::unordered_set<std::shared_ptr<EntryCall>> mCalls;
+  std::map<std::string, std::chrono::milliseconds> mLongestDeadline;
+};
+
+} // namespace nutmegrock::gateway
--- /dev/null
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "core/Time.h"
+#include "gateway/Entry.h"
+#include "gateway/PeerNote.h"
+#include "proxy/Streams.h"
+#include "routes/RouteSet.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace nutmegrock::gateway {
+
+/// One request at the entry node: finds its route, asks for admission, sends
+/// attempts until one gives the final answer, and returns that.
+class EntryCall final
+  : public proxy::RequestSink
+  , public std::enable_shared_from_this<EntryCall>
+{
+public:
+  EntryCall(Entry& aEntry, proxy::ServerExchangePtr aExchange);
+
+  void Start();
+  core::TimePoint Deadline() const { return mDeadline; }
+  /// The time is over.
+  void Expire();
+
+  void OnRequestBody(std::string_view aBytes) override;
+  void OnRequestEnd() override;
+  void OnGone() override;
+  void OnAnswerSent() override;
+
+private:
+  /// Receives the answer to one attempt. It ends with the attempt, so that late
+  /// bytes of one attempt never mix with the next one's.
+  class AttemptSink final : public proxy::AnswerSink
+  {
+  public:
+    explicit AttemptSink(EntryCall& aCall)
+      : mCall(aCall)
+    {
+    }
+    void OnAnswerHead(const proxy::AnswerHead& aHead) override
+    {
+      mCall.OnAnswerHead(aHead);
+    }
+    void OnAnswerBody(std::string_view aBytes) override
+    {
+      mCall.OnAnswerBody(aBytes);
+    }
+    void OnAnswerEnd() override { mCall.OnAnswerEnd(); }
+    void OnAnswerFailed(const core::Error& aError) override
+    {
+      mCall.OnAnswerFailed(aError);
+    }
+    void OnRequestSent() override { mCall.OnRequestSent(); }
+
+  private:
+    EntryCall& mCall;
+  };
+
+  void OnAnswerHead(const proxy::AnswerHead& aHead);
+  void OnAnswerBody(std::string_view aBytes);
+  void OnAnswerEnd();
+  void OnAnswerFailed(const core::Error& aError);
+  void OnRequestSent();
+  bool FindRoute();
+  void SetTimes();
+  bool Admit();
+  void SendAttempt();
+  void SendToSelf(const PeerCall& aCall);
+  void SendToPeer(const PeerCall& aCall);
+  /// Notes how the present attempt ended.
+  void EndAttempt(routing::AttemptOutcome aOutcome);
+  void TakeNote(const PeerNote& aNote);
+  bool MayRetry(const core::Error& aError, bool aCountsAtServer);
+  void Retry();
+  /// Whether the answer of a backend server may be replaced by another attempt.
+  bool ShouldReplace(const proxy::AnswerHead& aHead);
+  void Fail(const core::Error& aError);
+  void AnswerHeld();
+  void Finish();
+  void LogEnd(unsigned aStatus, std::string_view aReason);
+  std::string_view KindOfCaller() const
+  {
+    return mNested ? "server" : "caller";
+  }
+
+  Entry& mEntry;
+  proxy::ServerExchangePtr mExchange;
+  routes::RouteSetPtr mRoutes;
+  const routes::Route* mRoute = nullptr;
+  std::string mService;
+  std::string mExtraLines;
+  bool mNested = false;
+  bool mReturned = false;
+  core::TimePoint mArrived;
+  core::TimePoint mDeadline;
+
+  // The present attempt.
+  std::shared_ptr<AttemptSink> mSink;
+  std::uint64_t mAttemptNumber = 0;
+  proxy::OutgoingRequestPtr mAttempt;
+  routing::Choice mChoice;
+  core::TimePoint mAttemptAt;
+  bool mAttemptOpen = false;
+  core::CallFeedback mFeedback;
+  bool mHasFeedback = false;
+  bool mServerLeaving = false;
+
+  std::vector<core::Incarnation> mTried;
+  /// Backend servers that may have got the request.
+  std::uint32_t mServersReached = 0;
+  bool mPossiblyRun = false;
+
+  /// The body so far, for another attempt; dropped when it grows too long.
+  std::string mReplay;
+  bool mReplayable = true;
+  bool mBodyEnded = false;
+
+  proxy::AnswerHead mHead;
+  std::string mHeld;
+  bool mStreaming = false;
+  bool mDone = false;
+};
+
+} // namespace nutmegrock::gateway
--- /dev/null
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -0,0 +1,259 @@
+// The parts of a running node that answer control requests and follow signals.
+#include "gateway/GatewayParts.h"
+#include "gateway/SimpleRequest.h"
+#include "proxy/MessageText.h"
+#include "settings/SettingsFile.h"
+
+#include <boost/asio/post.hpp>
+#include <csignal>
+#include <spdlog/fmt/fmt.h>
+#include <spdlog/spdlog.h>
+#include <thread>
+
+namespace nutmegrock::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// After a signal to stop, time in which callers and other nodes learn to go
+/// elsewhere. Two missed readiness checks of one a second take callers away.
+constexpr milliseconds kLeaveTime{ 2'600 };
+/// For this long after the signal, requests of other nodes that have not heard
+/// yet are still run.
+constexpr milliseconds kTakeWorkTime{ 1'200 };
+/// Kept back from the platform's time to stop, for the end of the process.
+constexpr milliseconds kStopReserve{ 400 };
+constexpr milliseconds kSettingsCheck{ 2'000 };
+
+const std::string kJson = proxy::HeaderLine("Content-Type", "application/json");
+const std::string kText = proxy::HeaderLine("Content-Type", "text/plain");
+
+} // namespace
+
+std::shared_ptr<proxy::RequestSink>
+GatewayRuntime::Parts::HandleNotice(const proxy::ServerExchangePtr& aExchange)
+{
+  return std::make_shared<SimpleRequest>(
+    aExchange,
+    [this](proxy::ServerExchange& aNotice, const std::string& aBody) {
+      OnNotice(aNotice, aBody);
+    });
+}
+
+void
+GatewayRuntime::Parts::OnNotice(proxy::ServerExchange& aExchange,
+                                const std::string& aBody)
+{
+  const proxy::RequestHead& head = aExchange.Head();
+  const auto applied =
+    mPorts.mDecodeNotice({ head.mMethod, head.mTarget, aBody })
+      .and_then(
+        [this](const ServerNotice& aNotice) { return ApplyNotice(aNotice); });
+  if (!applied) {
+    const core::ErrorRow& row = core::RowOf(applied.error().mKind);
+    mRegistry
+      .CounterOf("nutmegrock_notice_refused_total",
+                 { { "reason", std::string(row.mName) } })
+      .Add();
+    if (mLog.MayWriteRequest(core::Clock::now())) {
+      mLog.State(fmt::format("event=notice_refused target=\"{}\" reason=\"{}\"",
+                             head.mTarget,
+                             applied.error().mMessage));
+    }
+    aExchange.SendWhole(row.mStatus, kText, applied.error().mMessage + "\n");
+    return;
+  }
+  PublishState();
+  aExchange.SendWhole(200, kJson, mPorts.mNoticeAnswer);
+}
+
+core::Expected<bool>
+GatewayRuntime::Parts::ApplyNotice(const ServerNotice& aNotice)
+{
+  if (const auto* heartbeat = std::get_if<announce::Announcement>(&aNotice)) {
+    auto changed = mServing->OnHeartbeat(*heartbeat);
+    if (!changed && changed.error().mKind == core::ErrorKind::VersionConflict) {
+      // A heartbeat that was late is acknowledged and changes nothing.
+      mRegistry.CounterOf("nutmegrock_heartbeat_late_total").Add();
+      return false;
+    }
+    return changed;
+  }
+  const auto& leave = std::get<LeaveNotice>(aNotice);
+  mServing->OnLeave(leave.mId, leave.mStartedMs);
+  return true;
+}
+
+std::shared_ptr<proxy::RequestSink>
+GatewayRuntime::Parts::HandleReady(const proxy::ServerExchangePtr& aExchange)
+{
+  if (aExchange->Head().mTarget != mPorts.mReadyPath) {
+    aExchange->SendWhole(404, kText, "not found\n");
+  } else if (mStopping) {
+    aExchange->SendWhole(503, kText, "stopping\n");
+  } else if (mRoutes.Version() == 0) {
+    aExchange->SendWhole(503, kText, "no routes yet\n");
+  } else {
+    aExchange->SendWhole(200, kText, "ready\n");
+  }
+  return nullptr;
+}
+
+std::shared_ptr<proxy::RequestSink>
+GatewayRuntime::Parts::HandleMetrics(const proxy::ServerExchangePtr& aExchange)
+{
+  const std::string& target = aExchange->Head().mTarget;
+  if (target == "/status") {
+    aExchange->SendWhole(200, kText, StatusText());
+  } else if (target == "/metrics") {
+    UpdateGauges();
+    aExchange->SendWhole(200, kText, mRegistry.PrometheusText());
+  } else {
+    aExchange->SendWhole(404, kText, "not found\n");
+  }
+  return nullptr;
+}
+
+std::string
+GatewayRuntime::Parts::StatusText() const
+{
+  const core::TimePoint now = core::Clock::now();
+  std::string text =
+    fmt::format("service {} zone {} incarnation {}\nroutes version {}\n"
+                "store answering {}\nmembers {}\nserver {} running {} waiting "
+                "{} limit {} load {:.3f}\n",
+                mSettings.mService,
+                mSettings.mAvailabilityZone,
+                mSelf.Text(),
+                mRoutes.Version(),
+                mSync->IsStoreAnswering(),
+                mMembership->View()->Alive(),
+                announce::NameOf(mServing->Server().Phase(now)),
+                mServing->Queue().Running(),
+                mServing->Queue().Waiting(),
+                mServing->Queue().Limit(),
+                mServing->Queue().Load(now));
+  for (const auto& [service, level] : mAdmission.Levels()) {
+    text += fmt::format("service {} load {:.3f} share admitted {:.3f}\n",
+                        service,
+                        level.Load(),
+                        level.Share());
+  }
+  for (const auto& [route, cost] : mCosts.All()) {
+    text += fmt::format("route {} complete {}", route, cost.mComplete);
+    for (const overload::ServiceCost& part : cost.mServices) {
+      text += fmt::format(" {}={:.3f}s", part.mService, part.mSlotSeconds);
+    }
+    text += "\n";
+  }
+  return text;
+}
+
+void
+GatewayRuntime::Parts::UpdateGauges()
+{
+  const auto set = [this](std::string_view aName, std::uint64_t aValue) {
+    metrics::Counter& counter = mRegistry.CounterOf(aName);
+    counter.Add(aValue - counter.Value());
+  };
+  set("nutmegrock_connections_opened_total", mPool->Counts().mOpened);
+  set("nutmegrock_connections_reused_total", mPool->Counts().mReused);
+  set("nutmegrock_stray_answers_total", mPool->Counts().mStray);
+  set("nutmegrock_log_lines_dropped_total", mLog.Dropped());
+  set("nutmegrock_bad_requests_total", mCallers->BadRequests());
+  set("nutmegrock_connections_refused_total", mCallers->Refused());
+}
+
+void
+GatewayRuntime::Parts::WaitForSignals()
+{
+  mSignals.async_wait(
+    [this](const boost::system::error_code& aCode, int aSignal) {
+      if (!aCode) {
+        OnSignal(aSignal);
+        WaitForSignals();
+      }
+    });
+}
+
+void
+GatewayRuntime::Parts::OnSignal(int aSignal)
+{
+  if (aSignal == SIGHUP) {
+    ReloadSettings("signal");
+    return;
+  }
+  StartStopping();
+}
+
+void
+GatewayRuntime::Parts::StartStopping()
+{
+  if (mStopping) {
+    return;
+  }
+  mStopping = true;
+  mStoppingSince = core::Clock::now();
+  mLog.State(fmt::format("event=stopping in_flight={}", InFlight()));
+  mCallers->StartStopping();
+  mNodes->StartStopping();
+  PublishState();
+}
+
+void
+GatewayRuntime::Parts::TickStopping(core::TimePoint aNow)
+{
+  const auto since = aNow - mStoppingSince;
+  if (since > kTakeWorkTime) {
+    mServing->StartStopping();
+  }
+  const bool idle =
+    InFlight() == 0 && mCallers->Busy() == 0 && mNodes->Busy() == 0;
+  const bool over = since > mSettings.mBounds.mStop - kStopReserve;
+  if ((since > kLeaveTime && idle) || over) {
+    mDone = true;
+    mIo.stop();
+  }
+}
+
+void
+GatewayRuntime::Parts::CheckSettingsFile(core::TimePoint aNow)
+{
+  if (aNow - mSettingsCheckedAt < kSettingsCheck) {
+    return;
+  }
+  mSettingsCheckedAt = aNow;
+  const auto text = settings::ReadTextFile(mSettingsPath);
+  if (text && *text != mSettingsText) {
+    ReloadSettings("file changed");
+  }
+}
+
+void
+GatewayRuntime::Parts::ReloadSettings(std::string_view aCause)
+{
+  const auto text = settings::ReadTextFile(mSettingsPath);
+  const auto loaded = text
+                        ? settings::ParseGatewaySettings(*text, mSettingsPath)
+                        : tl::make_unexpected(text.error());
+  if (text) {
+    mSettingsText = *text;
+  }
+  if (!loaded) {
+    mLog.State(fmt::format("event=reload cause=\"{}\" result=refused "
+                           "reason=\"{}\"",
+                           aCause,
+                           loaded.error().mMessage));
+    return;
+  }
+  spdlog::set_level(spdlog::level::from_str(loaded->mLogLevel));
+  settings::GatewaySettings compared = *loaded;
+  compared.mLogLevel = mSettings.mLogLevel;
+  mLog.State(
+    fmt::format("event=reload cause=\"{}\" result=applied needs_restart={}",
+                aCause,
+                !(compared == mSettings)));
+}
+
+} // namespace nutmegrock::gateway
--- /dev/null
+++ b/src/nutmegrock/gateway/GatewayParts.cpp
@@ -0,0 +1,417 @@
+#include "gateway/GatewayParts.h"
+
+#include "gateway/InboundCall.h"
+#include "gateway/SimpleRequest.h"
+#include "node/IoThreads.h"
+#include "settings/SettingsFile.h"
+#include "store/http/StoreClient.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <csignal>
+#include <spdlog/fmt/fmt.h>
+#include <spdlog/spdlog.h>
+#include <utility>
+
+namespace nutmegrock::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Period of the work that is done at intervals. Deadlines are kept to within
+/// one period; each wake-up costs processor time.
+constexpr milliseconds kTick{ 20 };
+/// Period of limits on idle connections and of gauges.
+constexpr milliseconds kSlowTick{ 250 };
+constexpr std::chrono::seconds kControlTimeout{ 2 };
+/// The part of the platform's bounds that is used, so that rounding and uneven
+/// load between nodes stay within them.
+constexpr double kRetryPart = 0.5;
+/// Part of the time to drain in which requests on their way still start.
+constexpr double kDrainPart = 0.4;
+/// A cold server is slow for about this long in both deployments.
+constexpr std::chrono::seconds kRamp{ 3 };
+/// Threads for the store's client; two calls are open at most.
+constexpr std::size_t kStoreThreads = 3;
+
+std::int64_t
+WallMs()
+{
+  return std::chrono::duration_cast<milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+retry::RetryAllowanceSettings
+AllowanceFor(const settings::GatewayBounds& aBounds)
+{
+  return { aBounds.mRetryRatio * kRetryPart,
+           aBounds.mRetryExtra * kRetryPart,
+           aBounds.mRetryWindow };
+}
+
+} // namespace
+
+GatewayRuntime::Parts::Parts(settings::GatewaySettings aSettings, Ports aPorts)
+  : mSettings(std::move(aSettings))
+  , mPorts(std::move(aPorts))
+  , mSelf(node::NewIncarnation())
+  , mTimer(mIo)
+  , mSignals(mIo, SIGTERM, SIGINT, SIGHUP)
+  , mLog({}, [](std::string_view aLine) { spdlog::info("{}", aLine); })
+  , mAdmission(mCosts, mLoads)
+  , mAllowance(AllowanceFor(mSettings.mBounds))
+{
+}
+
+GatewayRuntime::Parts::~Parts()
+{
+  // Their threads call into the parts.
+  mMembership.reset();
+  mSync.reset();
+}
+
+core::Expected<bool>
+GatewayRuntime::Parts::Open()
+{
+  store::http::InitializePool(kStoreThreads);
+  using Step = core::Expected<bool> (Parts::*)();
+  for (const Step step :
+       { &Parts::OpenDecisions, &Parts::OpenListeners, &Parts::OpenPeers }) {
+    if (auto opened = (this->*step)(); !opened) {
+      return opened;
+    }
+  }
+  OpenRoutes();
+  if (auto opened = OpenMembership(); !opened) {
+    return opened;
+  }
+  mSync->Start();
+  mLog.State(fmt::format(
+    "event=start service={} zone={} incarnation={} caller={} peer={}",
+    mSettings.mService,
+    mSettings.mAvailabilityZone,
+    mSelf.Text(),
+    mSettings.mListen.mCaller.Text(),
+    mSettings.mListen.mPeer.Text()));
+  return true;
+}
+
+core::Expected<bool>
+GatewayRuntime::Parts::OpenDecisions()
+{
+  routing::RouterSettings router_settings;
+  router_settings.mRamp = kRamp;
+  auto router = routing::Router::Create(router_settings);
+  if (!router) {
+    return tl::make_unexpected(router.error());
+  }
+  mRouter = std::move(*router);
+  mFeed = std::make_unique<node::CandidateFeed>(*mRouter);
+  const auto now = [] { return core::Clock::now(); };
+  mPool = std::make_unique<proxy::ClientPool>(mIo, mPorts.mNames, now);
+  mShared = std::make_unique<SharedParts>(
+    SharedParts{ now,
+                 *mPool,
+                 mGraph,
+                 mCosts,
+                 mLoads,
+                 mRegistry,
+                 mLog,
+                 [this] { return mRoutes.Version(); },
+                 [this](const core::Address& aFrom, std::uint64_t aVersion) {
+                   mSync->OnVersionSeen(aFrom, aVersion);
+                 } });
+  ServingSettings serving;
+  serving.mSelf = mSelf;
+  serving.mServer.mService = mSettings.mService;
+  serving.mServer.mAddress = mSettings.mBackendServer;
+  serving.mServer.mLeaveSlack = std::chrono::duration_cast<core::Duration>(
+    mSettings.mBounds.mDrain * kDrainPart);
+  mServing = std::make_unique<Serving>(serving, *mShared);
+  EntrySettings entry;
+  entry.mSelf = mSelf;
+  entry.mService = mSettings.mService;
+  entry.mZone = mSettings.mAvailabilityZone;
+  entry.mServerIp = mSettings.mBackendServer.mIp;
+  entry.mPeerPort = mSettings.mListen.mNodes.mPort;
+  mEntry = std::make_unique<Entry>(
+    entry, *mShared, *mServing, mRoutes, *mRouter, mAdmission, mAllowance);
+  return true;
+}
+
+core::Expected<GatewayRuntime::Parts::HttpListenerPtr>
+GatewayRuntime::Parts::Listen(const core::Address& aAddress,
+                              proxy::RequestHandler aHandler)
+{
+  proxy::HttpListenerSettings settings;
+  settings.mAddress = aAddress;
+  settings.mNames = mPorts.mNames;
+  return proxy::HttpListener::Create(
+    mIo,
+    std::move(settings),
+    [] { return core::Clock::now(); },
+    std::move(aHandler));
+}
+
+core::Expected<bool>
+GatewayRuntime::Parts::OpenListeners()
+{
+  const auto& listen = mSettings.mListen;
+  using Handler = proxy::RequestHandler;
+  struct Listener
+  {
+    HttpListenerPtr& mPlace;
+    const core::Address& mAddress;
+    Handler mHandler;
+  };
+  const std::vector<Listener> listeners = {
+    { mCallers,
+      listen.mCaller,
+      [this](const proxy::ServerExchangePtr& aExchange) {
+        return mEntry->Handle(aExchange);
+      } },
+    { mNodes,
+      listen.mNodes,
+      [this](const proxy::ServerExchangePtr& aExchange) {
+        return InboundCall::Handle(*mServing, aExchange);
+      } },
+    { mNotices,
+      listen.mNotices,
+      [this](const proxy::ServerExchangePtr& aExchange) {
+        return HandleNotice(aExchange);
+      } },
+    { mReady,
+      listen.mReady,
+      [this](const proxy::ServerExchangePtr& aExchange) {
+        return HandleReady(aExchange);
+      } },
+    { mMetrics,
+      listen.mMetrics,
+      [this](const proxy::ServerExchangePtr& aExchange) {
+        return HandleMetrics(aExchange);
+      } },
+  };
+  for (const Listener& listener : listeners) {
+    auto opened = Listen(listener.mAddress, listener.mHandler);
+    if (!opened) {
+      return tl::make_unexpected(opened.error());
+    }
+    listener.mPlace = std::move(*opened);
+  }
+  // Requests between nodes have passed the limits of the callers' listener, and
+  // connections between nodes are closed by the side that opened them.
+  routes::CallerLimits between;
+  between.mMaxHeaderBytes *= 2;
+  between.mIdleTimeout = std::chrono::seconds(60);
+  mNodes->SetLimits(between);
+  return true;
+}
+
+core::Expected<bool>
+GatewayRuntime::Parts::OpenPeers()
+{
+  transport::peer::PeerClientSettings client;
+  client.mIncarnation = mSelf;
+  mPeerClient = transport::peer::PeerClient::Create(mIo, client);
+  transport::peer::PeerServerSettings server;
+  server.mAddress = mSettings.mListen.mPeer;
+  server.mIncarnation = mSelf;
+  auto opened = transport::peer::PeerServer::Create(
+    mIo,
+    server,
+    [](const transport::PeerCall&,
+       const transport::PeerResultHandler& aHandler) {
+      aHandler({ core::Fail(core::ErrorKind::NotFound,
+                            "requests are taken at the listener for nodes"),
+                 {} });
+    },
+    [this](core::Incarnation,
+           const std::string& aMethod,
+           const std::string& aArgument,
+           const std::function<void(core::Expected<std::string>)>& aAnswer) {
+      if (aMethod == routes::RouteSync::kMethod) {
+        aAnswer(mSync->AnswerPull());
+      } else {
+        aAnswer(mMembership->HandleControl(aMethod, aArgument));
+      }
+    });
+  if (!opened) {
+    return tl::make_unexpected(opened.error());
+  }
+  mPeerServer = std::move(*opened);
+  return true;
+}
+
+void
+GatewayRuntime::Parts::OpenRoutes()
+{
+  mRoutes.OnChange([this](const routes::RouteSetPtr& aRoutes) {
+    boost::asio::post(mIo, [this, aRoutes] { OnRoutes(aRoutes); });
+  });
+  routes::RouteSync::Hooks hooks;
+  hooks.mPull = [this](const core::Address& aFrom,
+                       routes::RouteSync::PullCallback aCallback) {
+    mPeerClient->Control(aFrom,
+                         {},
+                         routes::RouteSync::kMethod,
+                         {},
+                         core::Clock::now() + kControlTimeout,
+                         std::move(aCallback));
+  };
+  hooks.mLog = [](const std::string& aLine) { spdlog::info("{}", aLine); };
+  mSync = std::make_unique<routes::RouteSync>(
+    mPorts.mRoutes, mPorts.mDecodeRoutes, mRoutes, std::move(hooks));
+}
+
+core::Expected<bool>
+GatewayRuntime::Parts::OpenMembership()
+{
+  membership::udp::MembershipServiceSettings settings;
+  settings.mOwn.mIncarnation = mSelf;
+  settings.mOwn.mAddress = mSettings.mListen.mPeer;
+  settings.mOwn.mService = mSettings.mService;
+  settings.mOwn.mRegion = mSettings.mRegion;
+  settings.mOwn.mAvailabilityZone = mSettings.mAvailabilityZone;
+  settings.mSeeds = mSettings.mSeeds;
+  membership::udp::MembershipHooks hooks;
+  hooks.mOwnVersion = [this] { return mRoutes.Version(); };
+  hooks.mNewerVersion = [this](const core::Address& aFrom,
+                               std::uint64_t aVersion) {
+    mSync->OnVersionSeen(aFrom, aVersion);
+  };
+  hooks.mViewChanged = [this](const membership::MemberViewPtr& aView) {
+    boost::asio::post(mIo, [this, aView] { OnView(aView); });
+  };
+  hooks.mControl =
+    [this](const core::Address& aAddress,
+           core::Incarnation aTarget,
+           std::string aMethod,
+           std::string aArgument,
+           std::function<void(core::Expected<std::string>)> aHandler) {
+      mPeerClient->Control(aAddress,
+                           aTarget,
+                           std::move(aMethod),
+                           std::move(aArgument),
+                           core::Clock::now() + kControlTimeout,
+                           std::move(aHandler));
+    };
+  auto started = membership::udp::MembershipService::Start(
+    std::move(settings), mPorts.mTable, std::move(hooks));
+  if (!started) {
+    return tl::make_unexpected(started.error());
+  }
+  mMembership = std::move(*started);
+  return true;
+}
+
+void
+GatewayRuntime::Parts::OnView(const membership::MemberViewPtr& aView)
+{
+  mFeed->Apply(*aView, core::Clock::now(), WallMs());
+  mAllowance.SetNodes(aView->Alive());
+  mLog.State(fmt::format("event=members number={} alive={} services={}",
+                         aView->mNumber,
+                         aView->Alive(),
+                         aView->mByService.size()));
+}
+
+void
+GatewayRuntime::Parts::OnRoutes(const routes::RouteSetPtr& aRoutes)
+{
+  mCallers->SetLimits(aRoutes->Limits());
+  mEntry->OnRoutesChanged();
+  mMembership->NotifyVersion(aRoutes->Version());
+}
+
+void
+GatewayRuntime::Parts::PublishState()
+{
+  const auto& server = mServing->Server();
+  auto state = membership::MemberState::Starting;
+  if (mStopping) {
+    state = membership::MemberState::Draining;
+  } else {
+    switch (server.Phase(core::Clock::now())) {
+      case announce::ServerPhase::Absent:
+        break;
+      case announce::ServerPhase::Serving:
+        state = membership::MemberState::Serving;
+        break;
+      case announce::ServerPhase::Leaving:
+        state = membership::MemberState::Draining;
+        break;
+    }
+  }
+  const std::uint32_t slots = server.Latest() ? server.Latest()->mSlots : 0;
+  if (state == mPublished && slots == mPublishedSlots) {
+    return;
+  }
+  mPublished = state;
+  mPublishedSlots = slots;
+  mLog.State(fmt::format("event=server_state state={} server={} slots={}",
+                         membership::NameOf(state),
+                         server.Latest() ? server.Latest()->mId : "-",
+                         slots));
+  mMembership->SetOwnState(state, slots, 0);
+}
+
+void
+GatewayRuntime::Parts::ScheduleTick()
+{
+  mTimer.expires_after(kTick);
+  mTimer.async_wait([this](const boost::system::error_code& aCode) {
+    if (!aCode && !mDone) {
+      Tick();
+      ScheduleTick();
+    }
+  });
+}
+
+void
+GatewayRuntime::Parts::Tick()
+{
+  const core::TimePoint now = core::Clock::now();
+  mEntry->Tick();
+  mServing->Tick();
+  mAdmission.Tick(now);
+  mPool->Tick();
+  PublishState();
+  if (now - mSlowTickAt >= kSlowTick) {
+    mSlowTickAt = now;
+    mCallers->Tick();
+    mNodes->Tick();
+    mNotices->Tick();
+    mReady->Tick();
+    mMetrics->Tick();
+  }
+  if (mStopping) {
+    TickStopping(now);
+  } else {
+    CheckSettingsFile(now);
+  }
+}
+
+std::size_t
+GatewayRuntime::Parts::Run(const std::string& aSettingsPath)
+{
+  mSettingsPath = aSettingsPath;
+  if (const auto text = settings::ReadTextFile(aSettingsPath)) {
+    mSettingsText = *text;
+  }
+  WaitForSignals();
+  ScheduleTick();
+  mIo.run();
+  const std::size_t cut = InFlight();
+  mLog.State(fmt::format("event=stop requests_cut_off={}", cut));
+  return cut;
+}
+
+std::size_t
+GatewayRuntime::Parts::InFlight() const
+{
+  return mEntry->InFlight() + mServing->InFlight();
+}
+
+} // namespace nutmegrock::gateway
--- /dev/null
+++ b/src/nutmegrock/gateway/GatewayParts.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "gateway/Entry.h"
+#include "gateway/GatewayRuntime.h"
+#include "gateway/Serving.h"
+#include "membership/udp/MembershipService.h"
+#include "metrics/Registry.h"
+#include "node/CandidateFeed.h"
+#include "overload/EntryAdmission.h"
+#include "proxy/HttpListener.h"
+#include "retry/RetryAllowance.h"
+#include "routes/RouteSync.h"
+#include "transport/peer/PeerClient.h"
+#include "transport/peer/PeerServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+
+namespace nutmegrock::gateway {
+
+/// The parts of a running node, in the order of their creation; they are
+/// destroyed in reverse.
+class GatewayRuntime::Parts
+{
+public:
+  Parts(settings::GatewaySettings aSettings, Ports aPorts);
+  Parts(const Parts&) = delete;
+  Parts& operator=(const Parts&) = delete;
+  ~Parts();
+
+  core::Expected<bool> Open();
+  std::size_t Run(const std::string& aSettingsPath);
+
+private:
+  using HttpListenerPtr = std::unique_ptr<proxy::HttpListener>;
+
+  core::Expected<bool> OpenDecisions();
+  core::Expected<bool> OpenListeners();
+  core::Expected<HttpListenerPtr> Listen(const core::Address& aAddress,
+                                         proxy::RequestHandler aHandler);
+  core::Expected<bool> OpenPeers();
+  core::Expected<bool> OpenMembership();
+  void OpenRoutes();
+
+  std::shared_ptr<proxy::RequestSink> HandleNotice(
+    const proxy::ServerExchangePtr& aExchange);
+  void OnNotice(proxy::ServerExchange& aExchange, const std::string& aBody);
+  core::Expected<bool> ApplyNotice(const ServerNotice& aNotice);
+  std::shared_ptr<proxy::RequestSink> HandleReady(
+    const proxy::ServerExchangePtr& aExchange);
+  std::shared_ptr<proxy::RequestSink> HandleMetrics(
+    const proxy::ServerExchangePtr& aExchange);
+  std::string StatusText() const;
+  void UpdateGauges();
+
+  void PublishState();
+  void OnView(const membership::MemberViewPtr& aView);
+  void OnRoutes(const routes::RouteSetPtr& aRoutes);
+  void ScheduleTick();
+  void Tick();
+  void WaitForSignals();
+  void OnSignal(int aSignal);
+  void StartStopping();
+  void TickStopping(core::TimePoint aNow);
+  void ReloadSettings(std::string_view aCause);
+  void CheckSettingsFile(core::TimePoint aNow);
+  std::size_t InFlight() const;
+
+  const settings::GatewaySettings mSettings;
+  Ports mPorts;
+  const core::Incarnation mSelf;
+  boost::asio::io_context mIo{ 1 };
+  boost::asio::steady_timer mTimer;
+  boost::asio::signal_set mSignals;
+  metrics::Registry mRegistry;
+  DecisionLog mLog;
+  routes::RouteHolder mRoutes;
+  overload::CallGraph mGraph;
+  overload::RouteCosts mCosts;
+  overload::ServiceLoads mLoads;
+  overload::EntryAdmission mAdmission;
+  retry::RetryAllowance mAllowance;
+  std::unique_ptr<routing::Router> mRouter;
+  std::unique_ptr<node::CandidateFeed> mFeed;
+  std::unique_ptr<proxy::ClientPool> mPool;
+  std::unique_ptr<SharedParts> mShared;
+  std::unique_ptr<Serving> mServing;
+  std::unique_ptr<Entry> mEntry;
+  HttpListenerPtr mCallers;
+  HttpListenerPtr mNodes;
+  HttpListenerPtr mNotices;
+  HttpListenerPtr mReady;
+  HttpListenerPtr mMetrics;
+  std::unique_ptr<transport::peer::PeerClient> mPeerClient;
+  std::unique_ptr<transport::peer::PeerServer> mPeerServer;
+  std::unique_ptr<routes::RouteSync> mSync;
+  std::unique_ptr<membership::udp::MembershipService> mMembership;
+
+  std::string mSettingsPath;
+  std::string mSettingsText;
+  core::TimePoint mSettingsCheckedAt;
+  core::TimePoint mSlowTickAt;
+  membership::MemberState mPublished = membership::MemberState::Starting;
+  std::uint32_t mPublishedSlots = 0;
+  core::TimePoint mStoppingSince;
+  bool mStopping = false;
+  bool mDone = false;
+};
+
+} // namespace nutmegrock::gateway
--- /dev/null
+++ b/src/nutmegrock/gateway/GatewayRuntime.cpp
@@ -0,0 +1,32 @@
+#include "gateway/GatewayRuntime.h"
+
+#include "gateway/GatewayParts.h"
+
+#include <utility>
+
+namespace nutmegrock::gateway {
+
+core::Expected<std::unique_ptr<GatewayRuntime>>
+GatewayRuntime::Start(const settings::GatewaySettings& aSettings, Ports aPorts)
+{
+  auto parts = std::make_unique<Parts>(aSettings, std::move(aPorts));
+  if (auto opened = parts->Open(); !opened) {
+    return tl::make_unexpected(std::move(opened.error()));
+  }
+  return std::unique_ptr<GatewayRuntime>(new GatewayRuntime(std::move(parts)));
+}
+
+GatewayRuntime::GatewayRuntime(std::unique_ptr<Parts> aParts)
+  : mParts(std::move(aParts))
+{
+}
+
+GatewayRuntime::~GatewayRuntime() = default;
+
+std::size_t
+GatewayRuntime::Run(const std::string& aSettingsPath)
+{
+  return mParts->Run(aSettingsPath);
+}
+
+} // namespace nutmegrock::gateway
--- /dev/null
+++ b/src/nutmegrock/gateway/GatewayRuntime.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/Error.h"
+#include "gateway/Ports.h"
+#include "settings/GatewaySettings.h"
+
+#include <memory>
+#include <string>
+
+namespace nutmegrock::gateway {
+
+/// A running node that serves published routes.
+class GatewayRuntime
+{
+public:
+  /// Opens all listeners. Fails with InvalidSettings.
+  static core::Expected<std::unique_ptr<GatewayRuntime>> Start(
+    const settings::GatewaySettings& aSettings,
+    Ports aPorts);
+
+  GatewayRuntime(const GatewayRuntime&) = delete;
+  GatewayRuntime& operator=(const GatewayRuntime&) = delete;
+  ~GatewayRuntime();
+
+  /// Serves on the calling thread until a signal to stop has been followed: new
+  /// work goes elsewhere, requests in flight end. Returns how many were cut
+  /// off. aSettingsPath is read again after SIGHUP and when the file changes.
+  std::size_t Run(const std::string& aSettingsPath);
+
+private:
+  class Parts;
+  explicit GatewayRuntime(std::unique_ptr<Parts> aParts);
+
+  std::unique_ptr<Parts> mParts;
+};
+
+} // namespace nutmegrock::gateway
--- /dev/null
+++ b/src/nutmegrock/gateway/InboundCall.cpp
@@ -0,0 +1,135 @@
+#include "gateway/InboundCall.h"
+
+#include "gateway/PeerCall.h"
+#include "proxy/HeaderNames.h"
+#include "proxy/MessageText.h"
+
+#include <utility>
+
+namespace nutmegrock::gateway {
+
+std::shared_ptr<proxy::RequestSink>
+InboundCall::Handle(Serving& aServing,
+                    const proxy::ServerExchangePtr& aExchange)
+{
+  const auto call = std::make_shared<InboundCall>(aServing, aExchange);
+  call->Start();
+  return call;
+}
+
+InboundCall::InboundCall(Serving& aServing, proxy::ServerExchangePtr aExchange)
+  : mServing(aServing)
+  , mExchange(std::move(aExchange))
+{
+}
+
+void
+InboundCall::Start()
+{
+  const proxy::RequestHead& head = mExchange->Head();
+  const auto call = DecodePeerCall(head.mPeerCall);
+  if (!call) {
+    OnAnswerFailed(call.error());
+    return;
+  }
+  mRoute = call->mRoute;
+  auto outgoing = mServing.Start(*call, head, weak_from_this());
+  if (!mEnded) {
+    mCall = std::move(outgoing);
+  }
+}
+
+void
+InboundCall::OnRequestBody(std::string_view aBytes)
+{
+  if (!mCall) {
+    return;
+  }
+  mCall->SendBody(aBytes);
+  if (mCall->Unsent() > proxy::kMostUnsent) {
+    mExchange->PauseBody(true);
+  }
+}
+
+void
+InboundCall::OnRequestEnd()
+{
+  if (mCall) {
+    mCall->EndBody();
+  }
+}
+
+void
+InboundCall::OnGone()
+{
+  mEnded = true;
+  if (const auto call = std::exchange(mCall, nullptr)) {
+    call->Cancel();
+  }
+}
+
+void
+InboundCall::OnAnswerSent()
+{
+  if (mCall && !mEnded && mExchange->Unsent() <= proxy::kMostUnsent) {
+    mCall->PauseAnswer(false);
+  }
+}
+
+void
+InboundCall::OnAnswerHead(const proxy::AnswerHead& aHead)
+{
+  const auto lines = proxy::HeaderLine(mExchange->RequestIdName(),
+                                       mExchange->Head().mRequestId) +
+                     proxy::HeaderLine(proxy::kPeerNoteHeader, aHead.mPeerNote);
+  mExchange->SendHead(aHead, lines);
+}
+
+void
+InboundCall::OnAnswerBody(std::string_view aBytes)
+{
+  mExchange->SendBody(aBytes);
+  if (mCall && mExchange->Unsent() > proxy::kMostUnsent) {
+    mCall->PauseAnswer(true);
+  }
+}
+
+void
+InboundCall::OnAnswerEnd()
+{
+  mEnded = true;
+  mExchange->End();
+}
+
+void
+InboundCall::OnAnswerFailed(const core::Error& aError)
+{
+  mEnded = true;
+  if (mExchange->HasAnswer()) {
+    mExchange->Break();
+    return;
+  }
+  constexpr unsigned kNotRunStatus = 503;
+  constexpr unsigned kUnknownStatus = 502;
+  PeerNote note = mServing.NoteFor(mRoute);
+  note.mError = aError;
+  std::string lines = proxy::HeaderLine(proxy::kPeerNoteHeader, Encode(note));
+  if (!mExchange->Head().mRequestId.empty()) {
+    lines += proxy::HeaderLine(mExchange->RequestIdName(),
+                               mExchange->Head().mRequestId);
+  }
+  mExchange->SendWhole(
+    aError.mRun == core::RunCertainty::NotRun ? kNotRunStatus : kUnknownStatus,
+    lines,
+    {});
+}
+
+void
+InboundCall::OnRequestSent()
+{
+  if (mCall && mCall->Unsent() <= proxy::kMostUnsent) {
+    mExchange->PauseBody(false);
+  }
+}
+
+} // namespace nutmegrock::gateway
--- /dev/null
+++ b/src/nutmegrock/gateway/PeerCall.cpp
@@ -0,0 +1,49 @@
+#include "gateway/PeerCall.h"
+
+#include "gateway/TextFields.h"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace nutmegrock::gateway {
+
+std::string
+Encode(const PeerCall& aCall)
+{
+  return fmt::format("{:x};{};{};{};{};{}",
+                     aCall.mTarget.mBits,
+                     aCall.mService,
+                     aCall.mCallerService,
+                     aCall.mRoute,
+                     aCall.mObjectiveLeft.count(),
+                     aCall.mTimeLeft.count());
+}
+
+core::Expected<PeerCall>
+DecodePeerCall(std::string_view aText)
+{
+  constexpr std::size_t kFields = 6;
+  const auto fields = SplitText(aText, ';');
+  const auto fail = [] {
+    return core::Fail(core::ErrorKind::ProtocolError,
+                      "the request does not come from a node of this version");
+  };
+  if (fields.size() != kFields) {
+    return fail();
+  }
+  const auto target = ParseNumber<std::uint64_t>(fields[0], 16);
+  const auto objective = ParseNumber<std::int64_t>(fields[4]);
+  const auto left = ParseNumber<std::int64_t>(fields[5]);
+  if (!target || !objective || !left || fields[1].empty()) {
+    return fail();
+  }
+  PeerCall call;
+  call.mTarget.mBits = *target;
+  call.mService = fields[1];
+  call.mCallerService = fields[2];
+  call.mRoute = fields[3];
+  call.mObjectiveLeft = std::chrono::milliseconds(*objective);
+  call.mTimeLeft = std::chrono::milliseconds(*left);
+  return call;
+}
+
+} // namespace nutmegrock::gateway
--- /dev/null
+++ b/src/nutmegrock/gateway/Ports.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "announce/Announcement.h"
+#include "core/Error.h"
+#include "proxy/HeaderNames.h"
+#include "routes/RouteStore.h"
+#include "store/TableService.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace nutmegrock::gateway {
+
+/// A backend server has left or is about to.
+struct LeaveNotice
+{
+  std::string mId;
+  /// As in Announcement.
+  std::int64_t mStartedMs = 0;
+
+  bool operator==(const LeaveNotice&) const = default;
+};
+
+using ServerNotice = std::variant<announce::Announcement, LeaveNotice>;
+
+/// A request at the listener for notices.
+struct NoticeRequest
+{
+  std::string mMethod;
+  std::string mTarget;
+  std::string mBody;
+};
+
+/// What an adapter to a platform provides.
+struct Ports
+{
+  proxy::HeaderNames mNames;
+  /// Path of the readiness check.
+  std::string mReadyPath = "/ready";
+  std::shared_ptr<store::TableService> mTable;
+  std::shared_ptr<routes::RouteStore> mRoutes;
+  routes::RouteDecoder mDecodeRoutes;
+  /// Fails with NotFound for a request that is no notice, and with BadRequest
+  /// for one that cannot be read.
+  std::function<core::Expected<ServerNotice>(const NoticeRequest&)>
+    mDecodeNotice;
+  /// Body of the answer that acknowledges a notice, a JSON document.
+  std::string mNoticeAnswer = "{}";
+};
+
+} // namespace nutmegrock::gateway
--- /dev/null
+++ b/src/nutmegrock/gateway/Serving.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "announce/LocalServer.h"
+#include "core/Incarnation.h"
+#include "core/Time.h"
+#include "gateway/DecisionLog.h"
+#include "gateway/PeerCall.h"
+#include "gateway/PeerNote.h"
+#include "metrics/Registry.h"
+#include "overload/CallGraph.h"
+#include "overload/RouteCosts.h"
+#include "overload/ServiceLoads.h"
+#include "overload/WorkQueue.h"
+#include "proxy/ClientPool.h"
+#include "proxy/MessageHead.h"
+#include "proxy/Streams.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace nutmegrock::gateway {
+
+class ServingCall;
+
+struct ServingSettings
+{
+  core::Incarnation mSelf;
+  announce::LocalServerSettings mServer;
+};
+
+/// What a node shares between its entry and serving halves.
+struct SharedParts
+{
+  std::function<core::TimePoint()> mNow;
+  proxy::ClientPool& mPool;
+  overload::CallGraph& mGraph;
+  overload::RouteCosts& mCosts;
+  overload::ServiceLoads& mLoads;
+  metrics::Registry& mRegistry;
+  DecisionLog& mLog;
+  /// Version of the routes in force.
+  std::function<std::uint64_t()> mRouteVersion;
+  /// Another node, at this peer address, has a version of the routes.
+  std::function<void(const core::Address&, std::uint64_t)> mOnVersionSeen;
+};
+
+/// The serving half of a node: runs requests at the backend server beside it.
+/// Used on one thread.
+class Serving
+{
+public:
+  /// The parts must outlive it.
+  Serving(ServingSettings aSettings, SharedParts& aParts);
+  Serving(const Serving&) = delete;
+  Serving& operator=(const Serving&) = delete;
+  ~Serving();
+
+  /// Takes a request. The sink may be called before this returns; its answers
+  /// come with a PeerNote.
+  proxy::OutgoingRequestPtr Start(const PeerCall& aCall,
+                                  const proxy::RequestHead& aHead,
+                                  std::weak_ptr<proxy::AnswerSink> aSink);
+
+  /// A heartbeat or leave of the backend server; see LocalServer.
+  core::Expected<bool> OnHeartbeat(const announce::Announcement& aAnnouncement);
+  bool OnLeave(const std::string& aId, std::int64_t aStartedMs);
+  /// No new work from now on, since this node stops.
+  void StartStopping() { mStopping = true; }
+  const announce::LocalServer& Server() const { return mServer; }
+  /// Whether new work is refused because the server or this node is leaving.
+  bool IsLeaving() const;
+  /// Ends calls whose time is over. Call it every 20 ms.
+  void Tick();
+
+  std::size_t InFlight() const { return mCalls.size(); }
+  const overload::WorkQueue& Queue() const { return mQueue; }
+  /// The note that goes with an answer of the route.
+  PeerNote NoteFor(const std::string& aRoute);
+
+private:
+  friend class ServingCall;
+
+  /// Usual time of a route's run at this server.
+  struct Usual
+  {
+    double mSeconds = 0;
+    core::TimePoint mCostSentAt;
+  };
+
+  core::Expected<bool> Check(const PeerCall& aCall) const;
+  void Apply(const overload::WorkChanges& aChanges);
+  void OnRunEnded(const std::string& aRoute, core::Duration aTime, bool aGood);
+  Usual& UsualOf(const std::string& aRoute);
+  void Remove(std::uint64_t aId);
+
+  const ServingSettings mSettings;
+  SharedParts& mParts;
+  announce::LocalServer mServer;
+  overload::WorkQueue mQueue;
+  std::unordered_map<std::uint64_t, std::shared_ptr<ServingCall>> mCalls;
+  std::map<std::string, Usual> mUsual;
+  std::uint64_t mNextId = 1;
+  core::TimePoint mLoadsSentAt;
+  bool mStopping = false;
+};
+
+} // namespace nutmegrock::gateway
--- /dev/null
+++ b/src/nutmegrock/gateway/ServingCall.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "core/Time.h"
+#include "gateway/Serving.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace nutmegrock::gateway {
+
+/// One request at the serving node: waits for its turn, then passes the request
+/// and its answer between the entry node and the backend server.
+class ServingCall final
+  : public proxy::OutgoingRequest
+  , public proxy::AnswerSink
+  , public std::enable_shared_from_this<ServingCall>
+{
+public:
+  ServingCall(Serving& aServing,
+              std::uint64_t aId,
+              PeerCall aCall,
+              proxy::RequestHead aHead,
+              std::weak_ptr<proxy::AnswerSink> aSink);
+
+  std::uint64_t Id() const { return mId; }
+  overload::WorkItem ItemFor(core::Duration aUsualTime) const;
+  core::TimePoint Deadline() const { return mDeadline; }
+  bool IsRunning() const { return mState == State::Running; }
+  /// Sends the request to the backend server.
+  void Run();
+  /// Ends the call with an answer of this node's own.
+  void Refuse(const core::Error& aError);
+  /// The time is over.
+  void Expire();
+
+  void SendBody(std::string_view aBytes) override;
+  void EndBody() override;
+  std::size_t Unsent() const override;
+  void PauseAnswer(bool aPaused) override;
+  void Cancel() override;
+
+  void OnAnswerHead(const proxy::AnswerHead& aHead) override;
+  void OnAnswerBody(std::string_view aBytes) override;
+  void OnAnswerEnd() override;
+  void OnAnswerFailed(const core::Error& aError) override;
+  void OnRequestSent() override;
+
+private:
+  enum class State : std::uint8_t
+  {
+    Waiting,
+    Running,
+    /// The answer is whole or given up; the body may still be on its way.
+    Ended
+  };
+
+  proxy::ClientRequest RequestFor(core::TimePoint aNow) const;
+  /// Gives the slot back and forgets the call.
+  void Leave(bool aGood);
+
+  Serving& mServing;
+  const std::uint64_t mId;
+  const PeerCall mCall;
+  proxy::RequestHead mHead;
+  std::weak_ptr<proxy::AnswerSink> mSink;
+  proxy::OutgoingRequestPtr mBackend;
+  State mState = State::Waiting;
+  const core::TimePoint mArrived;
+  const core::TimePoint mDue;
+  const core::TimePoint mDeadline;
+  core::TimePoint mStarted;
+  /// Body that arrived while the call was waiting.
+  std::string mBody;
+  bool mBodyEnded = false;
+  bool mHeadPassed = false;
+  bool mGoodStatus = false;
+};
+
+} // namespace nutmegrock::gateway
--- a/src/nutmegrock/membership/udp/MembershipService.cpp
+++ b/src/nutmegrock/membership/udp/MembershipService.cpp
@@ -59,7 +59,7 @@
   }
 
   core::Expected<bool> Open();
-  void Start(std::shared_ptr<platform::TableService> aTable);
+  void Start(std::shared_ptr<store::TableService> aTable);
   void Stop();
   void SetOwnState(MemberState aState,
                    std::uint32_t aSlots,
@@ -80,7 +80,7 @@
   void Perform(const Actions& aActions);
   void SendTo(const Outgoing& aOutgoing);
   void Request(const ControlRequest& aRequest);
-  void StartRows(std::shared_ptr<platform::TableService> aTable);
+  void StartRows(std::shared_ptr<store::TableService> aTable);
   void Receive();
   void HandleDatagram(std::size_t aSize);
   void StartTimer();
@@ -144,7 +144,7 @@
 }
 
 void
-MembershipService::Impl::Start(std::shared_ptr<platform::TableService> aTable)
+MembershipService::Impl::Start(std::shared_ptr<store::TableService> aTable)
 {
   Receive();
   StartTimer();
@@ -155,8 +155,7 @@
 }
 
 void
-MembershipService::Impl::StartRows(
-  std::shared_ptr<platform::TableService> aTable)
+MembershipService::Impl::StartRows(std::shared_ptr<store::TableService> aTable)
 {
   SeedRowsHooks hooks;
   hooks.mFound = [this](const std::vector<core::Address>& aFound) {
@@ -425,7 +424,7 @@
 
 core::Expected<std::unique_ptr<MembershipService>>
 MembershipService::Start(MembershipServiceSettings aSettings,
-                         std::shared_ptr<platform::TableService> aTable,
+                         std::shared_ptr<store::TableService> aTable,
                          MembershipHooks aHooks)
 {
   if (auto checked = aSettings.mOwn.Check(); !checked) {
--- a/src/nutmegrock/membership/udp/MembershipService.h
+++ b/src/nutmegrock/membership/udp/MembershipService.h
@@ -6,7 +6,7 @@
 #include "membership/MemberView.h"
 #include "membership/Membership.h"
 #include "membership/udp/MembershipCounters.h"
-#include "platform/TableService.h"
+#include "store/TableService.h"
 
 #include <cstdint>
 #include <functional>
@@ -58,7 +58,7 @@
   /// valid or the address cannot be bound.
   static core::Expected<std::unique_ptr<MembershipService>> Start(
     MembershipServiceSettings aSettings,
-    std::shared_ptr<platform::TableService> aTable,
+    std::shared_ptr<store::TableService> aTable,
     MembershipHooks aHooks);
 
   MembershipService(const MembershipService&) = delete;
--- a/src/nutmegrock/membership/udp/SeedRows.cpp
+++ b/src/nutmegrock/membership/udp/SeedRows.cpp
@@ -45,7 +45,7 @@
     "{}{}/{}", kPrefix, aMember.mRegion, aMember.mIncarnation.Text());
 }
 
-SeedRows::SeedRows(std::shared_ptr<platform::TableService> aTable,
+SeedRows::SeedRows(std::shared_ptr<store::TableService> aTable,
                    const Member& aOwn,
                    std::chrono::nanoseconds aStaleAfter,
                    SeedRowsHooks aHooks,
@@ -191,7 +191,7 @@
 bool
 SeedRows::ReadSeeds()
 {
-  std::vector<platform::Row> rows;
+  std::vector<store::Row> rows;
   if (!ReadRegion(mRegionPrefix, kOwnRegionRows, rows)) {
     return false;
   }
@@ -213,7 +213,7 @@
     }
   }
   std::vector<core::Address> found;
-  for (const platform::Row& row : rows) {
+  for (const store::Row& row : rows) {
     const auto address = core::Address::Parse(row.mValue);
     if (address && row.mKey != mOwnKey) {
       found.push_back(*address);
@@ -229,7 +229,7 @@
 bool
 SeedRows::ReadRegion(const std::string& aPrefix,
                      std::size_t aLimit,
-                     std::vector<platform::Row>& aRows)
+                     std::vector<store::Row>& aRows)
 {
   const std::string from = fmt::format("{}{:016x}", aPrefix, mRandom());
   auto rows = mTable->Scan(aPrefix, from, aLimit);
@@ -245,7 +245,7 @@
   if (!Succeeded(rows.has_value(), "read rows")) {
     return false;
   }
-  for (const platform::Row& row : *rows) {
+  for (const store::Row& row : *rows) {
     if (row.mKey < from) {
       aRows.push_back(row);
     }
--- a/src/nutmegrock/membership/udp/SeedRows.h
+++ b/src/nutmegrock/membership/udp/SeedRows.h
@@ -5,7 +5,7 @@
 #include "membership/Member.h"
 #include "membership/Random.h"
 #include "membership/udp/MembershipCounters.h"
-#include "platform/TableService.h"
+#include "store/TableService.h"
 
 #include <chrono>
 #include <condition_variable>
@@ -47,7 +47,7 @@
 
   /// aStaleAfter: a row that was read this long ago and whose member is gone is
   /// removed.
-  SeedRows(std::shared_ptr<platform::TableService> aTable,
+  SeedRows(std::shared_ptr<store::TableService> aTable,
            const Member& aOwn,
            std::chrono::nanoseconds aStaleAfter,
            SeedRowsHooks aHooks,
@@ -76,14 +76,14 @@
   bool ReadSeeds();
   bool ReadRegion(const std::string& aPrefix,
                   std::size_t aLimit,
-                  std::vector<platform::Row>& aRows);
+                  std::vector<store::Row>& aRows);
   void RemoveStale();
   /// A random pause with that mean.
   std::chrono::milliseconds Jittered(std::chrono::milliseconds aMean);
   /// Notes the result of a call to the table service.
   bool Succeeded(bool aSuccess, const char* aWhat);
 
-  std::shared_ptr<platform::TableService> mTable;
+  std::shared_ptr<store::TableService> mTable;
   std::string mRegionPrefix;
   std::string mOwnKey;
   std::string mOwnValue;
--- a/src/nutmegrock/node/NodeParts.cpp
+++ b/src/nutmegrock/node/NodeParts.cpp
@@ -48,7 +48,7 @@
 core::Expected<bool>
 NodeRuntime::Parts::Open()
 {
-  platform::http::InitializePool();
+  store::http::InitializePool();
   if (!mSettings.mSecretFile.empty()) {
     auto secret = settings::ReadTextFile(mSettings.mSecretFile);
     if (!secret) {
@@ -113,14 +113,14 @@
 core::Expected<bool>
 NodeRuntime::Parts::OpenPlatform()
 {
-  platform::http::StoreSettings store;
+  store::http::StoreSettings store;
   store.mUrl = mSettings.mPlatform.mTableService;
-  auto table = platform::http::HttpTableService::Make(store);
+  auto table = store::http::HttpTableService::Make(store);
   if (!table) {
     return tl::make_unexpected(table.error());
   }
   store.mUrl = mSettings.mPlatform.mObjectStore;
-  auto objects = platform::http::HttpObjectStore::Make(store);
+  auto objects = store::http::HttpObjectStore::Make(store);
   if (!objects) {
     return tl::make_unexpected(objects.error());
   }
--- a/src/nutmegrock/node/NodeParts.h
+++ b/src/nutmegrock/node/NodeParts.h
@@ -15,14 +15,14 @@
 #include "node/SettleService.h"
 #include "once/ExecutionLedger.h"
 #include "once/KeyOwner.h"
-#include "platform/http/HttpObjectStore.h"
-#include "platform/http/HttpTableService.h"
 #include "profiles/ProfileHolder.h"
 #include "profiles/ProfileSync.h"
 #include "retry/ResendLedger.h"
 #include "retry/RetryPolicy.h"
 #include "retry/RetryRatio.h"
 #include "routing/Router.h"
+#include "store/http/HttpObjectStore.h"
+#include "store/http/HttpTableService.h"
 #include "transport/http/CallListener.h"
 #include "transport/http/HttpBackendClient.h"
 #include "transport/peer/PeerClient.h"
@@ -92,8 +92,8 @@
   std::unique_ptr<once::KeyOwner> mKeyOwner;
   std::unique_ptr<once::ExecutionLedger> mLedger;
   std::unique_ptr<CandidateFeed> mFeed;
-  std::shared_ptr<platform::http::HttpTableService> mTable;
-  std::unique_ptr<platform::http::HttpObjectStore> mObjects;
+  std::shared_ptr<store::http::HttpTableService> mTable;
+  std::unique_ptr<store::http::HttpObjectStore> mObjects;
   std::unique_ptr<transport::http::HttpBackendClient> mBackend;
   std::shared_ptr<ServingSide> mServing;
   std::unique_ptr<transport::peer::PeerClient> mPeerClient;
--- /dev/null
+++ b/src/nutmegrock/overload/ShedLevel.cpp
@@ -0,0 +1,106 @@
+#include "overload/ShedLevel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace nutmegrock::overload {
+
+namespace {
+
+/// Largest share; above 1 nothing is shed, and a little room keeps noise of the
+/// load from shedding at once.
+constexpr double kMostShare = 1.3;
+
+double
+SecondsOf(core::Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+} // namespace
+
+ShedLevel::ShedLevel(ShedLevelSettings aSettings)
+  : mSettings(aSettings)
+  , mShare(kMostShare)
+{
+}
+
+void
+ShedLevel::FadeDemand(core::TimePoint aNow)
+{
+  if (mFadedAt != core::TimePoint{}) {
+    const double keep = std::exp(-SecondsOf(aNow - mFadedAt) /
+                                 SecondsOf(mSettings.mDemandMemory));
+    for (double& demand : mDemand) {
+      demand *= keep;
+    }
+  }
+  mFadedAt = aNow;
+}
+
+void
+ShedLevel::OnDemand(core::TimePoint aNow,
+                    std::uint32_t aPriority,
+                    double aSlotSeconds)
+{
+  FadeDemand(aNow);
+  mDemand.at(std::min<std::size_t>(aPriority, kPriorities - 1)) += aSlotSeconds;
+}
+
+double
+ShedLevel::LaggedShare(core::TimePoint aNow) const
+{
+  double sum = 0;
+  std::size_t count = 0;
+  for (const Past& past : mPast) {
+    const auto age = aNow - past.mAt;
+    if (age <= mSettings.mLagBegin && age >= mSettings.mLagEnd) {
+      sum += past.mShare;
+      ++count;
+    }
+  }
+  return count == 0 ? std::min(1.0, mShare) : sum / static_cast<double>(count);
+}
+
+void
+ShedLevel::Update(core::TimePoint aNow, double aLoad)
+{
+  const double load = std::min(aLoad, mSettings.mMostLoad);
+  if (mUpdatedAt == core::TimePoint{}) {
+    mLoad = load;
+  } else {
+    const double step = 1 - std::exp(-SecondsOf(aNow - mUpdatedAt) /
+                                     SecondsOf(mSettings.mSmoothing));
+    mLoad += step * (load - mLoad);
+  }
+  mUpdatedAt = aNow;
+  const double fits =
+    LaggedShare(aNow) * mSettings.mTarget / std::max(mLoad, 0.01);
+  mShare = std::clamp(fits, mSettings.mLeast, kMostShare);
+  mPast.push_back({ aNow, std::min(1.0, mShare) });
+  while (aNow - mPast.front().mAt > mSettings.mLagBegin) {
+    mPast.pop_front();
+  }
+}
+
+double
+ShedLevel::Admitted(std::uint32_t aPriority) const
+{
+  if (mShare >= 1) {
+    return 1;
+  }
+  const std::size_t priority =
+    std::min<std::size_t>(aPriority, kPriorities - 1);
+  double total = 0;
+  double above = 0;
+  for (std::size_t i = 0; i < kPriorities; ++i) {
+    total += mDemand[i];
+    above += i < priority ? mDemand[i] : 0;
+  }
+  if (total <= 0 || mDemand[priority] <= 0) {
+    return above < total * mShare ? 1 : 0;
+  }
+  return std::clamp((mShare * total - above) / mDemand[priority], 0.0, 1.0);
+}
+
+} // namespace nutmegrock::overload
--- a/src/nutmegrock/profiles/ProfilePublisher.cpp
+++ b/src/nutmegrock/profiles/ProfilePublisher.cpp
@@ -114,8 +114,8 @@
 
 } // namespace
 
-ProfilePublisher::ProfilePublisher(platform::TableService& aTable,
-                                   platform::ObjectStore& aObjects,
+ProfilePublisher::ProfilePublisher(store::TableService& aTable,
+                                   store::ObjectStore& aObjects,
                                    Settings aSettings)
   : mTable(aTable)
   , mObjects(aObjects)
--- a/src/nutmegrock/profiles/ProfilePublisher.h
+++ b/src/nutmegrock/profiles/ProfilePublisher.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "core/Error.h"
-#include "platform/ObjectStore.h"
-#include "platform/TableService.h"
 #include "profiles/DocumentFault.h"
 #include "profiles/ProfileReader.h"
 #include "profiles/ProfileRecord.h"
+#include "store/ObjectStore.h"
+#include "store/TableService.h"
 
 #include <chrono>
 #include <cstdint>
@@ -53,8 +53,8 @@
     std::function<void(unsigned)> mPause;
   };
 
-  ProfilePublisher(platform::TableService& aTable,
-                   platform::ObjectStore& aObjects,
+  ProfilePublisher(store::TableService& aTable,
+                   store::ObjectStore& aObjects,
                    Settings aSettings);
 
   /// Publishes the document as version mExpected + 1. Blocks.
@@ -81,8 +81,8 @@
   RecordLink SkipAfter(const CurrentRow& aPrevious) const;
   void Pause(unsigned aAttempt) const;
 
-  platform::TableService& mTable;
-  platform::ObjectStore& mObjects;
+  store::TableService& mTable;
+  store::ObjectStore& mObjects;
   ProfileReader mReader;
   Settings mSettings;
 };
--- a/src/nutmegrock/profiles/ProfileReader.h
+++ b/src/nutmegrock/profiles/ProfileReader.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "core/Error.h"
-#include "platform/ObjectStore.h"
-#include "platform/TableService.h"
 #include "profiles/ProfileDifference.h"
 #include "profiles/ProfileRecord.h"
+#include "store/ObjectStore.h"
+#include "store/TableService.h"
 
 #include <cstdint>
 #include <optional>
@@ -26,7 +26,7 @@
     std::uint64_t mRowVersion = 0;
   };
 
-  ProfileReader(platform::TableService& aTable, platform::ObjectStore& aObjects)
+  ProfileReader(store::TableService& aTable, store::ObjectStore& aObjects)
     : mTable(aTable)
     , mObjects(aObjects)
   {
@@ -61,8 +61,8 @@
 private:
   core::Expected<ProfileSet> SetOf(std::uint64_t aVersion) const;
 
-  platform::TableService& mTable;
-  platform::ObjectStore& mObjects;
+  store::TableService& mTable;
+  store::ObjectStore& mObjects;
 };
 
 } // namespace nutmegrock::profiles
--- a/src/nutmegrock/profiles/ProfileSync.cpp
+++ b/src/nutmegrock/profiles/ProfileSync.cpp
@@ -31,8 +31,8 @@
   Counts mCounts;
 };
 
-ProfileSync::ProfileSync(platform::TableService& aTable,
-                         platform::ObjectStore& aObjects,
+ProfileSync::ProfileSync(store::TableService& aTable,
+                         store::ObjectStore& aObjects,
                          ProfileHolder& aHolder,
                          Hooks aHooks,
                          Settings aSettings)
--- a/src/nutmegrock/profiles/ProfileSync.h
+++ b/src/nutmegrock/profiles/ProfileSync.h
@@ -2,12 +2,12 @@
 
 #include "core/Address.h"
 #include "core/Error.h"
-#include "platform/ObjectStore.h"
-#include "platform/TableService.h"
 #include "profiles/PollSchedule.h"
 #include "profiles/ProfileExchange.h"
 #include "profiles/ProfileHolder.h"
 #include "profiles/ProfileReader.h"
+#include "store/ObjectStore.h"
+#include "store/TableService.h"
 
 #include <cstdint>
 #include <functional>
@@ -59,8 +59,8 @@
   };
 
   /// The ports and the holder must outlive this object.
-  ProfileSync(platform::TableService& aTable,
-              platform::ObjectStore& aObjects,
+  ProfileSync(store::TableService& aTable,
+              store::ObjectStore& aObjects,
               ProfileHolder& aHolder,
               Hooks aHooks,
               Settings aSettings);
--- /dev/null
+++ b/src/nutmegrock/proxy/Channel.cpp
@@ -0,0 +1,260 @@
+#include "proxy/Channel.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace nutmegrock::proxy {
+
+namespace {
+
+namespace net = boost::asio;
+
+/// Bytes read with one system call.
+constexpr std::size_t kReadBytes = std::size_t{ 64 } * 1024;
+
+/// Sent bytes that stay unacknowledged for this long end the connection, in
+/// milliseconds. Cut links and connections that went silent show only by this.
+/// It covers two retransmissions on a lossy link.
+constexpr unsigned kUserTimeoutMs = 1200;
+
+/// An idle connection is probed after this many seconds without bytes, since a
+/// request whose receiver has vanished sends nothing that could stay
+/// unacknowledged.
+constexpr int kKeepAliveIdleS = 2;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveProbes = 2;
+
+/// An outgoing buffer that grew beyond this is given back when it is empty.
+constexpr std::size_t kKeptBuffer = std::size_t{ 16 } * 1024;
+
+} // namespace
+
+Channel::Channel(Socket aSocket, ChannelHooks aHooks)
+  : mSocket(std::move(aSocket))
+  , mHooks(std::move(aHooks))
+{
+}
+
+Channel::~Channel()
+{
+  Close();
+}
+
+std::shared_ptr<Channel>
+Channel::Open(Socket aSocket, ChannelHooks aHooks)
+{
+  std::shared_ptr<Channel> channel(
+    new Channel(std::move(aSocket), std::move(aHooks)));
+  channel->mConnected = true;
+  channel->SetOptions();
+  channel->WaitRead();
+  return channel;
+}
+
+std::shared_ptr<Channel>
+Channel::Connect(net::io_context& aIo,
+                 const net::ip::tcp::endpoint& aEndpoint,
+                 ChannelHooks aHooks,
+                 std::function<void(bool)> aDone)
+{
+  std::shared_ptr<Channel> channel(new Channel(Socket(aIo), std::move(aHooks)));
+  channel->mSocket.async_connect(
+    aEndpoint, [channel, done = std::move(aDone)](Code aCode) {
+      if (channel->mClosed) {
+        return;
+      }
+      if (aCode) {
+        channel->Close();
+        done(false);
+        return;
+      }
+      channel->mConnected = true;
+      channel->SetOptions();
+      channel->WaitRead();
+      if (channel->Unsent() > 0) {
+        channel->ScheduleFlush();
+      }
+      done(true);
+    });
+  return channel;
+}
+
+void
+Channel::SetOptions()
+{
+  Code ignored;
+  mSocket.set_option(net::ip::tcp::no_delay(true), ignored);
+  mSocket.set_option(net::socket_base::keep_alive(true), ignored);
+  mSocket.non_blocking(true, ignored);
+  const int fd = mSocket.native_handle();
+  // A failure leaves the defaults of the system, with which a silent connection
+  // is found later.
+  setsockopt(
+    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof kUserTimeoutMs);
+  setsockopt(
+    fd, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleS, sizeof kKeepAliveIdleS);
+  setsockopt(fd,
+             IPPROTO_TCP,
+             TCP_KEEPINTVL,
+             &kKeepAliveIntervalS,
+             sizeof kKeepAliveIntervalS);
+  setsockopt(
+    fd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof kKeepAliveProbes);
+}
+
+void
+Channel::WaitRead()
+{
+  if (mReading || mPaused || mClosed || !mConnected) {
+    return;
+  }
+  mReading = true;
+  mSocket.async_wait(net::socket_base::wait_read,
+                     [self = shared_from_this()](Code aCode) {
+                       self->mReading = false;
+                       if (!aCode && !self->mClosed && !self->mPaused) {
+                         self->OnReadable();
+                       }
+                     });
+}
+
+void
+Channel::OnReadable()
+{
+  static thread_local std::array<char, kReadBytes> sBuffer;
+  Code code;
+  const std::size_t bytes = mSocket.read_some(net::buffer(sBuffer), code);
+  if (code == net::error::would_block) {
+    WaitRead();
+    return;
+  }
+  if (code) {
+    End(code == net::error::eof);
+    return;
+  }
+  mHooks.mOnBytes({ sBuffer.data(), bytes });
+  WaitRead();
+}
+
+void
+Channel::SetPaused(bool aPaused)
+{
+  mPaused = aPaused;
+  WaitRead();
+}
+
+void
+Channel::Write(std::string_view aBytes)
+{
+  if (mClosed) {
+    return;
+  }
+  mOut += aBytes;
+  if (mConnected) {
+    ScheduleFlush();
+  }
+}
+
+void
+Channel::ScheduleFlush()
+{
+  if (mFlushing || mClosed) {
+    return;
+  }
+  mFlushing = true;
+  net::post(mSocket.get_executor(), [self = shared_from_this()] {
+    self->mFlushing = false;
+    self->Flush();
+  });
+}
+
+void
+Channel::Flush()
+{
+  if (mClosed || !mConnected) {
+    return;
+  }
+  Code code;
+  if (Unsent() > 0) {
+    const std::size_t sent = mSocket.write_some(
+      net::buffer(mOut.data() + mSent, mOut.size() - mSent), code);
+    if (code && code != net::error::would_block) {
+      // The peer may have answered before it closed; what it sent is read
+      // first.
+      mOut.clear();
+      mSent = 0;
+      return;
+    }
+    mSent += sent;
+  }
+  if (Unsent() > 0) {
+    WaitWrite();
+  } else {
+    mOut.clear();
+    mSent = 0;
+    if (mOut.capacity() > kKeptBuffer) {
+      mOut.shrink_to_fit();
+    }
+    if (mShutdown) {
+      Code ignored;
+      mSocket.shutdown(Socket::shutdown_send, ignored);
+    }
+  }
+  if (mHooks.mOnSent) {
+    mHooks.mOnSent();
+  }
+}
+
+void
+Channel::WaitWrite()
+{
+  mFlushing = true;
+  mSocket.async_wait(net::socket_base::wait_write,
+                     [self = shared_from_this()](Code aCode) {
+                       self->mFlushing = false;
+                       if (!aCode) {
+                         self->Flush();
+                       }
+                     });
+}
+
+void
+Channel::ShutdownAfterSend()
+{
+  mShutdown = true;
+  ScheduleFlush();
+}
+
+void
+Channel::End(bool aClean)
+{
+  if (mClosed) {
+    return;
+  }
+  const auto hook = mHooks.mOnEnd;
+  Close();
+  if (hook) {
+    hook(aClean);
+  }
+}
+
+void
+Channel::Close()
+{
+  if (mClosed) {
+    return;
+  }
+  mClosed = true;
+  Code ignored;
+  mSocket.close(ignored);
+  // The hooks may own this channel's owner. They are released at the end of the
+  // step, since one of them may be running.
+  net::post(mSocket.get_executor(), [hooks = std::move(mHooks)] {});
+  mHooks = {};
+}
+
+} // namespace nutmegrock::proxy
--- /dev/null
+++ b/src/nutmegrock/proxy/ClientConnection.cpp
@@ -0,0 +1,350 @@
+#include "proxy/ClientConnection.h"
+
+#include "proxy/ClientPool.h"
+#include "proxy/MessageText.h"
+
+#include <limits>
+#include <utility>
+
+namespace nutmegrock::proxy {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+/// Longest head of an answer in bytes.
+constexpr std::uint32_t kMaxHeader = 64U * 1024U;
+
+/// Idle time after which a connection is not used again when the other side has
+/// not said how long it keeps it.
+constexpr std::chrono::seconds kDefaultIdle{ 4 };
+
+/// Part of the idle time that the other side gives which is used; the rest
+/// covers the time on the way.
+constexpr double kIdlePart = 0.6;
+
+} // namespace
+
+ClientConnection::ClientConnection(ClientPool& aPool, std::string aKey)
+  : mPool(aPool)
+  , mKey(std::move(aKey))
+  , mIdleLimit(kDefaultIdle)
+{
+}
+
+void
+ClientConnection::Connect(const boost::asio::ip::tcp::endpoint& aEndpoint)
+{
+  mConnecting = true;
+  mSince = mPool.Now();
+  ChannelHooks hooks;
+  hooks.mOnBytes = [self = shared_from_this()](std::string_view aBytes) {
+    self->OnBytes(aBytes);
+  };
+  hooks.mOnEnd = [self = shared_from_this()](bool aClean) {
+    self->OnEnd(aClean);
+  };
+  hooks.mOnSent = [self = shared_from_this()] {
+    const auto sink = self->mSink.lock();
+    if (sink && self->mBusy && !self->mBodyEnded) {
+      sink->OnRequestSent();
+    }
+  };
+  mChannel = Channel::Connect(mPool.Io(),
+                              aEndpoint,
+                              std::move(hooks),
+                              [self = shared_from_this()](bool aSuccess) {
+                                self->OnConnected(aSuccess);
+                              });
+}
+
+void
+ClientConnection::OnConnected(bool aSuccess)
+{
+  if (mClosed) {
+    return;
+  }
+  if (!aSuccess) {
+    FailConnecting();
+    return;
+  }
+  mConnecting = false;
+}
+
+void
+ClientConnection::FailConnecting()
+{
+  const auto sink = mSink.lock();
+  Close();
+  if (sink) {
+    sink->OnAnswerFailed(core::MakeError(core::ErrorKind::BackendUnreachable,
+                                         "cannot connect to " + mKey));
+  }
+}
+
+void
+ClientConnection::Start(ClientRequest aRequest, std::weak_ptr<AnswerSink> aSink)
+{
+  mBusy = true;
+  ++mRequestNumber;
+  mSink = std::move(aSink);
+  mRequestId = std::move(aRequest.mRequestId);
+  mFraming = aRequest.mFraming;
+  mIsHead = aRequest.mIsHead;
+  mBodyEnded = false;
+  mAnswered = false;
+  mForeign = false;
+  mKeepAlive = true;
+  mParser.reset();
+  mChannel->Write(aRequest.mHead);
+  if (!aRequest.mBody.empty()) {
+    SendBody(aRequest.mBody);
+  }
+  if (aRequest.mBodyComplete) {
+    EndBody();
+  }
+}
+
+void
+ClientConnection::SendBody(std::string_view aBytes)
+{
+  if (mClosed || mBodyEnded || aBytes.empty()) {
+    return;
+  }
+  if (mFraming != BodyFraming::Chunked) {
+    mChannel->Write(aBytes);
+    return;
+  }
+  std::string text;
+  text.reserve(aBytes.size() + 16);
+  AddChunk(text, aBytes);
+  mChannel->Write(text);
+}
+
+void
+ClientConnection::EndBody()
+{
+  if (mClosed || mBodyEnded) {
+    return;
+  }
+  if (mFraming == BodyFraming::Chunked) {
+    mChannel->Write(kLastChunk);
+  }
+  mBodyEnded = true;
+  MaybeFinish();
+}
+
+void
+ClientConnection::PauseAnswer(bool aPaused)
+{
+  if (!mClosed) {
+    mChannel->SetPaused(aPaused);
+  }
+}
+
+void
+ClientConnection::NewParser()
+{
+  ParserHooks hooks;
+  hooks.mOnHead = [this] { OnHead(); };
+  hooks.mOnBody = [this](std::string_view aBytes) { OnBody(aBytes); };
+  mParser =
+    std::make_unique<AnswerParser>(mPool.Names(),
+                                   std::move(hooks),
+                                   kMaxHeader,
+                                   std::numeric_limits<std::uint64_t>::max());
+  if (mIsHead) {
+    mParser->ExpectNoBody();
+  }
+}
+
+void
+ClientConnection::OnBytes(std::string_view aBytes)
+{
+  const auto self = shared_from_this();
+  if (!mBusy || mAnswered) {
+    // Bytes that belong to no request.
+    mPool.CountStray();
+    if (mBusy) {
+      mKeepAlive = false;
+      return;
+    }
+    Close();
+    return;
+  }
+  std::string joined;
+  if (!mInput.empty()) {
+    joined = std::exchange(mInput, {});
+    joined += aBytes;
+    aBytes = joined;
+  }
+  while (!aBytes.empty() && !mClosed && mBusy && !mAnswered) {
+    if (!mParser) {
+      NewParser();
+    }
+    boost::beast::error_code code;
+    const std::size_t used = mParser->Put(aBytes, code);
+    aBytes.remove_prefix(used);
+    if (mClosed) {
+      return;
+    }
+    if (code && code != http::error::need_more) {
+      Fail(core::ErrorKind::BackendProtocol,
+           "the answer is not HTTP: " + code.message());
+      return;
+    }
+    if (mParser->HasHead() && mParser->IsDone()) {
+      // Bytes behind a complete answer belong to no request; the connection is
+      // not used again.
+      if (!aBytes.empty() && !mForeign &&
+          mParser->MessageHead().mStatus >= 200) {
+        mKeepAlive = false;
+        mPool.CountStray();
+      }
+      OnMessageEnd();
+      continue;
+    }
+    if (code == http::error::need_more) {
+      mInput = aBytes;
+      return;
+    }
+  }
+}
+
+void
+ClientConnection::OnHead()
+{
+  const AnswerHead& head = mParser->MessageHead();
+  if (head.mStatus < 200) {
+    return;
+  }
+  mForeign = !head.mRequestId.empty() && head.mRequestId != mRequestId;
+  if (mForeign) {
+    mPool.CountStray();
+    return;
+  }
+  mKeepAlive = mKeepAlive && head.mKeepAlive;
+  if (head.mIdleTime) {
+    mIdleLimit = std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double>(*head.mIdleTime) * kIdlePart);
+  }
+  if (const auto sink = mSink.lock()) {
+    sink->OnAnswerHead(head);
+  }
+}
+
+void
+ClientConnection::OnBody(std::string_view aBytes)
+{
+  if (mForeign || mClosed) {
+    return;
+  }
+  if (const auto sink = mSink.lock()) {
+    sink->OnAnswerBody(aBytes);
+  }
+}
+
+void
+ClientConnection::OnMessageEnd()
+{
+  const bool final = mParser->MessageHead().mStatus >= 200 && !mForeign;
+  const bool keep = mParser->MessageHead().mKeepAlive;
+  mParser.reset();
+  mForeign = false;
+  if (!final) {
+    if (!keep) {
+      Fail(core::ErrorKind::BackendProtocol,
+           "the connection ends behind the answer to another request");
+    }
+    return;
+  }
+  mAnswered = true;
+  const auto sink = mSink.lock();
+  if (mBodyEnded) {
+    mSink.reset();
+  }
+  MaybeFinish();
+  if (sink) {
+    sink->OnAnswerEnd();
+  }
+}
+
+void
+ClientConnection::MaybeFinish()
+{
+  if (!mAnswered || !mBodyEnded || !mBusy || mClosed) {
+    return;
+  }
+  mBusy = false;
+  mSink.reset();
+  if (!mKeepAlive) {
+    Close();
+    return;
+  }
+  mChannel->SetPaused(false);
+  mSince = mPool.Now();
+  mPool.Return(shared_from_this());
+}
+
+void
+ClientConnection::OnEnd(bool aClean)
+{
+  const auto self = shared_from_this();
+  if (!mBusy || mAnswered) {
+    Close();
+    return;
+  }
+  if (aClean && mParser && mParser->HasHead() && !mForeign) {
+    boost::beast::error_code code;
+    mParser->PutEnd(code);
+    if (!code && mParser->IsDone()) {
+      mKeepAlive = false;
+      OnMessageEnd();
+      Close();
+      return;
+    }
+  }
+  const bool begun = mParser && mParser->HasHead();
+  Fail(begun ? core::ErrorKind::BackendProtocol : core::ErrorKind::PeerLost,
+       begun ? "the answer ended early"
+             : "the connection ended without answer");
+}
+
+void
+ClientConnection::Fail(core::ErrorKind aKind, const std::string& aMessage)
+{
+  const auto sink = mSink.lock();
+  Close();
+  if (sink) {
+    sink->OnAnswerFailed(
+      core::PossiblyRun(core::MakeError(aKind, mKey + ": " + aMessage)));
+  }
+}
+
+void
+ClientConnection::Abandon()
+{
+  mSink.reset();
+  Close();
+}
+
+void
+ClientConnection::Close()
+{
+  if (mClosed) {
+    return;
+  }
+  mClosed = true;
+  mBusy = false;
+  const auto self = shared_from_this();
+  mChannel->Close();
+  mPool.Remove(this);
+}
+
+bool
+ClientConnection::IsStale(core::TimePoint aNow) const
+{
+  return aNow - mSince > mIdleLimit;
+}
+
+} // namespace nutmegrock::proxy
--- /dev/null
+++ b/src/nutmegrock/proxy/ClientPool.cpp
@@ -0,0 +1,188 @@
+#include "proxy/ClientPool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmegrock::proxy {
+
+namespace {
+
+namespace net = boost::asio;
+
+/// Longest time to connect. A round trip within a region takes a few
+/// milliseconds; a lost opening packet is sent again after a second.
+constexpr std::chrono::milliseconds kConnectTime{ 600 };
+
+/// Hands the calls of a request to its connection as long as the connection
+/// still serves that request.
+class PooledRequest final : public OutgoingRequest
+{
+public:
+  explicit PooledRequest(std::shared_ptr<ClientConnection> aConnection)
+    : mConnection(std::move(aConnection))
+    , mNumber(mConnection->RequestNumber())
+  {
+  }
+
+  void SendBody(std::string_view aBytes) override
+  {
+    if (IsCurrent()) {
+      mConnection->SendBody(aBytes);
+    }
+  }
+  void EndBody() override
+  {
+    if (IsCurrent()) {
+      mConnection->EndBody();
+    }
+  }
+  std::size_t Unsent() const override
+  {
+    return IsCurrent() ? mConnection->Unsent() : 0;
+  }
+  void PauseAnswer(bool aPaused) override
+  {
+    if (IsCurrent()) {
+      mConnection->PauseAnswer(aPaused);
+    }
+  }
+  void Cancel() override
+  {
+    if (IsCurrent()) {
+      mConnection->Abandon();
+    }
+  }
+
+private:
+  bool IsCurrent() const
+  {
+    return mConnection->IsBusy() && mConnection->RequestNumber() == mNumber;
+  }
+
+  const std::shared_ptr<ClientConnection> mConnection;
+  const std::uint64_t mNumber;
+};
+
+} // namespace
+
+ClientPool::ClientPool(net::io_context& aIo,
+                       HeaderNames aNames,
+                       std::function<core::TimePoint()> aNow)
+  : mIo(aIo)
+  , mNames(std::move(aNames))
+  , mNow(std::move(aNow))
+{
+}
+
+ClientPool::~ClientPool()
+{
+  while (!mAll.empty()) {
+    const ConnectionPtr connection = mAll.begin()->second;
+    connection->Abandon();
+  }
+}
+
+ClientPool::ConnectionPtr
+ClientPool::TakeIdle(const std::string& aKey)
+{
+  const auto found = mIdle.find(aKey);
+  if (found == mIdle.end()) {
+    return nullptr;
+  }
+  const core::TimePoint now = mNow();
+  auto& idle = found->second;
+  while (!idle.empty()) {
+    const ConnectionPtr connection = idle.back();
+    idle.pop_back();
+    if (!connection->IsClosed() && !connection->IsStale(now)) {
+      return connection;
+    }
+    connection->Abandon();
+  }
+  return nullptr;
+}
+
+OutgoingRequestPtr
+ClientPool::Send(const core::Address& aAddress,
+                 ClientRequest aRequest,
+                 std::weak_ptr<AnswerSink> aSink)
+{
+  const std::string key = aAddress.Text();
+  ConnectionPtr connection = TakeIdle(key);
+  if (connection) {
+    ++mCounts.mReused;
+  } else {
+    ++mCounts.mOpened;
+    connection = std::make_shared<ClientConnection>(*this, key);
+    mAll.emplace(connection.get(), connection);
+    boost::system::error_code code;
+    const auto ip = net::ip::make_address(aAddress.mIp, code);
+    connection->Connect({ ip, aAddress.mPort });
+  }
+  connection->Start(std::move(aRequest), std::move(aSink));
+  return std::make_shared<PooledRequest>(connection);
+}
+
+void
+ClientPool::Return(const ConnectionPtr& aConnection)
+{
+  mIdle[aConnection->Key()].push_back(aConnection);
+}
+
+void
+ClientPool::Remove(ClientConnection* aConnection)
+{
+  const auto idle = mIdle.find(aConnection->Key());
+  if (idle != mIdle.end()) {
+    std::erase_if(idle->second, [aConnection](const ConnectionPtr& aIdle) {
+      return aIdle.get() == aConnection;
+    });
+    if (idle->second.empty()) {
+      mIdle.erase(idle);
+    }
+  }
+  mAll.erase(aConnection);
+}
+
+void
+ClientPool::CloseIdle(const core::Address& aAddress)
+{
+  const auto found = mIdle.find(aAddress.Text());
+  if (found == mIdle.end()) {
+    return;
+  }
+  const std::vector<ConnectionPtr> idle = std::exchange(found->second, {});
+  for (const ConnectionPtr& connection : idle) {
+    connection->Abandon();
+  }
+}
+
+void
+ClientPool::Tick()
+{
+  const core::TimePoint now = mNow();
+  std::vector<ConnectionPtr> late;
+  std::vector<ConnectionPtr> stale;
+  for (const auto& entry : mAll) {
+    if (entry.second->IsConnecting() &&
+        now - entry.second->Since() > kConnectTime) {
+      late.push_back(entry.second);
+    }
+  }
+  for (const auto& entry : mIdle) {
+    for (const ConnectionPtr& connection : entry.second) {
+      if (connection->IsStale(now)) {
+        stale.push_back(connection);
+      }
+    }
+  }
+  for (const ConnectionPtr& connection : stale) {
+    connection->Abandon();
+  }
+  for (const ConnectionPtr& connection : late) {
+    ++mCounts.mConnectFailed;
+    connection->FailConnecting();
+  }
+}
+
+} // namespace nutmegrock::proxy
--- /dev/null
+++ b/src/nutmegrock/proxy/ClientPool.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "core/Address.h"
+#include "core/Time.h"
+#include "proxy/ClientConnection.h"
+#include "proxy/HeaderNames.h"
+#include "proxy/Streams.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegrock::proxy {
+
+/// Counts of a pool since its start.
+struct ClientPoolCounts
+{
+  std::uint64_t mOpened = 0;
+  std::uint64_t mReused = 0;
+  std::uint64_t mConnectFailed = 0;
+  /// Answers or bytes that belonged to no request.
+  std::uint64_t mStray = 0;
+};
+
+/// Sends requests over kept connections, the one used last first. Nothing is
+/// sent twice. Errors before a byte was handed to a connection are NotRun
+/// (BackendUnreachable); later ones are Unknown: PeerLost (no answer began) and
+/// BackendProtocol. Used on the thread of the io_context, which must outlive
+/// it.
+class ClientPool
+{
+public:
+  ClientPool(boost::asio::io_context& aIo,
+             HeaderNames aNames,
+             std::function<core::TimePoint()> aNow);
+  ClientPool(const ClientPool&) = delete;
+  ClientPool& operator=(const ClientPool&) = delete;
+  ~ClientPool();
+
+  /// Sends a request. The sink is kept by the caller; its end drops the answer.
+  OutgoingRequestPtr Send(const core::Address& aAddress,
+                          ClientRequest aRequest,
+                          std::weak_ptr<AnswerSink> aSink);
+  /// Ends connection attempts that take too long and idle connections that the
+  /// other side may be about to close. Call it some ten times a second.
+  void Tick();
+  /// Closes the idle connections to an address.
+  void CloseIdle(const core::Address& aAddress);
+
+  const ClientPoolCounts& Counts() const { return mCounts; }
+  std::size_t Connections() const { return mAll.size(); }
+
+  boost::asio::io_context& Io() { return mIo; }
+  const HeaderNames& Names() const { return mNames; }
+  core::TimePoint Now() const { return mNow(); }
+  void CountStray() { ++mCounts.mStray; }
+  void Return(const std::shared_ptr<ClientConnection>& aConnection);
+  void Remove(ClientConnection* aConnection);
+
+private:
+  using ConnectionPtr = std::shared_ptr<ClientConnection>;
+
+  ConnectionPtr TakeIdle(const std::string& aKey);
+
+  boost::asio::io_context& mIo;
+  const HeaderNames mNames;
+  const std::function<core::TimePoint()> mNow;
+  std::unordered_map<std::string, std::vector<ConnectionPtr>> mIdle;
+  std::unordered_map<ClientConnection*, ConnectionPtr> mAll;
+  ClientPoolCounts mCounts;
+};
+
+} // namespace nutmegrock::proxy
--- /dev/null
+++ b/src/nutmegrock/proxy/HttpListener.cpp
@@ -0,0 +1,162 @@
+#include "proxy/HttpListener.h"
+
+#include <spdlog/fmt/fmt.h>
+#include <utility>
+#include <vector>
+
+namespace nutmegrock::proxy {
+
+namespace {
+
+namespace net = boost::asio;
+
+/// Connections that wait to be accepted.
+constexpr int kBacklog = 1024;
+
+} // namespace
+
+HttpListener::HttpListener(net::io_context& aIo,
+                           HttpListenerSettings aSettings,
+                           std::function<core::TimePoint()> aNow,
+                           RequestHandler aHandler)
+  : mSettings(std::move(aSettings))
+  , mNow(std::move(aNow))
+  , mHandler(std::move(aHandler))
+  , mAcceptor(aIo)
+{
+}
+
+core::Expected<std::unique_ptr<HttpListener>>
+HttpListener::Create(net::io_context& aIo,
+                     HttpListenerSettings aSettings,
+                     std::function<core::TimePoint()> aNow,
+                     RequestHandler aHandler)
+{
+  std::unique_ptr<HttpListener> listener(new HttpListener(
+    aIo, std::move(aSettings), std::move(aNow), std::move(aHandler)));
+  if (auto opened = listener->Open(); !opened) {
+    return tl::make_unexpected(std::move(opened.error()));
+  }
+  listener->Accept();
+  return listener;
+}
+
+core::Expected<bool>
+HttpListener::Open()
+{
+  boost::system::error_code code;
+  core::Address& address = mSettings.mAddress;
+  const net::ip::tcp::endpoint endpoint(
+    net::ip::make_address(address.mIp, code), address.mPort);
+  if (!code) {
+    mAcceptor.open(endpoint.protocol(), code);
+  }
+  if (!code) {
+    mAcceptor.set_option(net::socket_base::reuse_address(true), code);
+  }
+  if (!code) {
+    mAcceptor.bind(endpoint, code);
+  }
+  if (!code) {
+    mAcceptor.listen(kBacklog, code);
+  }
+  if (code) {
+    return core::Fail(
+      core::ErrorKind::InvalidSettings,
+      fmt::format("cannot listen on {}: {}", address.Text(), code.message()));
+  }
+  address.mPort = mAcceptor.local_endpoint().port();
+  return true;
+}
+
+HttpListener::~HttpListener()
+{
+  boost::system::error_code ignored;
+  mAcceptor.close(ignored);
+  while (!mConnections.empty()) {
+    const auto connection = mConnections.begin()->second;
+    connection->Close();
+  }
+}
+
+void
+HttpListener::Accept()
+{
+  mAcceptor.async_accept(
+    [this](boost::system::error_code aCode, net::ip::tcp::socket aSocket) {
+      if (aCode == net::error::operation_aborted) {
+        return;
+      }
+      if (!aCode) {
+        boost::system::error_code code;
+        const auto remote = aSocket.remote_endpoint(code);
+        if (mConnections.size() >= mSettings.mMaxConnections) {
+          ++mRefused;
+        } else if (!code) {
+          auto connection = std::make_shared<ServerConnection>(
+            *this, remote.address().to_string());
+          mConnections.emplace(connection.get(), connection);
+          connection->Start(std::move(aSocket));
+        }
+      }
+      Accept();
+    });
+}
+
+void
+HttpListener::SetLimits(const routes::CallerLimits& aLimits)
+{
+  mSettings.mLimits = aLimits;
+}
+
+void
+HttpListener::Tick()
+{
+  const core::TimePoint now = mNow();
+  std::vector<std::shared_ptr<ServerConnection>> connections;
+  connections.reserve(mConnections.size());
+  for (const auto& entry : mConnections) {
+    connections.push_back(entry.second);
+  }
+  for (const auto& connection : connections) {
+    connection->Tick(now);
+  }
+}
+
+void
+HttpListener::CloseIdle()
+{
+  std::vector<std::shared_ptr<ServerConnection>> idle;
+  for (const auto& entry : mConnections) {
+    if (entry.second->IsIdle()) {
+      idle.push_back(entry.second);
+    }
+  }
+  for (const auto& connection : idle) {
+    connection->Close();
+  }
+}
+
+std::size_t
+HttpListener::Busy() const
+{
+  std::size_t busy = 0;
+  for (const auto& entry : mConnections) {
+    busy += entry.second->IsIdle() ? 0 : 1;
+  }
+  return busy;
+}
+
+std::shared_ptr<RequestSink>
+HttpListener::Handle(const ServerExchangePtr& aExchange)
+{
+  return mHandler(aExchange);
+}
+
+void
+HttpListener::Remove(ServerConnection* aConnection)
+{
+  mConnections.erase(aConnection);
+}
+
+} // namespace nutmegrock::proxy
--- /dev/null
+++ b/src/nutmegrock/proxy/HttpListener.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "core/Address.h"
+#include "core/Error.h"
+#include "core/Time.h"
+#include "proxy/HeaderNames.h"
+#include "proxy/ServerConnection.h"
+#include "proxy/ServerExchange.h"
+#include "routes/Route.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace nutmegrock::proxy {
+
+struct HttpListenerSettings
+{
+  core::Address mAddress;
+  HeaderNames mNames;
+  routes::CallerLimits mLimits;
+  /// Open connections; more are closed at once.
+  std::size_t mMaxConnections = 2'000;
+};
+
+/// Accepts HTTP/1.1 connections and gives each request to a handler. Used on
+/// the thread of the io_context, which must outlive it.
+class HttpListener
+{
+public:
+  /// Listens at once. Fails with InvalidSettings if the address cannot be
+  /// bound. aNow gives the present time.
+  static core::Expected<std::unique_ptr<HttpListener>> Create(
+    boost::asio::io_context& aIo,
+    HttpListenerSettings aSettings,
+    std::function<core::TimePoint()> aNow,
+    RequestHandler aHandler);
+
+  HttpListener(const HttpListener&) = delete;
+  HttpListener& operator=(const HttpListener&) = delete;
+  ~HttpListener();
+
+  /// The bound address, with the port that the system chose.
+  const core::Address& LocalAddress() const { return mSettings.mAddress; }
+  /// Limits for requests that begin later.
+  void SetLimits(const routes::CallerLimits& aLimits);
+  const routes::CallerLimits& Limits() const { return mSettings.mLimits; }
+  const HeaderNames& Names() const { return mSettings.mNames; }
+  core::TimePoint Now() const { return mNow(); }
+
+  /// Applies the limits on time; call it a few times a second.
+  void Tick();
+  /// Answers announce the end of their connection from now on.
+  void StartStopping() { mStopping = true; }
+  bool IsStopping() const { return mStopping; }
+  /// Closes connections without requests under way.
+  void CloseIdle();
+  std::size_t Connections() const { return mConnections.size(); }
+  /// Connections with requests under way.
+  std::size_t Busy() const;
+  /// Requests that were not HTTP, and connections above the limit.
+  std::uint64_t BadRequests() const { return mBadRequests; }
+  std::uint64_t Refused() const { return mRefused; }
+
+  std::shared_ptr<RequestSink> Handle(const ServerExchangePtr& aExchange);
+  void CountBadRequest() { ++mBadRequests; }
+  void Remove(ServerConnection* aConnection);
+
+private:
+  HttpListener(boost::asio::io_context& aIo,
+               HttpListenerSettings aSettings,
+               std::function<core::TimePoint()> aNow,
+               RequestHandler aHandler);
+  core::Expected<bool> Open();
+  void Accept();
+
+  HttpListenerSettings mSettings;
+  const std::function<core::TimePoint()> mNow;
+  const RequestHandler mHandler;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>>
+    mConnections;
+  std::uint64_t mBadRequests = 0;
+  std::uint64_t mRefused = 0;
+  bool mStopping = false;
+};
+
+} // namespace nutmegrock::proxy
--- /dev/null
+++ b/src/nutmegrock/proxy/MessageParser.cpp
@@ -0,0 +1,285 @@
+#include "proxy/MessageParser.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+#include <utility>
+
+namespace nutmegrock::proxy {
+
+namespace {
+
+namespace http = boost::beast::http;
+using Text = boost::beast::string_view;
+
+bool
+Is(Text aName, std::string_view aOther)
+{
+  return aName.size() == aOther.size() &&
+         boost::beast::iequals(aName, Text(aOther.data(), aOther.size()));
+}
+
+std::string
+StringOf(Text aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+std::optional<std::uint64_t>
+NumberOf(Text aText)
+{
+  std::uint64_t value = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [stop, error] = std::from_chars(aText.data(), end, value);
+  if (error != std::errc() || stop != end || aText.empty()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+/// Longest time taken from a header. A larger one means "no limit" to us.
+constexpr std::uint64_t kMostMilliseconds = 3'600'000;
+
+/// The number behind "timeout=" of a Keep-Alive header.
+std::optional<std::chrono::seconds>
+IdleTimeOf(Text aValue)
+{
+  constexpr std::string_view kKey = "timeout=";
+  const auto at = aValue.find(Text(kKey.data(), kKey.size()));
+  if (at == Text::npos) {
+    return std::nullopt;
+  }
+  std::uint32_t seconds = 0;
+  const char* begin = aValue.data() + at + kKey.size();
+  const auto result =
+    std::from_chars(begin, aValue.data() + aValue.size(), seconds);
+  if (result.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+/// Whether the field concerns one connection only.
+bool
+IsHopByHop(http::field aField)
+{
+  switch (aField) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+    case http::field::expect:
+      return true;
+    default:
+      return false;
+  }
+}
+
+} // namespace
+
+template<bool IsRequest>
+MessageParser<IsRequest>::MessageParser(const HeaderNames& aNames,
+                                        ParserHooks aHooks,
+                                        std::uint32_t aMaxHeader,
+                                        std::uint64_t aMaxBody)
+  : mNames(aNames)
+  , mHooks(std::move(aHooks))
+{
+  Base::header_limit(aMaxHeader);
+  Base::body_limit(aMaxBody);
+  Base::eager(true);
+}
+
+template<bool IsRequest>
+std::size_t
+MessageParser<IsRequest>::Put(std::string_view aBytes, Code& aCode)
+{
+  return Base::put(boost::asio::const_buffer(aBytes.data(), aBytes.size()),
+                   aCode);
+}
+
+template<bool IsRequest>
+void
+MessageParser<IsRequest>::PutEnd(Code& aCode)
+{
+  Base::put_eof(aCode);
+}
+
+template<bool IsRequest>
+void
+MessageParser<IsRequest>::on_request_impl(Verb,
+                                          Text aMethod,
+                                          Text aTarget,
+                                          int,
+                                          Code&)
+{
+  if constexpr (IsRequest) {
+    mHead.mMethod = StringOf(aMethod);
+    mHead.mTarget = StringOf(aTarget);
+  }
+}
+
+template<bool IsRequest>
+void
+MessageParser<IsRequest>::on_response_impl(int aStatus,
+                                           Text aReason,
+                                           int,
+                                           Code&)
+{
+  if constexpr (!IsRequest) {
+    mHead.mStatus = static_cast<unsigned>(aStatus);
+    mHead.mReason = StringOf(aReason);
+  }
+}
+
+template<bool IsRequest>
+bool
+MessageParser<IsRequest>::TakeOwn(Text aName, Text aValue)
+{
+  if (Is(aName, mNames.mRequestId)) {
+    mHead.mRequestId = StringOf(aValue);
+    return true;
+  }
+  if constexpr (IsRequest) {
+    if (Is(aName, mNames.mDeadlineMs)) {
+      if (const auto value = NumberOf(aValue)) {
+        mHead.mDeadline =
+          std::chrono::milliseconds(std::min(*value, kMostMilliseconds));
+      }
+      return true;
+    }
+    if (Is(aName, kPeerCallHeader)) {
+      mHead.mPeerCall = StringOf(aValue);
+      return true;
+    }
+    // Both are set by the node beside the backend server.
+    return Is(aName, mNames.mCallerService) ||
+           Is(aName, mNames.mExpectedServer);
+  } else {
+    if (Is(aName, kPeerNoteHeader)) {
+      mHead.mPeerNote = StringOf(aValue);
+      return true;
+    }
+    mHead.mSealed = mHead.mSealed || Is(aName, mNames.mSeal);
+    mHead.mNotRun = mHead.mNotRun || Is(aName, mNames.mNotRun);
+    return false;
+  }
+}
+
+template<bool IsRequest>
+void
+MessageParser<IsRequest>::AddLine(Text aName, Text aValue)
+{
+  mHead.mLines.append(aName.data(), aName.size());
+  mHead.mLines += ": ";
+  mHead.mLines.append(aValue.data(), aValue.size());
+  mHead.mLines += "\r\n";
+}
+
+template<bool IsRequest>
+void
+MessageParser<IsRequest>::on_field_impl(Field aField,
+                                        Text aName,
+                                        Text aValue,
+                                        Code&)
+{
+  if (aField == Field::connection) {
+    mConnectionOptions += StringOf(aValue) + ",";
+    return;
+  }
+  if constexpr (IsRequest) {
+    if (aField == Field::expect) {
+      mHead.mExpectsContinue = Is(aValue, "100-continue");
+    }
+    if (aField == Field::host && mHead.mHost.empty()) {
+      mHead.mHost = StringOf(aValue);
+    }
+  } else if (aField == Field::keep_alive) {
+    mHead.mIdleTime = IdleTimeOf(aValue);
+  }
+  if (IsHopByHop(aField)) {
+    return;
+  }
+  if (aField == Field::unknown && TakeOwn(aName, aValue)) {
+    return;
+  }
+  AddLine(aName, aValue);
+}
+
+template<bool IsRequest>
+void
+MessageParser<IsRequest>::on_header_impl(Code&)
+{
+  mHead.mKeepAlive = Base::keep_alive();
+  if (Base::chunked()) {
+    mHead.mFraming = BodyFraming::Chunked;
+  } else if (const auto length = Base::content_length()) {
+    mHead.mFraming = BodyFraming::Length;
+    mHead.mLength = *length;
+  } else if (!IsRequest && Base::need_eof()) {
+    mHead.mFraming = BodyFraming::UntilClose;
+  }
+  for (const auto& option : http::token_list(mConnectionOptions)) {
+    if (Is(option, "close") || Is(option, "keep-alive")) {
+      continue;
+    }
+    // Drops the lines that the sender named as its connection's own.
+    std::size_t at = 0;
+    while (at < mHead.mLines.size()) {
+      const std::size_t end = mHead.mLines.find("\r\n", at) + 2;
+      const std::size_t colon = mHead.mLines.find(':', at);
+      if (Is(Text(mHead.mLines.data() + at, colon - at),
+             { option.data(), option.size() })) {
+        mHead.mLines.erase(at, end - at);
+      } else {
+        at = end;
+      }
+    }
+  }
+  mHooks.mOnHead();
+}
+
+template<bool IsRequest>
+void
+MessageParser<IsRequest>::on_body_init_impl(
+  boost::optional<std::uint64_t> const&,
+  Code&)
+{
+}
+
+template<bool IsRequest>
+std::size_t
+MessageParser<IsRequest>::on_body_impl(Text aBody, Code&)
+{
+  mHooks.mOnBody({ aBody.data(), aBody.size() });
+  return aBody.size();
+}
+
+template<bool IsRequest>
+void
+MessageParser<IsRequest>::on_chunk_header_impl(std::uint64_t, Text, Code&)
+{
+}
+
+template<bool IsRequest>
+std::size_t
+MessageParser<IsRequest>::on_chunk_body_impl(std::uint64_t, Text aBody, Code&)
+{
+  mHooks.mOnBody({ aBody.data(), aBody.size() });
+  return aBody.size();
+}
+
+template<bool IsRequest>
+void
+MessageParser<IsRequest>::on_finish_impl(Code&)
+{
+}
+
+template class MessageParser<true>;
+template class MessageParser<false>;
+
+} // namespace nutmegrock::proxy
--- /dev/null
+++ b/src/nutmegrock/proxy/MessageText.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "proxy/MessageHead.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace nutmegrock::proxy {
+
+/// "Name: value" with its line end.
+std::string
+HeaderLine(std::string_view aName, std::string_view aValue);
+
+/// Status line of an answer. An empty reason is replaced by the usual one.
+std::string
+StatusLine(unsigned aStatus, std::string_view aReason);
+
+/// Adds the header line that frames a body; none for BodyFraming::None. A body
+/// that ends with its connection is sent in chunks instead.
+void
+AddFraming(std::string& aText, BodyFraming aFraming, std::uint64_t aLength);
+
+/// Adds bytes as one chunk of a chunked body.
+void
+AddChunk(std::string& aText, std::string_view aBytes);
+
+/// End of a chunked body.
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+} // namespace nutmegrock::proxy
--- /dev/null
+++ b/src/nutmegrock/proxy/ServerConnection.cpp
@@ -0,0 +1,350 @@
+#include "proxy/ServerConnection.h"
+
+#include "core/ErrorKind.h"
+#include "proxy/HttpListener.h"
+#include "proxy/MessageText.h"
+
+#include <boost/beast/http/error.hpp>
+#include <utility>
+
+namespace nutmegrock::proxy {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+/// Requests of one connection that may be under way together. A caller that
+/// sends more waits, so that a connection's memory stays bounded.
+constexpr std::size_t kMostPipelined = 32;
+
+/// Time in which a caller reads the last answer before its connection is
+/// closed.
+constexpr std::chrono::seconds kLingerTime{ 1 };
+
+unsigned
+StatusOf(const boost::beast::error_code& aCode)
+{
+  if (aCode == http::error::header_limit) {
+    return 431;
+  }
+  if (aCode == http::error::body_limit) {
+    return 413;
+  }
+  return 400;
+}
+
+} // namespace
+
+ServerConnection::ServerConnection(HttpListener& aListener,
+                                   std::string aCallerIp)
+  : mListener(aListener)
+  , mCallerIp(std::move(aCallerIp))
+{
+}
+
+void
+ServerConnection::Start(Channel::Socket aSocket)
+{
+  mSince = mListener.Now();
+  ChannelHooks hooks;
+  hooks.mOnBytes = [self = shared_from_this()](std::string_view aBytes) {
+    self->OnBytes(aBytes);
+  };
+  hooks.mOnEnd = [self = shared_from_this()](bool) { self->OnEnd(); };
+  hooks.mOnSent = [self = shared_from_this()] {
+    if (!self->mExchanges.empty() && self->mExchanges.front()->mSink) {
+      const auto sink = self->mExchanges.front()->mSink;
+      sink->OnAnswerSent();
+    }
+    self->UpdatePause();
+  };
+  mChannel = Channel::Open(std::move(aSocket), std::move(hooks));
+}
+
+void
+ServerConnection::OnBytes(std::string_view aBytes)
+{
+  if (mLingering || mClosed) {
+    return;
+  }
+  if (!mInput.empty()) {
+    mInput += aBytes;
+    const std::string input = std::exchange(mInput, {});
+    mInput = ParseSome(input);
+  } else {
+    mInput = ParseSome(aBytes);
+  }
+  UpdatePause();
+}
+
+std::string_view
+ServerConnection::ParseSome(std::string_view aBytes)
+{
+  while (!aBytes.empty() && !mClosed && !mNoMoreRequests &&
+         mExchanges.size() < kMostPipelined) {
+    if (!mParser) {
+      ParserHooks hooks;
+      hooks.mOnHead = [this] { OnHead(); };
+      hooks.mOnBody = [this](std::string_view aBody) { OnBody(aBody); };
+      const auto& limits = mListener.Limits();
+      mParser = std::make_unique<RequestParser>(mListener.Names(),
+                                                std::move(hooks),
+                                                limits.mMaxHeaderBytes,
+                                                limits.mMaxBodyBytes);
+      mHeadStarted = true;
+      mSince = mListener.Now();
+    }
+    boost::beast::error_code code;
+    const std::size_t used = mParser->Put(aBytes, code);
+    aBytes.remove_prefix(used);
+    if (mClosed) {
+      return {};
+    }
+    if (mParser->HasHead() && mParser->IsDone()) {
+      OnMessageEnd();
+      continue;
+    }
+    if (code == http::error::need_more) {
+      // A body needs no bytes again, so what is left belongs to a head or to
+      // the framing of a chunk.
+      return aBytes;
+    }
+    if (code) {
+      OnParseError(code);
+      return {};
+    }
+  }
+  return aBytes;
+}
+
+void
+ServerConnection::OnHead()
+{
+  mHeadStarted = false;
+  auto exchange = std::make_shared<ServerExchange>(
+    weak_from_this(), std::move(mParser->MessageHead()));
+  exchange->mCallerIp = mCallerIp;
+  exchange->mRequestIdName = mListener.Names().mRequestId;
+  mExchanges.push_back(exchange);
+  exchange->mFront = mExchanges.size() == 1;
+  mReading = exchange;
+  if (!exchange->mHead.mKeepAlive) {
+    exchange->mClose = true;
+  }
+  if (exchange->mHead.mExpectsContinue && exchange->mFront) {
+    mChannel->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  exchange->mSink = mListener.Handle(exchange);
+  ReleaseSink(*exchange);
+}
+
+// The sink and the exchange refer to each other until both sides have ended.
+void
+ServerConnection::ReleaseSink(ServerExchange& aExchange)
+{
+  if (aExchange.mEnded && (aExchange.mBodyEnded || mLingering || mClosed)) {
+    aExchange.mSink.reset();
+  }
+}
+
+void
+ServerConnection::OnBody(std::string_view aBytes)
+{
+  if (mReading && mReading->mSink) {
+    const auto sink = mReading->mSink;
+    sink->OnRequestBody(aBytes);
+  }
+}
+
+void
+ServerConnection::OnMessageEnd()
+{
+  mParser.reset();
+  const ServerExchangePtr exchange = std::exchange(mReading, nullptr);
+  if (!exchange) {
+    return;
+  }
+  exchange->mBodyEnded = true;
+  if (exchange->mClose) {
+    mNoMoreRequests = true;
+  }
+  if (exchange->mSink) {
+    const auto sink = exchange->mSink;
+    sink->OnRequestEnd();
+  }
+  ReleaseSink(*exchange);
+  PumpAnswers();
+}
+
+void
+ServerConnection::OnParseError(boost::beast::error_code aCode)
+{
+  mNoMoreRequests = true;
+  if (mReading) {
+    // The rest of the body cannot be found.
+    OnEnd();
+    return;
+  }
+  const auto exchange =
+    std::make_shared<ServerExchange>(weak_from_this(), RequestHead{});
+  exchange->mBodyEnded = true;
+  exchange->mClose = true;
+  mExchanges.push_back(exchange);
+  exchange->mFront = mExchanges.size() == 1;
+  mListener.CountBadRequest();
+  exchange->SendWhole(StatusOf(aCode),
+                      HeaderLine("Content-Type", "text/plain"),
+                      "the request could not be read: " + aCode.message() +
+                        "\n");
+}
+
+void
+ServerConnection::OnExchangeEnded()
+{
+  PumpAnswers();
+}
+
+void
+ServerConnection::PumpAnswers()
+{
+  if (mPumping || mClosed) {
+    return;
+  }
+  mPumping = true;
+  while (!mExchanges.empty() && !mClosed) {
+    const ServerExchangePtr front = mExchanges.front();
+    if (!front->mFront) {
+      front->mFront = true;
+      const std::string held = std::exchange(front->mHeld, {});
+      mChannel->Write(held);
+    }
+    if (!front->mEnded) {
+      break;
+    }
+    if (front->mBroken) {
+      mPumping = false;
+      Close();
+      return;
+    }
+    mExchanges.pop_front();
+    ReleaseSink(*front);
+    if (front->mClose) {
+      mPumping = false;
+      Linger();
+      return;
+    }
+  }
+  mPumping = false;
+  if (mExchanges.empty()) {
+    mSince = mListener.Now();
+  }
+  UpdatePause();
+  if (!mInput.empty() && !mReading && mExchanges.size() < kMostPipelined) {
+    const std::string input = std::exchange(mInput, {});
+    mInput = ParseSome(input);
+  }
+}
+
+void
+ServerConnection::Linger()
+{
+  // Requests that were sent behind the last answer were not read.
+  mLingering = true;
+  mNoMoreRequests = true;
+  mSince = mListener.Now();
+  DropAll();
+  mChannel->SetPaused(false);
+  mChannel->ShutdownAfterSend();
+}
+
+void
+ServerConnection::DropAll()
+{
+  std::deque<ServerExchangePtr> exchanges;
+  exchanges.swap(mExchanges);
+  if (mReading && (exchanges.empty() || exchanges.back() != mReading)) {
+    exchanges.push_back(mReading);
+  }
+  mReading.reset();
+  for (const ServerExchangePtr& exchange : exchanges) {
+    if (const auto sink = std::exchange(exchange->mSink, nullptr)) {
+      if (!exchange->mEnded || !exchange->mBodyEnded) {
+        exchange->mEnded = true;
+        sink->OnGone();
+      }
+    }
+  }
+}
+
+void
+ServerConnection::OnEnd()
+{
+  Close();
+}
+
+void
+ServerConnection::Close()
+{
+  if (mClosed) {
+    return;
+  }
+  mClosed = true;
+  const auto self = shared_from_this();
+  DropAll();
+  mChannel->Close();
+  mListener.Remove(this);
+}
+
+void
+ServerConnection::WriteOut(std::string_view aBytes)
+{
+  if (!mClosed) {
+    mChannel->Write(aBytes);
+  }
+}
+
+std::size_t
+ServerConnection::Unsent() const
+{
+  return mChannel->Unsent();
+}
+
+bool
+ServerConnection::ClosesSoon() const
+{
+  return mNoMoreRequests || mListener.IsStopping();
+}
+
+void
+ServerConnection::UpdatePause()
+{
+  if (mClosed) {
+    return;
+  }
+  const bool paused = !mLingering && ((mReading && mReading->mBodyPaused) ||
+                                      mExchanges.size() >= kMostPipelined ||
+                                      mChannel->Unsent() > kMostUnsent);
+  mChannel->SetPaused(paused);
+}
+
+void
+ServerConnection::Tick(core::TimePoint aNow)
+{
+  const auto& limits = mListener.Limits();
+  const auto age = aNow - mSince;
+  if (mLingering) {
+    if (age > kLingerTime) {
+      Close();
+    }
+    return;
+  }
+  if (mHeadStarted && age > limits.mHeaderTimeout) {
+    Close();
+    return;
+  }
+  if (IsIdle() && !mHeadStarted && age > limits.mIdleTimeout) {
+    Close();
+  }
+}
+
+} // namespace nutmegrock::proxy
--- /dev/null
+++ b/src/nutmegrock/proxy/ServerExchange.cpp
@@ -0,0 +1,139 @@
+#include "proxy/ServerExchange.h"
+
+#include "proxy/MessageText.h"
+#include "proxy/ServerConnection.h"
+
+#include <utility>
+
+namespace nutmegrock::proxy {
+
+ServerExchange::ServerExchange(std::weak_ptr<ServerConnection> aConnection,
+                               RequestHead aHead)
+  : mConnection(std::move(aConnection))
+  , mHead(std::move(aHead))
+{
+}
+
+void
+ServerExchange::Put(std::string_view aBytes)
+{
+  if (!mFront) {
+    mHeld += aBytes;
+    return;
+  }
+  if (const auto connection = mConnection.lock()) {
+    connection->WriteOut(aBytes);
+  }
+}
+
+void
+ServerExchange::SendHead(const AnswerHead& aHead, std::string_view aExtraLines)
+{
+  const auto connection = mConnection.lock();
+  if (!connection || mHeadSent) {
+    return;
+  }
+  mHeadSent = true;
+  const bool head_only = mHead.mMethod == "HEAD";
+  const bool empty = aHead.mStatus == 204 || aHead.mStatus == 304;
+  mNoBody = head_only || empty;
+  mChunked = aHead.mFraming == BodyFraming::Chunked ||
+             aHead.mFraming == BodyFraming::UntilClose;
+  mClose = mClose || !mHead.mKeepAlive || connection->ClosesSoon();
+  std::string text = StatusLine(aHead.mStatus, aHead.mReason);
+  text += aHead.mLines;
+  text += aExtraLines;
+  if (!empty) {
+    const bool none = aHead.mFraming == BodyFraming::None;
+    AddFraming(text,
+               none ? BodyFraming::Length : aHead.mFraming,
+               none ? 0 : aHead.mLength);
+  }
+  if (mClose) {
+    text += "Connection: close\r\n";
+  }
+  text += "\r\n";
+  Put(text);
+}
+
+void
+ServerExchange::SendBody(std::string_view aBytes)
+{
+  if (mNoBody || mEnded || aBytes.empty()) {
+    return;
+  }
+  if (!mChunked) {
+    Put(aBytes);
+    return;
+  }
+  std::string text;
+  text.reserve(aBytes.size() + 16);
+  AddChunk(text, aBytes);
+  Put(text);
+}
+
+void
+ServerExchange::End()
+{
+  if (mEnded) {
+    return;
+  }
+  if (mChunked && !mNoBody) {
+    Put(kLastChunk);
+  }
+  mEnded = true;
+  if (const auto connection = mConnection.lock()) {
+    connection->OnExchangeEnded();
+  }
+}
+
+void
+ServerExchange::Break()
+{
+  if (mEnded) {
+    return;
+  }
+  mEnded = true;
+  mBroken = true;
+  if (const auto connection = mConnection.lock()) {
+    connection->OnExchangeEnded();
+  }
+}
+
+void
+ServerExchange::SendWhole(unsigned aStatus,
+                          std::string_view aExtraLines,
+                          std::string_view aBody)
+{
+  AnswerHead head;
+  head.mStatus = aStatus;
+  head.mFraming = BodyFraming::Length;
+  head.mLength = aBody.size();
+  SendHead(head, aExtraLines);
+  SendBody(aBody);
+  End();
+}
+
+void
+ServerExchange::PauseBody(bool aPaused)
+{
+  if (mBodyPaused == aPaused) {
+    return;
+  }
+  mBodyPaused = aPaused;
+  if (const auto connection = mConnection.lock()) {
+    connection->UpdatePause();
+  }
+}
+
+std::size_t
+ServerExchange::Unsent() const
+{
+  if (!mFront) {
+    return mHeld.size();
+  }
+  const auto connection = mConnection.lock();
+  return connection ? connection->Unsent() : 0;
+}
+
+} // namespace nutmegrock::proxy
--- /dev/null
+++ b/src/nutmegrock/retry/RetryAllowance.cpp
@@ -0,0 +1,71 @@
+#include "retry/RetryAllowance.h"
+
+#include <algorithm>
+
+namespace nutmegrock::retry {
+
+RetryAllowance::RetryAllowance(RetryAllowanceSettings aSettings)
+  : mSettings(aSettings)
+{
+}
+
+std::int64_t
+RetryAllowance::NumberOf(core::TimePoint aNow) const
+{
+  return aNow.time_since_epoch() /
+         (mSettings.mWindow / static_cast<std::int64_t>(kBuckets));
+}
+
+RetryAllowance::Bucket&
+RetryAllowance::BucketOf(core::TimePoint aNow, std::string_view aService)
+{
+  auto found = mServices.find(aService);
+  if (found == mServices.end()) {
+    found = mServices.emplace(aService, Window{}).first;
+  }
+  const std::int64_t number = NumberOf(aNow);
+  Bucket& bucket =
+    found->second.at(static_cast<std::size_t>(number) % kBuckets);
+  if (bucket.mNumber != number) {
+    bucket = { number, 0, 0 };
+  }
+  return bucket;
+}
+
+void
+RetryAllowance::OnRequest(core::TimePoint aNow, std::string_view aService)
+{
+  ++BucketOf(aNow, aService).mRequests;
+}
+
+double
+RetryAllowance::Left(core::TimePoint aNow, std::string_view aService) const
+{
+  double requests = 0;
+  double taken = 0;
+  const auto found = mServices.find(aService);
+  if (found != mServices.end()) {
+    const std::int64_t number = NumberOf(aNow);
+    for (const Bucket& bucket : found->second) {
+      if (bucket.mNumber > number - static_cast<std::int64_t>(kBuckets)) {
+        requests += bucket.mRequests;
+        taken += bucket.mTaken;
+      }
+    }
+  }
+  const double extra = mSettings.mExtraOfAll /
+                       static_cast<double>(std::max<std::size_t>(1, mNodes));
+  return requests * mSettings.mRatio + extra - taken;
+}
+
+bool
+RetryAllowance::Take(core::TimePoint aNow, std::string_view aService)
+{
+  if (Left(aNow, aService) < 1) {
+    return false;
+  }
+  ++BucketOf(aNow, aService).mTaken;
+  return true;
+}
+
+} // namespace nutmegrock::retry
--- /dev/null
+++ b/src/nutmegrock/routes/RouteSync.cpp
@@ -0,0 +1,204 @@
+#include "routes/RouteSync.h"
+
+#include <algorithm>
+#include <spdlog/fmt/fmt.h>
+#include <utility>
+
+namespace nutmegrock::routes {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// One call to the store waits this long for a change. A connection that went
+/// silent is noticed after it; meanwhile other nodes pass changes on.
+constexpr milliseconds kWait{ 10'000 };
+/// Pauses while the store fails, doubled each time. Calls are paid for, and a
+/// store that is back has to be found within two seconds.
+constexpr milliseconds kFirstPause{ 250 };
+constexpr milliseconds kLongestPause{ 1'500 };
+/// Pause between reads while the store holds no routes.
+constexpr milliseconds kEmptyPause{ 500 };
+
+} // namespace
+
+/// What pulls need when they answer.
+struct RouteSync::Shared
+{
+  RouteDecoder mDecoder;
+  RouteHolder& mHolder;
+  std::function<void(const std::string&)> mLog;
+  mutable std::mutex mMutex;
+  std::string mDocument;
+  std::uint64_t mDocumentVersion = 0;
+  bool mPulling = false;
+  bool mEnded = false;
+
+  /// Puts a document in force if it is valid and newer.
+  void Adopt(const std::string& aDocument, std::string_view aFrom)
+  {
+    auto source = mDecoder(aDocument);
+    auto set = source ? RouteSet::Create(std::move(*source))
+                      : tl::make_unexpected(std::move(source.error()));
+    if (!set) {
+      mLog(fmt::format("event=routes_unusable from={} bytes={} reason=\"{}\" "
+                       "version_in_force={}",
+                       aFrom,
+                       aDocument.size(),
+                       set.error().mMessage,
+                       mHolder.Version()));
+      return;
+    }
+    {
+      const std::lock_guard lock(mMutex);
+      if (mEnded || (*set)->Version() <= mDocumentVersion) {
+        return;
+      }
+      mDocument = aDocument;
+      mDocumentVersion = (*set)->Version();
+    }
+    if (mHolder.Adopt(*set)) {
+      mLog(fmt::format("event=routes_in_force version={} routes={} from={}",
+                       (*set)->Version(),
+                       (*set)->Routes().size(),
+                       aFrom));
+    }
+  }
+};
+
+RouteSync::RouteSync(std::shared_ptr<RouteStore> aStore,
+                     RouteDecoder aDecoder,
+                     RouteHolder& aHolder,
+                     Hooks aHooks)
+  : mStore(std::move(aStore))
+  , mHooks(std::move(aHooks))
+  , mShared(new Shared{ std::move(aDecoder),
+                        aHolder,
+                        mHooks.mLog,
+                        {},
+                        {},
+                        0,
+                        false,
+                        false })
+{
+}
+
+RouteSync::~RouteSync()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mStopping = true;
+  }
+  {
+    const std::lock_guard lock(mShared->mMutex);
+    mShared->mEnded = true;
+  }
+  mWake.notify_all();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+void
+RouteSync::Start()
+{
+  mThread = std::thread([this] { Run(); });
+}
+
+void
+RouteSync::Pause(milliseconds aTime)
+{
+  std::unique_lock lock(mMutex);
+  mWake.wait_for(lock, aTime, [this] { return mStopping; });
+}
+
+void
+RouteSync::Run()
+{
+  milliseconds pause{ 0 };
+  for (;;) {
+    {
+      const std::lock_guard lock(mMutex);
+      if (mStopping) {
+        return;
+      }
+    }
+    if (RunOnce()) {
+      pause = milliseconds(0);
+      continue;
+    }
+    pause = std::clamp(pause * 2, kFirstPause, kLongestPause);
+    Pause(pause);
+  }
+}
+
+bool
+RouteSync::RunOnce()
+{
+  auto stored = mCursor == 0 ? mStore->Read() : mStore->Wait(mCursor, kWait);
+  if (!stored && stored.error().mKind == core::ErrorKind::NotFound) {
+    mHooks.mLog(fmt::format("event=store_history_gone cursor={}", mCursor));
+    mCursor = 0;
+    return true;
+  }
+  if (mStoreAnswers != stored.has_value()) {
+    mStoreAnswers = stored.has_value();
+    mHooks.mLog(stored ? "event=store_regained"
+                       : fmt::format("event=store_lost reason=\"{}\"",
+                                     stored.error().mMessage));
+  }
+  if (!stored) {
+    return false;
+  }
+  mCursor = stored->mCursor;
+  if (!stored->mDocument.empty()) {
+    mShared->Adopt(stored->mDocument, "store");
+  } else if (mCursor == 0) {
+    Pause(kEmptyPause);
+  }
+  return true;
+}
+
+void
+RouteSync::OnVersionSeen(const core::Address& aFrom, std::uint64_t aVersion)
+{
+  {
+    const std::lock_guard lock(mShared->mMutex);
+    if (mShared->mPulling || aVersion <= mShared->mDocumentVersion) {
+      return;
+    }
+    mShared->mPulling = true;
+  }
+  mHooks.mPull(
+    aFrom,
+    [shared = mShared, from = aFrom.Text()](core::Expected<std::string> aText) {
+      {
+        const std::lock_guard lock(shared->mMutex);
+        shared->mPulling = false;
+        if (shared->mEnded) {
+          return;
+        }
+      }
+      if (aText) {
+        shared->Adopt(*aText, from);
+      } else {
+        shared->mLog(
+          fmt::format("event=routes_pull_failed from={} reason=\"{}\"",
+                      from,
+                      aText.error().mMessage));
+      }
+    });
+}
+
+core::Expected<std::string>
+RouteSync::AnswerPull() const
+{
+  const std::lock_guard lock(mShared->mMutex);
+  if (mShared->mDocument.empty()) {
+    return core::Fail(core::ErrorKind::NoProfiles,
+                      "this node has not received any routes yet");
+  }
+  return mShared->mDocument;
+}
+
+} // namespace nutmegrock::routes
--- /dev/null
+++ b/src/nutmegrock/settings/GatewaySettings.cpp
@@ -0,0 +1,103 @@
+#include "settings/GatewaySettings.h"
+
+#include "settings/SettingsFile.h"
+#include "settings/SettingsValues.h"
+
+namespace nutmegrock::settings {
+
+namespace {
+
+void
+ReadNodePart(YamlReader aReader, GatewaySettings& aSettings)
+{
+  aSettings.mService = ReadName(aReader, "service");
+  aSettings.mRegion = ReadName(aReader, "region");
+  aSettings.mAvailabilityZone = ReadName(aReader, "availability_zone");
+  aSettings.mBackendServer = ReadAddress(aReader, "backend_server");
+  aReader.Finish();
+}
+
+void
+ReadListenPart(YamlReader aReader, GatewayListenSettings& aSettings)
+{
+  aSettings.mCaller = ReadAddress(aReader, "caller");
+  aSettings.mNodes = ReadAddress(aReader, "nodes");
+  aSettings.mPeer = ReadAddress(aReader, "peer");
+  aSettings.mNotices = ReadAddress(aReader, "notices");
+  aSettings.mReady = ReadAddress(aReader, "ready");
+  aSettings.mMetrics = ReadAddress(aReader, "metrics");
+  aReader.Finish();
+}
+
+/// A time in units of aUnit, as a whole number or a fraction.
+core::Duration
+ReadTime(YamlReader& aReader,
+         const std::string& aKey,
+         std::chrono::duration<double> aUnit,
+         core::Duration aDefault)
+{
+  constexpr double kMostSeconds = 3600;
+  const double usual = std::chrono::duration<double>(aDefault) / aUnit;
+  const double value =
+    aReader.Fraction(aKey, 0, kMostSeconds / aUnit.count(), usual);
+  return std::chrono::duration_cast<core::Duration>(value * aUnit);
+}
+
+void
+ReadBounds(YamlReader aReader, GatewayBounds& aBounds)
+{
+  constexpr double kMostRatio = 10;
+  constexpr double kMostExtra = 1e6;
+  const std::chrono::duration<double> second(1);
+  const std::chrono::duration<double> millisecond(0.001);
+  aBounds.mDrain = ReadTime(aReader, "drain_ms", millisecond, aBounds.mDrain);
+  aBounds.mStop = ReadTime(aReader, "stop_s", second, aBounds.mStop);
+  aBounds.mRetryRatio =
+    aReader.Fraction("retry_ratio", 0, kMostRatio, aBounds.mRetryRatio);
+  aBounds.mRetryExtra =
+    aReader.Fraction("retry_extra", 0, kMostExtra, aBounds.mRetryExtra);
+  aBounds.mRetryWindow =
+    ReadTime(aReader, "retry_window_s", second, aBounds.mRetryWindow);
+  aReader.Finish();
+}
+
+} // namespace
+
+core::Expected<GatewaySettings>
+ParseGatewaySettings(const std::string& aYaml, const std::string& aName)
+{
+  FaultList faults;
+  GatewaySettings settings;
+  try {
+    YamlReader reader(YAML::Load(aYaml), "", faults);
+    ReadNodePart(reader.Map("node", true), settings);
+    ReadListenPart(reader.Map("listen", true), settings.mListen);
+    settings.mStore = ReadUrl(reader, "store");
+    ReadBounds(reader.Map("bounds", false), settings.mBounds);
+    for (const std::string& text : reader.TextList("seeds")) {
+      if (const auto address = core::Address::Parse(text)) {
+        settings.mSeeds.push_back(*address);
+      } else {
+        reader.Reject("seeds", address.error().mMessage);
+      }
+    }
+    settings.mLogLevel = ReadLogLevel(reader.Map("log", false));
+    reader.Finish();
+  } catch (const YAML::Exception& error) {
+    faults.Add(error.mark.line + 1, "", error.msg);
+  }
+  if (!faults.IsEmpty()) {
+    return tl::make_unexpected(FaultError(faults, aName));
+  }
+  return settings;
+}
+
+core::Expected<GatewaySettings>
+LoadGatewaySettings(const std::string& aPath)
+{
+  return ReadTextFile(aPath).and_then([&aPath](const std::string& aText) {
+    return ParseGatewaySettings(aText, aPath);
+  });
+}
+
+} // namespace nutmegrock::settings
--- a/src/nutmegrock/settings/SettingsFile.cpp
+++ b/src/nutmegrock/settings/SettingsFile.cpp
@@ -1,5 +1,6 @@
 #include "settings/SettingsFile.h"
 
+#include "settings/SettingsValues.h"
 #include "settings/YamlReader.h"
 
 #include <cerrno>
@@ -17,44 +18,6 @@
 constexpr std::uint64_t kMaxConnections = 100'000;
 constexpr std::uint64_t kMaxThreads = 64;
 constexpr std::uint64_t kMaxUnboundedRetries = 10;
-constexpr std::size_t kMaxNameLength = 64;
-
-core::Address
-ReadAddress(YamlReader& aReader, const std::string& aKey)
-{
-  const std::string text = aReader.Text(aKey);
-  if (text.empty()) {
-    return {};
-  }
-  auto address = core::Address::Parse(text);
-  if (!address) {
-    aReader.Reject(aKey, address.error().mMessage);
-    return {};
-  }
-  return *address;
-}
-
-std::string
-ReadName(YamlReader& aReader, const std::string& aKey)
-{
-  std::string text = aReader.Text(aKey);
-  if (text.size() > kMaxNameLength || text.find('/') != std::string::npos) {
-    aReader.Reject(aKey,
-                   fmt::format("must have at most {} characters and no '/'",
-                               kMaxNameLength));
-  }
-  return text;
-}
-
-std::string
-ReadUrl(YamlReader& aReader, const std::string& aKey)
-{
-  std::string text = aReader.Text(aKey);
-  if (!text.empty() && text.rfind("http://", 0) != 0) {
-    aReader.Reject(aKey, "must be an http:// URL");
-  }
-  return text;
-}
 
 void
 ReadNodePart(YamlReader aReader, NodeSettings& aSettings)
@@ -90,19 +53,6 @@
   aReader.Finish();
 }
 
-void
-ReadLogPart(YamlReader aReader, NodeSettings& aSettings)
-{
-  aSettings.mLogLevel = aReader.Text("level", "info");
-  static const std::set<std::string> sLevels = {
-    "debug", "info", "warning", "error", "off"
-  };
-  if (sLevels.count(aSettings.mLogLevel) == 0) {
-    aReader.Reject("level", "must be debug, info, warning, error or off");
-  }
-  aReader.Finish();
-}
-
 void
 ReadOverloadPart(YamlReader aReader, OverloadSettings& aSettings)
 {
@@ -142,7 +92,7 @@
     ReadPlatformPart(reader.Map("platform", true), settings.mPlatform);
     ReadSeeds(reader, settings);
     settings.mSecretFile = reader.Text("secret_file", "");
-    ReadLogPart(reader.Map("log", false), settings);
+    settings.mLogLevel = ReadLogLevel(reader.Map("log", false));
     ReadOverloadPart(reader.Map("overload", false), settings.mOverload);
     reader.Finish();
   } catch (const YAML::Exception& error) {
@@ -151,11 +101,7 @@
   if (faults.IsEmpty()) {
     return settings;
   }
-  std::string text;
-  for (const std::string& line : faults.Lines()) {
-    text += fmt::format("{}{}: {}", text.empty() ? "" : "\n", aName, line);
-  }
-  return core::Fail(core::ErrorKind::InvalidSettings, text);
+  return tl::make_unexpected(FaultError(faults, aName));
 }
 
 core::Expected<std::string>
--- a/src/nutmegrock/settings/YamlReader.cpp
+++ b/src/nutmegrock/settings/YamlReader.cpp
@@ -142,6 +142,27 @@
   return value.IsDefined() ? ToNumber(value, aKey, aLeast, aMost) : aDefault;
 }
 
+double
+YamlReader::Fraction(const std::string& aKey,
+                     double aLeast,
+                     double aMost,
+                     double aDefault)
+{
+  const YAML::Node value = Take(aKey, false);
+  if (!value) {
+    return aDefault;
+  }
+  double number = 0;
+  if (!value.IsScalar() || !YAML::convert<double>::decode(value, number) ||
+      !(number >= aLeast && number <= aMost)) {
+    mFaults.Add(value.Mark().line + 1,
+                PathOf(aKey),
+                fmt::format("must be a number from {} to {}", aLeast, aMost));
+    return aDefault;
+  }
+  return number;
+}
+
 bool
 YamlReader::Flag(const std::string& aKey, bool aDefault)
 {
--- a/src/nutmegrock/settings/YamlReader.h
+++ b/src/nutmegrock/settings/YamlReader.h
@@ -45,6 +45,11 @@
                        std::uint64_t aLeast,
                        std::uint64_t aMost,
                        std::uint64_t aDefault);
+  /// An optional number within [aLeast, aMost], which may be a fraction.
+  double Fraction(const std::string& aKey,
+                  double aLeast,
+                  double aMost,
+                  double aDefault);
   bool Flag(const std::string& aKey, bool aDefault);
   /// A list of texts; empty when the key is absent.
   std::vector<std::string> TextList(const std::string& aKey);
--- a/src/nutmegrock/platform/ObjectStore.h
+++ b/src/nutmegrock/store/ObjectStore.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-namespace nutmegrock::platform {
+namespace nutmegrock::store {
 
 /// Port to the platform's object store. Calls block, as those of TableService.
 /// Every error is StoreUnavailable; a failed write may have taken effect.
@@ -25,4 +25,4 @@
                                    const std::string& aBytes) = 0;
 };
 
-} // namespace nutmegrock::platform
+} // namespace nutmegrock::store
--- a/src/nutmegrock/platform/TableService.h
+++ b/src/nutmegrock/store/TableService.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace nutmegrock::platform {
+namespace nutmegrock::store {
 
 /// One row of the platform's table service.
 struct Row
@@ -48,4 +48,4 @@
   virtual core::Expected<bool> Remove(const std::string& aKey) = 0;
 };
 
-} // namespace nutmegrock::platform
+} // namespace nutmegrock::store
--- a/src/nutmegrock/platform/http/HttpObjectStore.cpp
+++ b/src/nutmegrock/store/http/HttpObjectStore.cpp
@@ -1,9 +1,9 @@
-#include "platform/http/HttpObjectStore.h"
+#include "store/http/HttpObjectStore.h"
 
 #include <spdlog/fmt/fmt.h>
 #include <utility>
 
-namespace nutmegrock::platform::http {
+namespace nutmegrock::store::http {
 
 namespace {
 
@@ -66,4 +66,4 @@
   return true;
 }
 
-} // namespace nutmegrock::platform::http
+} // namespace nutmegrock::store::http
--- a/src/nutmegrock/platform/http/HttpObjectStore.h
+++ b/src/nutmegrock/store/http/HttpObjectStore.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platform/ObjectStore.h"
-#include "platform/http/StoreClient.h"
+#include "store/ObjectStore.h"
+#include "store/http/StoreClient.h"
 
 #include <memory>
 
-namespace nutmegrock::platform::http {
+namespace nutmegrock::store::http {
 
 /// ObjectStore over the platform's HTTP interface.
 class HttpObjectStore : public ObjectStore
@@ -26,4 +26,4 @@
   StoreClient mClient;
 };
 
-} // namespace nutmegrock::platform::http
+} // namespace nutmegrock::store::http
--- a/src/nutmegrock/platform/http/HttpTableService.cpp
+++ b/src/nutmegrock/store/http/HttpTableService.cpp
@@ -1,11 +1,11 @@
-#include "platform/http/HttpTableService.h"
+#include "store/http/HttpTableService.h"
 
 #include <charconv>
 #include <cpprest/json.h>
 #include <spdlog/fmt/fmt.h>
 #include <utility>
 
-namespace nutmegrock::platform::http {
+namespace nutmegrock::store::http {
 
 namespace {
 
@@ -156,4 +156,4 @@
   return true;
 }
 
-} // namespace nutmegrock::platform::http
+} // namespace nutmegrock::store::http
--- a/src/nutmegrock/platform/http/HttpTableService.h
+++ b/src/nutmegrock/store/http/HttpTableService.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platform/TableService.h"
-#include "platform/http/StoreClient.h"
+#include "store/TableService.h"
+#include "store/http/StoreClient.h"
 
 #include <memory>
 
-namespace nutmegrock::platform::http {
+namespace nutmegrock::store::http {
 
 /// TableService over the platform's HTTP interface.
 class HttpTableService : public TableService
@@ -30,4 +30,4 @@
   StoreClient mClient;
 };
 
-} // namespace nutmegrock::platform::http
+} // namespace nutmegrock::store::http
--- a/src/nutmegrock/platform/http/StoreClient.cpp
+++ b/src/nutmegrock/store/http/StoreClient.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/StoreClient.h"
+#include "store/http/StoreClient.h"
 
 #include "core/Address.h"
 
@@ -9,7 +9,7 @@
 #include <spdlog/fmt/fmt.h>
 #include <stdexcept>
 
-namespace nutmegrock::platform::http {
+namespace nutmegrock::store::http {
 
 namespace {
 
@@ -62,7 +62,7 @@
     message.headers().add(name, value);
   }
   if (aRequest.mMethod == "PUT" || aRequest.mMethod == "POST") {
-    message.set_body(aRequest.mBody, "application/octet-stream");
+    message.set_body(aRequest.mBody, aRequest.mContentType);
   }
   return message;
 }
@@ -163,4 +163,4 @@
   });
 }
 
-} // namespace nutmegrock::platform::http
+} // namespace nutmegrock::store::http
--- a/src/nutmegrock/platform/http/StoreClient.h
+++ b/src/nutmegrock/store/http/StoreClient.h
@@ -11,7 +11,7 @@
 class http_client;
 }
 
-namespace nutmegrock::platform::http {
+namespace nutmegrock::store::http {
 
 /// How the platform is reached.
 struct StoreSettings
@@ -44,6 +44,7 @@
     std::string mPath;
     std::map<std::string, std::string> mHeaders;
     std::string mBody;
+    std::string mContentType = "application/octet-stream";
   };
 
   /// Fails with InvalidSettings when the URL is not "http://IP:PORT".
@@ -68,4 +69,4 @@
 void
 InitializePool(std::size_t aThreads = 4);
 
-} // namespace nutmegrock::platform::http
+} // namespace nutmegrock::store::http
--- a/standins/standin_platform/PlatformServer.h
+++ b/standins/standin_platform/PlatformServer.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/http/StoreClient.h"
 #include "standins/standin_platform/PlatformState.h"
+#include "store/http/StoreClient.h"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
@@ -49,7 +49,7 @@
   static web::http::experimental::listener::http_listener Listen(
     const std::string& aUrl)
   {
-    platform::http::InitializePool();
+    store::http::InitializePool();
     return web::http::experimental::listener::http_listener(aUrl);
   }
 
--- a/standins/standin_platform/PlatformState.h
+++ b/standins/standin_platform/PlatformState.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/TableService.h"
+#include "store/TableService.h"
 
 #include <atomic>
 #include <chrono>
@@ -48,7 +48,7 @@
   };
 
   /// The row, or nothing. Subject to the stale read switch.
-  std::optional<platform::Row> ReadRow(const std::string& aKey)
+  std::optional<store::Row> ReadRow(const std::string& aKey)
   {
     const std::scoped_lock lock(mMutex);
     ++mCounts.mReads;
@@ -61,13 +61,13 @@
   }
 
   /// Rows whose key starts with aPrefix, from aFrom on.
-  std::vector<platform::Row> ScanRows(const std::string& aPrefix,
-                                      const std::string& aFrom,
-                                      std::size_t aLimit)
+  std::vector<store::Row> ScanRows(const std::string& aPrefix,
+                                   const std::string& aFrom,
+                                   std::size_t aLimit)
   {
     const std::scoped_lock lock(mMutex);
     ++mCounts.mReads;
-    std::vector<platform::Row> rows;
+    std::vector<store::Row> rows;
     for (auto at = mRows.lower_bound(std::max(aPrefix, aFrom));
          at != mRows.end() && at->first.starts_with(aPrefix);
          ++at) {
@@ -94,7 +94,7 @@
       return {};
     }
     history.mBefore = history.mNow;
-    history.mNow = platform::Row{ aKey, aValue, ++mLastVersion };
+    history.mNow = store::Row{ aKey, aValue, ++mLastVersion };
     return { true, mLastVersion };
   }
 
@@ -156,8 +156,8 @@
 private:
   struct History
   {
-    std::optional<platform::Row> mNow;
-    std::optional<platform::Row> mBefore;
+    std::optional<store::Row> mNow;
+    std::optional<store::Row> mBefore;
   };
 
   static bool Take(std::int64_t& aLeft)
--- a/tests/admin/AdminServerTest.cpp
+++ b/tests/admin/AdminServerTest.cpp
@@ -1,6 +1,6 @@
 #include "admin/AdminServer.h"
-#include "platform/http/HttpTableService.h"
-#include "tests/platform/StandInPlatform.h"
+#include "store/http/HttpTableService.h"
+#include "tests/store/StandInPlatform.h"
 
 #include <boost/asio/write.hpp>
 #include <cpprest/http_client.h>
@@ -128,7 +128,7 @@
   TEST_CASE("handlers that wait for the store do not block its answers")
   {
     StandInPlatform platform;
-    const auto table = platform::http::HttpTableService::Make(
+    const auto table = store::http::HttpTableService::Make(
       { .mUrl = platform.Url(), .mTimeout = std::chrono::seconds(60) });
     constexpr int kRequests = 16;
     std::latch started(kRequests);
--- a/tests/admin/ProfileRoutesTest.cpp
+++ b/tests/admin/ProfileRoutesTest.cpp
@@ -1,6 +1,6 @@
 #include "admin/ProfileRoutes.h"
-#include "tests/platform/FakePlatform.h"
 #include "tests/profiles/Documents.h"
+#include "tests/store/FakePlatform.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/cli/ProfileCommandTest.cpp
+++ b/tests/cli/ProfileCommandTest.cpp
@@ -1,9 +1,9 @@
 #include "cli/ProfileCommand.h"
 #include "admin/ProfileRoutes.h"
-#include "tests/platform/FakePlatform.h"
-#include "tests/platform/ScriptedServer.h"
-#include "tests/platform/StandInPlatform.h"
 #include "tests/profiles/Documents.h"
+#include "tests/store/FakePlatform.h"
+#include "tests/store/ScriptedServer.h"
+#include "tests/store/StandInPlatform.h"
 
 #include <doctest/doctest.h>
 #include <filesystem>
--- a/tests/membership/FakeTable.h
+++ b/tests/membership/FakeTable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/TableService.h"
+#include "store/TableService.h"
 
 #include <algorithm>
 #include <atomic>
@@ -13,10 +13,10 @@
 namespace nutmegrock::membership {
 
 /// Table service in memory with the faults of the real one.
-class FakeTable final : public platform::TableService
+class FakeTable final : public store::TableService
 {
 public:
-  core::Expected<std::optional<platform::Row>> Read(
+  core::Expected<std::optional<store::Row>> Read(
     const std::string& aKey) override
   {
     const std::lock_guard lock(mMutex);
@@ -24,18 +24,18 @@
       return Unavailable();
     }
     const auto found = mRows.find(aKey);
-    return found == mRows.end() ? std::optional<platform::Row>()
+    return found == mRows.end() ? std::optional<store::Row>()
                                 : std::optional(found->second);
   }
-  core::Expected<std::vector<platform::Row>> Scan(const std::string& aPrefix,
-                                                  const std::string& aFrom,
-                                                  std::size_t aLimit) override
+  core::Expected<std::vector<store::Row>> Scan(const std::string& aPrefix,
+                                               const std::string& aFrom,
+                                               std::size_t aLimit) override
   {
     const std::lock_guard lock(mMutex);
     if (mDown) {
       return Unavailable();
     }
-    std::vector<platform::Row> rows;
+    std::vector<store::Row> rows;
     for (auto next = mRows.lower_bound(std::max(aPrefix, aFrom));
          next != mRows.end() && rows.size() < aLimit &&
          next->first.starts_with(aPrefix);
@@ -99,7 +99,7 @@
   }
 
   std::mutex mMutex;
-  std::map<std::string, platform::Row> mRows;
+  std::map<std::string, store::Row> mRows;
   std::uint64_t mVersion = 0;
 };
 
--- a/tests/membership/MembershipServiceTest.cpp
+++ b/tests/membership/MembershipServiceTest.cpp
@@ -56,7 +56,7 @@
   }
 
   Node& Add(std::vector<core::Address> aSeeds,
-            std::shared_ptr<platform::TableService> aTable = nullptr,
+            std::shared_ptr<store::TableService> aTable = nullptr,
             const std::string& aRegion = "khomas")
   {
     MembershipServiceSettings settings;
--- a/tests/profiles/ProfileSyncTest.cpp
+++ b/tests/profiles/ProfileSyncTest.cpp
@@ -1,7 +1,7 @@
 #include "profiles/ProfileSync.h"
 #include "profiles/ProfilePublisher.h"
-#include "tests/platform/FakePlatform.h"
 #include "tests/profiles/Documents.h"
+#include "tests/store/FakePlatform.h"
 
 #include <doctest/doctest.h>
 #include <functional>
--- a/tests/profiles/PublicationTest.cpp
+++ b/tests/profiles/PublicationTest.cpp
@@ -1,6 +1,6 @@
 #include "profiles/ProfilePublisher.h"
-#include "tests/platform/FakePlatform.h"
 #include "tests/profiles/Documents.h"
+#include "tests/store/FakePlatform.h"
 
 #include <doctest/doctest.h>
 #include <functional>
--- a/tests/platform/FakePlatform.h
+++ b/tests/store/FakePlatform.h
@@ -1,33 +1,33 @@
 #pragma once
 
-#include "platform/ObjectStore.h"
-#include "platform/TableService.h"
 #include "standins/standin_platform/PlatformState.h"
+#include "store/ObjectStore.h"
+#include "store/TableService.h"
 
 namespace nutmegrock::tests {
 
 /// Both ports over a PlatformState in this process, with its fault switches. A
 /// delay of a second or more counts as an answer that comes too late.
 class FakePlatform
-  : public platform::TableService
-  , public platform::ObjectStore
+  : public store::TableService
+  , public store::ObjectStore
 {
 public:
   using Faults = standins::PlatformFaults;
 
   standins::PlatformState& State() { return mState; }
 
-  core::Expected<std::optional<platform::Row>> Read(
+  core::Expected<std::optional<store::Row>> Read(
     const std::string& aKey) override
   {
-    return Answer<std::optional<platform::Row>>(
+    return Answer<std::optional<store::Row>>(
       false, [&] { return mState.ReadRow(aKey); });
   }
-  core::Expected<std::vector<platform::Row>> Scan(const std::string& aPrefix,
-                                                  const std::string& aFrom,
-                                                  std::size_t aLimit) override
+  core::Expected<std::vector<store::Row>> Scan(const std::string& aPrefix,
+                                               const std::string& aFrom,
+                                               std::size_t aLimit) override
   {
-    return Answer<std::vector<platform::Row>>(
+    return Answer<std::vector<store::Row>>(
       false, [&] { return mState.ScanRows(aPrefix, aFrom, aLimit); });
   }
   core::Expected<std::uint64_t> Write(const std::string& aKey,
--- a/tests/platform/HttpAdapterTest.cpp
+++ b/tests/store/HttpAdapterTest.cpp
@@ -1,7 +1,7 @@
-#include "platform/http/HttpObjectStore.h"
-#include "platform/http/HttpTableService.h"
-#include "tests/platform/ScriptedServer.h"
-#include "tests/platform/StandInPlatform.h"
+#include "store/http/HttpObjectStore.h"
+#include "store/http/HttpTableService.h"
+#include "tests/store/ScriptedServer.h"
+#include "tests/store/StandInPlatform.h"
 
 #include <cpprest/http_client.h>
 #include <doctest/doctest.h>
@@ -9,8 +9,8 @@
 using namespace nutmegrock;
 using namespace nutmegrock::tests;
 using core::ErrorKind;
-using platform::http::HttpObjectStore;
-using platform::http::HttpTableService;
+using store::http::HttpObjectStore;
+using store::http::HttpTableService;
 
 namespace {
 
--- a/tests/platform/ObjectStoreTest.cpp
+++ b/tests/store/ObjectStoreTest.cpp
@@ -1,11 +1,11 @@
-#include "tests/platform/Subjects.h"
+#include "tests/store/Subjects.h"
 
 using namespace nutmegrock;
 using namespace nutmegrock::tests;
 using core::ErrorKind;
 using standins::PlatformFaults;
 
-TEST_SUITE("platform/ObjectStore")
+TEST_SUITE("store/ObjectStore")
 {
   TEST_CASE("an object is read back byte for byte")
   {
--- a/tests/platform/Subjects.h
+++ b/tests/store/Subjects.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "platform/http/HttpObjectStore.h"
-#include "platform/http/HttpTableService.h"
-#include "tests/platform/FakePlatform.h"
-#include "tests/platform/StandInPlatform.h"
+#include "store/http/HttpObjectStore.h"
+#include "store/http/HttpTableService.h"
+#include "tests/store/FakePlatform.h"
+#include "tests/store/StandInPlatform.h"
 
 #include <doctest/doctest.h>
 #include <functional>
@@ -16,8 +16,8 @@
 /// One implementation of both ports with the state behind it.
 struct Subject
 {
-  platform::TableService& mTable;
-  platform::ObjectStore& mObjects;
+  store::TableService& mTable;
+  store::ObjectStore& mObjects;
   standins::PlatformState& mState;
 };
 
@@ -34,10 +34,10 @@
   SUBCASE("HTTP adapter and stand-in server")
   {
     StandInPlatform server;
-    const platform::http::StoreSettings settings{ .mUrl = server.Url(),
-                                                  .mTimeout = kShortTimeout };
-    const auto table = platform::http::HttpTableService::Make(settings);
-    const auto objects = platform::http::HttpObjectStore::Make(settings);
+    const store::http::StoreSettings settings{ .mUrl = server.Url(),
+                                               .mTimeout = kShortTimeout };
+    const auto table = store::http::HttpTableService::Make(settings);
+    const auto objects = store::http::HttpObjectStore::Make(settings);
     REQUIRE(table);
     REQUIRE(objects);
     aTest({ **table, **objects, server.State() });
--- a/tests/platform/TableServiceTest.cpp
+++ b/tests/store/TableServiceTest.cpp
@@ -1,11 +1,11 @@
-#include "tests/platform/Subjects.h"
+#include "tests/store/Subjects.h"
 
 using namespace nutmegrock;
 using namespace nutmegrock::tests;
 using core::ErrorKind;
 using standins::PlatformFaults;
 
-TEST_SUITE("platform/TableService")
+TEST_SUITE("store/TableService")
 {
   TEST_CASE("a row is written only at the expected version")
   {
@@ -25,7 +25,7 @@
       CHECK(table.Write("a/b c%ü", "three", *first).error().mKind ==
             ErrorKind::VersionConflict);
       CHECK(table.Read("a/b c%ü").value() ==
-            platform::Row{ "a/b c%ü", "two", *second });
+            store::Row{ "a/b c%ü", "two", *second });
     });
   }
 
@@ -123,7 +123,7 @@
       REQUIRE(aSubject.mTable.Write("k", "two", *first));
       aSubject.mState.SetFaults({ .mStaleReads = 1 });
       CHECK(aSubject.mTable.Read("k").value() ==
-            platform::Row{ "k", "one", *first });
+            store::Row{ "k", "one", *first });
       CHECK(aSubject.mTable.Read("k").value()->mValue == "two");
     });
   }
