Tell calls of backend servers from requests of callers by their entry nodes

Cause: the caller's address was meant to tell the calls of backend servers from outside requests, but both come from the address of the machine, so every request counted as a nested call and nothing was ever shed.

Change: serving nodes count from which services' nodes the requests of a route enter. Outside callers enter at the nodes of all services, a backend server's calls only at its own; the verdict travels with the costs in answers.

--- a/src/nutmegrock/gateway/Entry.h
+++ b/src/nutmegrock/gateway/Entry.h
@@ -25,8 +25,6 @@
   /// Service of the backend server beside this node.
   std::string mService;
   std::string mZone;
-  /// IP number of the backend server, whose own calls come from there.
-  std::string mServerIp;
   /// Port at which nodes take requests from each other; the same on all.
   std::uint16_t mPeerPort = 0;
 };
--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -52,10 +52,14 @@
 EntryCall::Start()
 {
   const auto self = shared_from_this();
-  mNested = mExchange->CallerIp() == mEntry.mSettings.mServerIp;
   if (!FindRoute()) {
     return;
   }
+  const overload::RouteCost* cost =
+    mEntry.mParts.mCosts.Find(mRoute->mName);
+  // A route that is not known yet may be one of the calls of an admitted
+  // request, which must not be refused.
+  mNested = cost == nullptr || cost->mInternal.value_or(true);
   SetTimes();
   if (!Admit()) {
     return;
--- a/src/nutmegrock/gateway/GatewayParts.cpp
+++ b/src/nutmegrock/gateway/GatewayParts.cpp
@@ -115,11 +115,13 @@
     SharedParts{ now,
                  *mPool,
                  mGraph,
+ mCallerShares,
                  mCosts,
                  mLoads,
                  mRegistry,
                  mLog,
                  [this] { return mRoutes.Version(); },
+    [this] { return mServices; },
                  [this](const core::Address& aFrom, std::uint64_t aVersion) {
                    mSync->OnVersionSeen(aFrom, aVersion);
                  } });
@@ -134,7 +136,6 @@
   entry.mSelf = mSelf;
   entry.mService = mSettings.mService;
   entry.mZone = mSettings.mAvailabilityZone;
-  entry.mServerIp = mSettings.mBackendServer.mIp;
   entry.mPeerPort = mSettings.mListen.mNodes.mPort;
   mEntry = std::make_unique<Entry>(
     entry, *mShared, *mServing, mRoutes, *mRouter, mAdmission, mAllowance);
@@ -311,6 +312,7 @@
 {
   mFeed->Apply(*aView, core::Clock::now(), WallMs());
   mAllowance.SetNodes(aView->Alive());
+  mServices = aView->mByService.size();
   mLog.State(fmt::format("event=members number={} alive={} services={}",
                          aView->mNumber,
                          aView->Alive(),
--- a/src/nutmegrock/gateway/GatewayParts.h
+++ b/src/nutmegrock/gateway/GatewayParts.h
@@ -79,6 +79,7 @@
   DecisionLog mLog;
   routes::RouteHolder mRoutes;
   overload::CallGraph mGraph;
+  overload::CallerShares mCallerShares;
   overload::RouteCosts mCosts;
   overload::ServiceLoads mLoads;
   overload::EntryAdmission mAdmission;
@@ -105,6 +106,7 @@
   core::TimePoint mSlowTickAt;
   membership::MemberState mPublished = membership::MemberState::Starting;
   std::uint32_t mPublishedSlots = 0;
+  std::size_t mServices = 0;
   core::TimePoint mStoppingSince;
   bool mStopping = false;
   bool mDone = false;
--- a/src/nutmegrock/gateway/PeerNote.cpp
+++ b/src/nutmegrock/gateway/PeerNote.cpp
@@ -47,7 +47,12 @@
 {
   overload::RouteCost cost;
   const auto parts = SplitText(aValue, ',');
-  cost.mComplete = parts.front() == "1";
+  // Complete or not, then internal, from outside, or not known.
+  const std::string_view flags = parts.front();
+  cost.mComplete = !flags.empty() && flags[0] == '1';
+  if (flags.size() > 1 && flags[1] != '?') {
+    cost.mInternal = flags[1] == 'i';
+  }
   for (std::size_t i = 1; i < parts.size(); ++i) {
     const auto fields = SplitText(parts[i], ':');
     const auto seconds =
@@ -143,7 +148,11 @@
                  aNote.mLeaving ? 1 : 0,
                  aNote.mRouteVersion);
   if (aNote.mCost) {
-    fmt::format_to(out, ";c={}", aNote.mCost->mComplete ? 1 : 0);
+    const auto internal = aNote.mCost->mInternal;
+    fmt::format_to(out,
+                   ";c={}{}",
+                   aNote.mCost->mComplete ? 1 : 0,
+                   !internal ? '?' : (*internal ? 'i' : 'o'));
     for (const overload::ServiceCost& cost : aNote.mCost->mServices) {
       fmt::format_to(
         out, ",{}:{}", cost.mService, ToThousandths(cost.mSlotSeconds));
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -65,6 +65,7 @@
   const auto call = std::make_shared<ServingCall>(
     *this, mNextId++, aCall, aHead, std::move(aSink));
   mCalls.emplace(call->Id(), call);
+  mParts.mCallers.OnCall(mParts.mNow(), aCall.mRoute, aCall.mCallerService);
   auto admitted = Check(aCall);
   if (admitted) {
     const core::Duration usual = std::chrono::duration_cast<core::Duration>(
@@ -198,6 +199,8 @@
     usual.mCostSentAt = now;
     note.mCost = mParts.mCosts.Compose(
       aRoute, mSettings.mServer.mService, usual.mSeconds, mParts.mGraph);
+    note.mCost->mInternal =
+      mParts.mCallers.IsInternal(aRoute, mParts.mServices());
   }
   if (now - mLoadsSentAt >= kLoadsEvery) {
     mLoadsSentAt = now;
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -8,6 +8,7 @@
 #include "gateway/PeerNote.h"
 #include "metrics/Registry.h"
 #include "overload/CallGraph.h"
+#include "overload/CallerShares.h"
 #include "overload/RouteCosts.h"
 #include "overload/ServiceLoads.h"
 #include "overload/WorkQueue.h"
@@ -38,12 +39,15 @@
   std::function<core::TimePoint()> mNow;
   proxy::ClientPool& mPool;
   overload::CallGraph& mGraph;
+  overload::CallerShares& mCallers;
   overload::RouteCosts& mCosts;
   overload::ServiceLoads& mLoads;
   metrics::Registry& mRegistry;
   DecisionLog& mLog;
   /// Version of the routes in force.
   std::function<std::uint64_t()> mRouteVersion;
+  /// Services that any node runs beside.
+  std::function<std::size_t()> mServices;
   /// Another node, at this peer address, has a version of the routes.
   std::function<void(const core::Address&, std::uint64_t)> mOnVersionSeen;
 };
--- a/src/nutmegrock/overload/RouteCosts.cpp
+++ b/src/nutmegrock/overload/RouteCosts.cpp
@@ -61,6 +61,7 @@
   }
   RouteCost mixed;
   mixed.mComplete = aCost.mComplete;
+  mixed.mInternal = aCost.mInternal;
   for (const ServiceCost& cost : found->second.mServices) {
     Add(mixed.mServices, cost.mService, cost.mSlotSeconds * (1 - kNewWeight));
   }
--- a/src/nutmegrock/overload/RouteCosts.h
+++ b/src/nutmegrock/overload/RouteCosts.h
@@ -4,6 +4,7 @@
 #include "overload/CallGraph.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,8 @@
   /// Whether the calls at every level are known, so that a service that is not
   /// listed is not used.
   bool mComplete = false;
+  /// Whether backend servers call the route; nothing while it is not known.
+  std::optional<bool> mInternal;
 
   /// Cost at the service in slot seconds; 0 when it is not listed.
   double At(std::string_view aService) const;
