Leave room in the retry allowance for the hops below

Every hop used half of the bound, and calls made by a run that was itself a further attempt count as further arrivals at each service below, so four hops together went beyond it.

Change: a request carries the probability that it belongs to a further attempt; a node subtracts it from its own allowance and uses half of the rest at most. Answers with an error are tried again only while errors of the route are rare.

--- a/src/nutmegrock/gateway/Entry.cpp
+++ b/src/nutmegrock/gateway/Entry.cpp
@@ -14,6 +14,10 @@
 constexpr double kFreshShare = 0.97;
 /// Routes whose longest time is remembered.
 constexpr std::size_t kMostRoutes = 1024;
+/// Weight of one answer in the running share of failures.
+constexpr double kOutcomeWeight = 0.03;
+/// Up to this share of failures an answer with an error is tried again.
+constexpr double kSeldom = 0.06;
 
 } // namespace
 
@@ -74,6 +78,23 @@
   }
 }
 
+void
+Entry::OnOutcome(const std::string& aRoute, bool aFailed)
+{
+  if (mFailedShare.size() > kMostRoutes) {
+    mFailedShare.clear();
+  }
+  double& share = mFailedShare[aRoute];
+  share += kOutcomeWeight * ((aFailed ? 1 : 0) - share);
+}
+
+bool
+Entry::FailsSeldom(const std::string& aRoute) const
+{
+  const auto found = mFailedShare.find(aRoute);
+  return found == mFailedShare.end() || found->second <= kSeldom;
+}
+
 void
 Entry::Remove(EntryCall* aCall)
 {
--- a/src/nutmegrock/gateway/Entry.h
+++ b/src/nutmegrock/gateway/Entry.h
@@ -63,6 +63,11 @@
   bool IsReturned(const std::string& aRoute,
                   std::chrono::milliseconds aDeadline);
   void Remove(EntryCall* aCall);
+  /// A request of the route ended with an answer of a backend server.
+  void OnOutcome(const std::string& aRoute, bool aFailed);
+  /// Whether failures of the route are rare, so that another attempt helps and
+  /// does not add to a common cause.
+  bool FailsSeldom(const std::string& aRoute) const;
 
   const EntrySettings mSettings;
   SharedParts& mParts;
@@ -74,6 +79,8 @@
   routes::SplitPicker mSplits;
   std::unordered_set<std::shared_ptr<EntryCall>> mCalls;
   std::map<std::string, std::chrono::milliseconds> mLongestDeadline;
+  /// Running share of failed answers of each route.
+  std::map<std::string, double> mFailedShare;
 };
 
 } // namespace nutmegrock::gateway
--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -65,7 +65,8 @@
     return;
   }
   mService = mEntry.mSplits.Pick(*mRoute);
-  mEntry.mAllowance.OnRequest(mArrived, mService);
+  mRepeatShare = mNested ? mEntry.mParts.mRepeats.Share() : 0;
+  mEntry.mAllowance.OnRequest(mArrived, mService, mRepeatShare);
   if (mNested) {
     mEntry.mParts.mGraph.OnCall(mArrived, mRoute->mName);
   }
@@ -167,6 +168,9 @@
   call.mObjectiveLeft =
     ToMilliseconds(mArrived + mRoute->mLatencyObjective - now);
   call.mTimeLeft = ToMilliseconds(mDeadline - now);
+  constexpr double kPermille = 1000;
+  call.mRepeatPermille = static_cast<std::uint32_t>(
+    kPermille * (mServersReached > 0 ? 1 : mRepeatShare));
   mSink = std::make_shared<AttemptSink>(*this);
   ++mAttemptNumber;
   if (choice->mIncarnation == mEntry.mSettings.mSelf) {
@@ -365,6 +369,7 @@
   ++mServersReached;
   mPossiblyRun = true;
   if (ShouldReplace(aHead)) {
+    mEntry.OnOutcome(mRoute->mName, true);
     if (mAttempt && !mBodyEnded) {
       mAttempt->Cancel();
     }
@@ -387,7 +392,8 @@
 bool
 EntryCall::ShouldReplace(const proxy::AnswerHead& aHead)
 {
-  if (aHead.mStatus < 500 || aHead.mStatus == 504 || !mRoute->IsIdempotent()) {
+  if (aHead.mStatus < 500 || aHead.mStatus == 504 || !mRoute->IsIdempotent() ||
+      !mEntry.FailsSeldom(mRoute->mName)) {
     return false;
   }
   const auto spent = mEntry.mParts.mNow() - mArrived;
@@ -436,6 +442,7 @@
   if (mBodyEnded) {
     mAttempt.reset();
   }
+  mEntry.OnOutcome(mRoute->mName, mHead.mStatus >= 500);
   const auto latency = mEntry.mParts.mNow() - mArrived;
   mEntry.mParts.mRegistry
     .CounterOf("nutmegrock_answered_total",
--- a/src/nutmegrock/gateway/EntryCall.h
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -96,6 +96,8 @@
   std::string mExtraLines;
   bool mNested = false;
   bool mReturned = false;
+  /// Probability that the run which made this call was a further attempt.
+  double mRepeatShare = 0;
   core::TimePoint mArrived;
   core::TimePoint mDeadline;
 
--- a/src/nutmegrock/gateway/GatewayParts.cpp
+++ b/src/nutmegrock/gateway/GatewayParts.cpp
@@ -27,7 +27,9 @@
 constexpr std::chrono::seconds kControlTimeout{ 2 };
 /// The part of the platform's bounds that is used, so that rounding and uneven
 /// load between nodes stay within them.
-constexpr double kRetryPart = 0.5;
+constexpr double kRetryPart = 0.85;
+/// The extra attempts hold for each service, and those of hops above count too.
+constexpr double kRetryExtraPart = 0.4;
 /// Part of the time to drain in which requests on their way still start.
 constexpr double kDrainPart = 0.4;
 /// A cold server is slow for about this long in both deployments.
@@ -46,9 +48,11 @@
 retry::RetryAllowanceSettings
 AllowanceFor(const settings::GatewayBounds& aBounds)
 {
-  return { aBounds.mRetryRatio * kRetryPart,
-           aBounds.mRetryExtra * kRetryPart,
-           aBounds.mRetryWindow };
+  retry::RetryAllowanceSettings settings;
+  settings.mRatio = aBounds.mRetryRatio * kRetryPart;
+  settings.mExtraOfAll = aBounds.mRetryExtra * kRetryExtraPart;
+  settings.mWindow = aBounds.mRetryWindow;
+  return settings;
 }
 
 } // namespace
@@ -116,6 +120,7 @@
                  *mPool,
                  mGraph,
  mCallerShares,
+ mRepeats,
                  mCosts,
                  mLoads,
                  mRegistry,
--- a/src/nutmegrock/gateway/GatewayParts.h
+++ b/src/nutmegrock/gateway/GatewayParts.h
@@ -80,6 +80,7 @@
   routes::RouteHolder mRoutes;
   overload::CallGraph mGraph;
   overload::CallerShares mCallerShares;
+  retry::RepeatShare mRepeats;
   overload::RouteCosts mCosts;
   overload::ServiceLoads mLoads;
   overload::EntryAdmission mAdmission;
--- a/src/nutmegrock/gateway/PeerCall.cpp
+++ b/src/nutmegrock/gateway/PeerCall.cpp
@@ -9,19 +9,20 @@
 std::string
 Encode(const PeerCall& aCall)
 {
-  return fmt::format("{:x};{};{};{};{};{}",
+  return fmt::format("{:x};{};{};{};{};{};{}",
                      aCall.mTarget.mBits,
                      aCall.mService,
                      aCall.mCallerService,
                      aCall.mRoute,
                      aCall.mObjectiveLeft.count(),
-                     aCall.mTimeLeft.count());
+                     aCall.mTimeLeft.count(),
+                     aCall.mRepeatPermille);
 }
 
 core::Expected<PeerCall>
 DecodePeerCall(std::string_view aText)
 {
-  constexpr std::size_t kFields = 6;
+  constexpr std::size_t kFields = 7;
   const auto fields = SplitText(aText, ';');
   const auto fail = [] {
     return core::Fail(core::ErrorKind::ProtocolError,
@@ -33,7 +34,8 @@
   const auto target = ParseNumber<std::uint64_t>(fields[0], 16);
   const auto objective = ParseNumber<std::int64_t>(fields[4]);
   const auto left = ParseNumber<std::int64_t>(fields[5]);
-  if (!target || !objective || !left || fields[1].empty()) {
+  const auto repeat = ParseNumber<std::uint32_t>(fields[6]);
+  if (!target || !objective || !left || !repeat || fields[1].empty()) {
     return fail();
   }
   PeerCall call;
@@ -43,6 +45,7 @@
   call.mRoute = fields[3];
   call.mObjectiveLeft = std::chrono::milliseconds(*objective);
   call.mTimeLeft = std::chrono::milliseconds(*left);
+  call.mRepeatPermille = *repeat;
   return call;
 }
 
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -15,6 +15,7 @@
 #include "proxy/ClientPool.h"
 #include "proxy/MessageHead.h"
 #include "proxy/Streams.h"
+#include "retry/RepeatShare.h"
 
 #include <cstdint>
 #include <functional>
@@ -40,6 +41,7 @@
   proxy::ClientPool& mPool;
   overload::CallGraph& mGraph;
   overload::CallerShares& mCallers;
+  retry::RepeatShare& mRepeats;
   overload::RouteCosts& mCosts;
   overload::ServiceLoads& mLoads;
   metrics::Registry& mRegistry;
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -64,6 +64,8 @@
   mState = State::Running;
   mStarted = now;
   mServing.mParts.mGraph.OnRun(now, mCall.mRoute);
+  constexpr double kThousandth = 0.001;
+  mServing.mParts.mRepeats.OnRun(now, mCall.mRepeatPermille * kThousandth);
   proxy::ClientRequest request = RequestFor(now);
   request.mBody = std::exchange(mBody, {});
   request.mBodyComplete = mBodyEnded;
--- a/src/nutmegrock/retry/RetryAllowance.cpp
+++ b/src/nutmegrock/retry/RetryAllowance.cpp
@@ -27,15 +27,19 @@
   Bucket& bucket =
     found->second.at(static_cast<std::size_t>(number) % kBuckets);
   if (bucket.mNumber != number) {
-    bucket = { number, 0, 0 };
+    bucket = { number, 0, 0, 0 };
   }
   return bucket;
 }
 
 void
-RetryAllowance::OnRequest(core::TimePoint aNow, std::string_view aService)
+RetryAllowance::OnRequest(core::TimePoint aNow,
+                          std::string_view aService,
+                          double aRepeatShare)
 {
-  ++BucketOf(aNow, aService).mRequests;
+  Bucket& bucket = BucketOf(aNow, aService);
+  ++bucket.mRequests;
+  bucket.mInherited += aRepeatShare;
 }
 
 double
@@ -43,6 +47,7 @@
 {
   double requests = 0;
   double taken = 0;
+  double inherited = 0;
   const auto found = mServices.find(aService);
   if (found != mServices.end()) {
     const std::int64_t number = NumberOf(aNow);
@@ -50,12 +55,16 @@
       if (bucket.mNumber > number - static_cast<std::int64_t>(kBuckets)) {
         requests += bucket.mRequests;
         taken += bucket.mTaken;
+        inherited += bucket.mInherited;
       }
     }
   }
   const double extra = mSettings.mExtraOfAll /
                        static_cast<double>(std::max<std::size_t>(1, mNodes));
-  return requests * mSettings.mRatio + extra - taken;
+  const double bound = requests * mSettings.mRatio;
+  const double own =
+    std::clamp(bound - inherited, 0.0, bound * mSettings.mHopPart);
+  return own + extra - taken;
 }
 
 bool
--- a/src/nutmegrock/retry/RetryAllowance.h
+++ b/src/nutmegrock/retry/RetryAllowance.h
@@ -13,10 +13,14 @@
 
 struct RetryAllowanceSettings
 {
-  /// Further attempts of this node as a share of its requests for the service
-  /// in the window. All nodes keep to the same share of their own requests, so
-  /// the sum keeps to it too, whichever nodes come and go.
-  double mRatio = 0.1;
+  /// Bound on further arrivals as a share of the requests for a service in the
+  /// window. All nodes keep to the same share of their own requests, so the sum
+  /// keeps to it too, whichever nodes come and go.
+  double mRatio = 0.18;
+  /// Largest part of the bound that one hop uses by itself. Calls made by a run
+  /// that was itself a further attempt count as further arrivals below, so the
+  /// rest is left for the hops below.
+  double mHopPart = 0.5;
   /// Further attempts in a window beside the share, over all nodes.
   double mExtraOfAll = 24;
   /// Length of the sliding window.
@@ -33,8 +37,11 @@
 
   /// Nodes that share the extra attempts.
   void SetNodes(std::size_t aNodes) { mNodes = aNodes; }
-  /// A request for the service arrived here.
-  void OnRequest(core::TimePoint aNow, std::string_view aService);
+  /// A request for the service arrived here. aRepeatShare is the probability
+  /// that it belongs to a run which was itself a further attempt.
+  void OnRequest(core::TimePoint aNow,
+                 std::string_view aService,
+                 double aRepeatShare);
   /// Takes one further attempt; false if none is left.
   bool Take(core::TimePoint aNow, std::string_view aService);
   /// Further attempts left at present.
@@ -48,6 +55,8 @@
     std::int64_t mNumber = -1;
     std::uint32_t mRequests = 0;
     std::uint32_t mTaken = 0;
+    /// Sum of the shares of OnRequest().
+    double mInherited = 0;
   };
   using Window = std::array<Bucket, kBuckets>;
 
