Measure load as demand over capacity; check the server's health after a start

After a kill of all nodes each waited up to 1.5 s for the next heartbeat of its server.

Change: the load is the slot time asked for in a second over the slots, with the backlog spread over 0.4 s; it is proportional to what is admitted. A node that starts asks the server's health path once who is there. Small ratios of the call graph are noise from 0.15 on, and lines about failed answers have a budget.

Ruled out: stronger smoothing alone; the swing had the period of the queue.

--- a/src/nutmegrock/announce/LocalServer.cpp
+++ b/src/nutmegrock/announce/LocalServer.cpp
@@ -120,6 +120,24 @@
   return true;
 }
 
+bool
+LocalServer::OnHealthy(core::TimePoint aNow,
+                       const std::string& aId,
+                       std::uint32_t aSlots)
+{
+  if (mLatest || aId.empty() || aSlots == 0 || mLeft.count(aId) > 0) {
+    return false;
+  }
+  Announcement seen;
+  seen.mId = aId;
+  seen.mService = mSettings.mService;
+  seen.mAddress = mSettings.mAddress;
+  seen.mSlots = aSlots;
+  mLatest = std::move(seen);
+  mHeardAt = aNow;
+  return true;
+}
+
 ServerPhase
 LocalServer::Phase(core::TimePoint aNow) const
 {
--- a/src/nutmegrock/announce/LocalServer.h
+++ b/src/nutmegrock/announce/LocalServer.h
@@ -60,6 +60,13 @@
                const std::string& aId,
                std::int64_t aStartedMs);
 
+  /// A health check of the server at the address succeeded. Tells a node that
+  /// has just started which server is there before its next heartbeat; without
+  /// effect once a heartbeat has come. Returns whether the phase changed.
+  bool OnHealthy(core::TimePoint aNow,
+                 const std::string& aId,
+                 std::uint32_t aSlots);
+
   ServerPhase Phase(core::TimePoint aNow) const;
   /// Whether work may be started at the server: it is serving, or has been
   /// leaving for less than mLeaveSlack.
--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -55,8 +55,7 @@
   if (!FindRoute()) {
     return;
   }
-  const overload::RouteCost* cost =
-    mEntry.mParts.mCosts.Find(mRoute->mName);
+  const overload::RouteCost* cost = mEntry.mParts.mCosts.Find(mRoute->mName);
   // A route that is not known yet may be one of the calls of an admitted
   // request, which must not be refused.
   mNested = cost == nullptr || cost->mInternal.value_or(true);
@@ -443,14 +442,14 @@
     mAttempt.reset();
   }
   mEntry.OnOutcome(mRoute->mName, mHead.mStatus >= 500);
-  const auto latency = mEntry.mParts.mNow() - mArrived;
   mEntry.mParts.mRegistry
     .CounterOf("nutmegrock_answered_total",
                { { "route", mRoute->mName },
                  { "status", fmt::to_string(mHead.mStatus) } })
     .Add();
-  if (mHead.mStatus >= 500 ||
-      (mEntry.mParts.mLog.IsSample() && latency.count() > 0)) {
+  DecisionLog& log = mEntry.mParts.mLog;
+  if (mHead.mStatus >= 500 ? log.MayWriteRequest(mEntry.mParts.mNow())
+                           : log.IsSample()) {
     LogEnd(mHead.mStatus, "answer of the backend server");
   }
   if (mStreaming) {
--- a/src/nutmegrock/gateway/GatewayParts.cpp
+++ b/src/nutmegrock/gateway/GatewayParts.cpp
@@ -34,6 +34,9 @@
 constexpr double kDrainPart = 0.4;
 /// A cold server is slow for about this long in both deployments.
 constexpr std::chrono::seconds kRamp{ 3 };
+/// Health checks after a start, until the server's heartbeat comes anyway.
+constexpr std::uint32_t kMostProbes = 3;
+constexpr milliseconds kProbePause{ 400 };
 /// Threads for the store's client; two calls are open at most.
 constexpr std::size_t kStoreThreads = 3;
 
@@ -119,14 +122,14 @@
     SharedParts{ now,
                  *mPool,
                  mGraph,
- mCallerShares,
- mRepeats,
+                 mCallerShares,
+                 mRepeats,
                  mCosts,
                  mLoads,
                  mRegistry,
                  mLog,
                  [this] { return mRoutes.Version(); },
-    [this] { return mServices; },
+                 [this] { return mServices; },
                  [this](const core::Address& aFrom, std::uint64_t aVersion) {
                    mSync->OnVersionSeen(aFrom, aVersion);
                  } });
@@ -364,6 +367,31 @@
   mMembership->SetOwnState(state, slots, 0);
 }
 
+// A node that was restarted beside a running server learns in a round trip who
+// that is, in place of up to a heartbeat's time.
+void
+GatewayRuntime::Parts::ProbeServer(core::TimePoint aNow)
+{
+  const routes::RouteSetPtr routes = mRoutes.Current();
+  if (mServing->Server().Latest() || mStopping || !routes ||
+      mProbes >= kMostProbes || aNow - mProbedAt < kProbePause) {
+    return;
+  }
+  for (const routes::RouteService& service : routes->Services()) {
+    if (service.mName == mSettings.mService && !service.mHealthPath.empty()) {
+      mProbedAt = aNow;
+      ++mProbes;
+      mProbe =
+        ServerProbe::Send(*mPool,
+                          mSettings.mBackendServer,
+                          service.mHealthPath,
+                          [this](const ServerHealth& aHealth) {
+                            mServing->OnHealthy(aHealth.mId, aHealth.mSlots);
+                          });
+    }
+  }
+}
+
 void
 GatewayRuntime::Parts::ScheduleTick()
 {
@@ -384,6 +412,7 @@
   mServing->Tick();
   mAdmission.Tick(now);
   mPool->Tick();
+  ProbeServer(now);
   PublishState();
   if (now - mSlowTickAt >= kSlowTick) {
     mSlowTickAt = now;
--- a/src/nutmegrock/gateway/GatewayParts.h
+++ b/src/nutmegrock/gateway/GatewayParts.h
@@ -2,6 +2,7 @@
 
 #include "gateway/Entry.h"
 #include "gateway/GatewayRuntime.h"
+#include "gateway/ServerProbe.h"
 #include "gateway/Serving.h"
 #include "membership/udp/MembershipService.h"
 #include "metrics/Registry.h"
@@ -57,6 +58,7 @@
   void UpdateGauges();
 
   void PublishState();
+  void ProbeServer(core::TimePoint aNow);
   void OnView(const membership::MemberViewPtr& aView);
   void OnRoutes(const routes::RouteSetPtr& aRoutes);
   void ScheduleTick();
@@ -108,6 +110,9 @@
   membership::MemberState mPublished = membership::MemberState::Starting;
   std::uint32_t mPublishedSlots = 0;
   std::size_t mServices = 0;
+  std::shared_ptr<ServerProbe> mProbe;
+  core::TimePoint mProbedAt;
+  std::uint32_t mProbes = 0;
   core::TimePoint mStoppingSince;
   bool mStopping = false;
   bool mDone = false;
--- a/src/nutmegrock/gateway/PeerCall.h
+++ b/src/nutmegrock/gateway/PeerCall.h
@@ -25,7 +25,8 @@
   std::chrono::milliseconds mObjectiveLeft{ 0 };
   /// Time left until nobody waits for the answer.
   std::chrono::milliseconds mTimeLeft{ 0 };
-  /// Probability that this is a further attempt or a call of one, in thousandths.
+  /// Probability that this is a further attempt or a call of one, in
+  /// thousandths.
   std::uint32_t mRepeatPermille = 0;
 
   bool operator==(const PeerCall&) const = default;
--- /dev/null
+++ b/src/nutmegrock/gateway/ServerProbe.cpp
@@ -0,0 +1,41 @@
+#include "gateway/ServerProbe.h"
+
+#include "gateway/TextFields.h"
+#include "proxy/MessageText.h"
+
+#include <utility>
+
+namespace nutmegrock::gateway {
+
+std::shared_ptr<ServerProbe>
+ServerProbe::Send(proxy::ClientPool& aPool,
+                  const core::Address& aServer,
+                  const std::string& aPath,
+                  Handler aHandler)
+{
+  const auto probe = std::make_shared<ServerProbe>(std::move(aHandler));
+  proxy::ClientRequest request;
+  request.mHead = "GET " + aPath + " HTTP/1.1\r\n" +
+                  proxy::HeaderLine("Host", aServer.Text()) + "\r\n";
+  probe->mRequest = aPool.Send(aServer, std::move(request), probe);
+  return probe;
+}
+
+ServerProbe::ServerProbe(Handler aHandler)
+  : mHandler(std::move(aHandler))
+{
+}
+
+void
+ServerProbe::OnAnswerHead(const proxy::AnswerHead& aHead)
+{
+  // The load is "running,waiting,slots".
+  const auto load = SplitText(aHead.mLoad, ',');
+  const auto slots = load.size() == 3 ? ParseNumber<std::uint32_t>(load[2])
+                                      : std::optional<std::uint32_t>();
+  if (aHead.IsSuccess() && !aHead.mServerId.empty() && slots) {
+    mHandler({ aHead.mServerId, *slots });
+  }
+}
+
+} // namespace nutmegrock::gateway
--- /dev/null
+++ b/src/nutmegrock/gateway/ServerProbe.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/Address.h"
+#include "proxy/ClientPool.h"
+#include "proxy/Streams.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace nutmegrock::gateway {
+
+/// What a backend server says in the answer to a health check.
+struct ServerHealth
+{
+  std::string mId;
+  std::uint32_t mSlots = 0;
+
+  bool operator==(const ServerHealth&) const = default;
+};
+
+/// One health check of the backend server beside the node.
+class ServerProbe final : public proxy::AnswerSink
+{
+public:
+  using Handler = std::function<void(const ServerHealth&)>;
+
+  /// Sends the check. The handler is called when the server is healthy and says
+  /// who it is; otherwise nothing happens. The end of the probe drops the
+  /// answer.
+  static std::shared_ptr<ServerProbe> Send(proxy::ClientPool& aPool,
+                                           const core::Address& aServer,
+                                           const std::string& aPath,
+                                           Handler aHandler);
+
+  explicit ServerProbe(Handler aHandler);
+
+  void OnAnswerHead(const proxy::AnswerHead& aHead) override;
+  void OnAnswerBody(std::string_view) override {}
+  void OnAnswerEnd() override {}
+  void OnAnswerFailed(const core::Error&) override {}
+  void OnRequestSent() override {}
+
+private:
+  const Handler mHandler;
+  proxy::OutgoingRequestPtr mRequest;
+};
+
+} // namespace nutmegrock::gateway
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -131,6 +131,16 @@
   return mServer.OnLeave(mParts.mNow(), aId, aStartedMs);
 }
 
+bool
+Serving::OnHealthy(const std::string& aId, std::uint32_t aSlots)
+{
+  const bool changed = mServer.OnHealthy(mParts.mNow(), aId, aSlots);
+  if (changed) {
+    mQueue.SetSlots(aSlots);
+  }
+  return changed;
+}
+
 bool
 Serving::IsLeaving() const
 {
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -74,6 +74,8 @@
   /// A heartbeat or leave of the backend server; see LocalServer.
   core::Expected<bool> OnHeartbeat(const announce::Announcement& aAnnouncement);
   bool OnLeave(const std::string& aId, std::int64_t aStartedMs);
+  /// A health check of the backend server succeeded; see LocalServer.
+  bool OnHealthy(const std::string& aId, std::uint32_t aSlots);
   /// No new work from now on, since this node stops.
   void StartStopping() { mStopping = true; }
   const announce::LocalServer& Server() const { return mServer; }
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -128,7 +128,7 @@
   const core::TimePoint now = mServing.mParts.mNow();
   mServing.Remove(mId);
   if (before == State::Waiting) {
-    mServing.mQueue.Withdraw(now, mId);
+    mServing.mQueue.Withdraw(mId);
     return;
   }
   mServing.OnRunEnded(mCall.mRoute, now - mStarted, aGood);
--- a/src/nutmegrock/overload/CallGraph.cpp
+++ b/src/nutmegrock/overload/CallGraph.cpp
@@ -12,7 +12,7 @@
 /// Added to the diagonal, so that a route without runs does not divide by zero.
 constexpr double kRidge = 1e-3;
 /// A smaller estimate is noise: a run makes a call or it does not.
-constexpr double kLeastRatio = 0.05;
+constexpr double kLeastRatio = 0.15;
 
 } // namespace
 
--- a/src/nutmegrock/overload/CallerShares.cpp
+++ b/src/nutmegrock/overload/CallerShares.cpp
@@ -15,8 +15,8 @@
 /// A route with calls from more than this part of the services is used from
 /// outside.
 constexpr double kInternalPart = 0.5;
-/// Counts are halved at this interval, so that a route that changes its users is
-/// judged anew.
+/// Counts are halved at this interval, so that a route that changes its users
+/// is judged anew.
 constexpr std::chrono::seconds kHalveEvery{ 10 };
 
 } // namespace
@@ -58,10 +58,12 @@
     return std::nullopt;
   }
   const Route& route = found->second;
-  const auto callers = std::count_if(
-    route.mCallers.begin(), route.mCallers.end(), [&route](const auto& aCaller) {
-      return aCaller.second >= kLeastShare * route.mTotal;
-    });
+  const auto callers =
+    std::count_if(route.mCallers.begin(),
+                  route.mCallers.end(),
+                  [&route](const auto& aCaller) {
+                    return aCaller.second >= kLeastShare * route.mTotal;
+                  });
   return static_cast<double>(callers) <=
          kInternalPart * static_cast<double>(aServices);
 }
--- a/src/nutmegrock/overload/CallerShares.h
+++ b/src/nutmegrock/overload/CallerShares.h
@@ -22,8 +22,8 @@
   void OnCall(core::TimePoint aNow,
               std::string_view aRoute,
               std::string_view aCallerService);
-  /// Whether the route is called by backend servers, when aServices services are
-  /// known in all; nothing while too few calls were seen.
+  /// Whether the route is called by backend servers, when aServices services
+  /// are known in all; nothing while too few calls were seen.
   std::optional<bool> IsInternal(std::string_view aRoute,
                                  std::size_t aServices) const;
 
--- a/src/nutmegrock/overload/ShedLevel.h
+++ b/src/nutmegrock/overload/ShedLevel.h
@@ -10,12 +10,11 @@
 
 struct ShedLevelSettings
 {
-  /// Load that admission aims at: calls running and waiting as a share of those
-  /// that may run at once.
+  /// Load that admission aims at, as a share of what a service can do.
   double mTarget = 0.92;
-  /// Waiting calls beyond this load are not counted: a queue is the sum of the
-  /// past, not the present demand.
-  double mMostLoad = 1.6;
+  /// Larger loads count as this one, so that a burst of a moment does not shut
+  /// everything out.
+  double mMostLoad = 2.5;
   /// The load reported now was caused by what was admitted between these times
   /// before: work above the service comes first, and reports take time to
   /// spread.
--- a/src/nutmegrock/overload/WorkQueue.cpp
+++ b/src/nutmegrock/overload/WorkQueue.cpp
@@ -5,6 +5,20 @@
 
 namespace nutmegrock::overload {
 
+namespace {
+
+/// Busy slots count as this part of a load, for calls whose usual time is not
+/// known yet.
+constexpr double kRunningPart = 0.9;
+
+double
+SecondsOf(core::Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+} // namespace
+
 WorkQueue::WorkQueue(WorkQueueSettings aSettings)
   : mSettings(aSettings)
 {
@@ -18,40 +32,39 @@
 }
 
 double
-WorkQueue::Instant() const
+WorkQueue::KeepUntil(core::TimePoint aNow) const
 {
-  return mLimit == 0 ? 0
-                     : static_cast<double>(mRunning + mItems.size()) / mLimit;
+  return std::exp(-SecondsOf(aNow - mFadedAt) /
+                  SecondsOf(mSettings.mSmoothing));
 }
 
 void
-WorkQueue::Observe(core::TimePoint aNow)
+WorkQueue::Fade(core::TimePoint aNow)
 {
-  if (mObservedAt != core::TimePoint{}) {
-    const double step =
-      1 - std::exp(-std::chrono::duration<double>(aNow - mObservedAt).count() /
-                   std::chrono::duration<double>(mSettings.mSmoothing).count());
-    mLoad += step * (Instant() - mLoad);
-  }
-  mObservedAt = aNow;
+  mAsked *= mFadedAt == core::TimePoint{} ? 0 : KeepUntil(aNow);
+  mFadedAt = aNow;
 }
 
 double
 WorkQueue::Load(core::TimePoint aNow) const
 {
-  if (mObservedAt == core::TimePoint{}) {
+  if (mLimit == 0) {
     return 0;
   }
-  const double step =
-    1 - std::exp(-std::chrono::duration<double>(aNow - mObservedAt).count() /
-                 std::chrono::duration<double>(mSettings.mSmoothing).count());
-  return mLoad + step * (Instant() - mLoad);
+  // An exponentially fading sum divided by its time constant is a rate.
+  const double rate =
+    mAsked * KeepUntil(aNow) / SecondsOf(mSettings.mSmoothing);
+  const double backlog =
+    mItems.empty() ? 0 : mWaitingSeconds / SecondsOf(mSettings.mDrainTime);
+  return std::max((rate + backlog) / mLimit,
+                  static_cast<double>(mRunning) / mLimit * kRunningPart);
 }
 
 core::Expected<bool>
 WorkQueue::Offer(core::TimePoint aNow, const WorkItem& aItem)
 {
-  Observe(aNow);
+  Fade(aNow);
+  mAsked += SecondsOf(aItem.mUsualTime);
   if (aNow + aItem.mUsualTime / 2 > aItem.mDeadline) {
     return core::Fail(core::ErrorKind::QueueTimeout,
                       "too little time is left for the call");
@@ -65,6 +78,7 @@
   }
   const auto place = mOrder.emplace(aItem.mDue, aItem.mId);
   mItems.emplace(aItem.mId, Entry{ aItem, place });
+  mWaitingSeconds += SecondsOf(aItem.mUsualTime);
   return false;
 }
 
@@ -81,6 +95,7 @@
       aChanges.mStart.push_back(id);
       ++mRunning;
     }
+    mWaitingSeconds -= SecondsOf(item.mUsualTime);
     mOrder.erase(mOrder.begin());
     mItems.erase(entry);
   }
@@ -89,7 +104,6 @@
 WorkChanges
 WorkQueue::OnEnd(core::TimePoint aNow)
 {
-  Observe(aNow);
   WorkChanges changes;
   if (mRunning > 0) {
     --mRunning;
@@ -99,11 +113,11 @@
 }
 
 void
-WorkQueue::Withdraw(core::TimePoint aNow, std::uint64_t aId)
+WorkQueue::Withdraw(std::uint64_t aId)
 {
-  Observe(aNow);
   const auto found = mItems.find(aId);
   if (found != mItems.end()) {
+    mWaitingSeconds -= SecondsOf(found->second.mItem.mUsualTime);
     mOrder.erase(found->second.mPlace);
     mItems.erase(found);
   }
@@ -112,7 +126,6 @@
 WorkChanges
 WorkQueue::Tick(core::TimePoint aNow)
 {
-  Observe(aNow);
   WorkChanges changes;
   for (const auto& [id, entry] : mItems) {
     if (aNow + entry.mItem.mUsualTime / 2 > entry.mItem.mDeadline) {
@@ -120,7 +133,7 @@
     }
   }
   for (const std::uint64_t id : changes.mExpired) {
-    Withdraw(aNow, id);
+    Withdraw(id);
   }
   StartNext(aNow, changes);
   return changes;
--- a/src/nutmegrock/overload/WorkQueue.h
+++ b/src/nutmegrock/overload/WorkQueue.h
@@ -21,7 +21,10 @@
   /// Calls that may wait, as a multiple of the slots.
   double mMostWaiting = 8;
   /// Time constant of the reported load.
-  core::Duration mSmoothing = std::chrono::milliseconds{ 150 };
+  core::Duration mSmoothing = std::chrono::milliseconds{ 200 };
+  /// Time within which a backlog is to be worked off; it counts as demand
+  /// spread over this time.
+  core::Duration mDrainTime = std::chrono::milliseconds{ 400 };
 };
 
 /// One call for the server.
@@ -62,14 +65,16 @@
   /// A call that was started has ended.
   WorkChanges OnEnd(core::TimePoint aNow);
   /// A waiting call is no longer wanted.
-  void Withdraw(core::TimePoint aNow, std::uint64_t aId);
+  void Withdraw(std::uint64_t aId);
   /// Finds calls that cannot end in time any more. Call it every 20 ms.
   WorkChanges Tick(core::TimePoint aNow);
 
   std::uint32_t Limit() const { return mLimit; }
   std::uint32_t Running() const { return mRunning; }
   std::size_t Waiting() const { return mItems.size(); }
-  /// Running and waiting calls as a share of the limit, averaged.
+  /// Demand as a share of what the server can do: slot time that calls ask for
+  /// in a second, averaged, over the slots, and the backlog. Unlike the number
+  /// of waiting calls it is proportional to the calls that are let in upstream.
   double Load(core::TimePoint aNow) const;
 
 private:
@@ -80,8 +85,8 @@
     Order::iterator mPlace;
   };
 
-  void Observe(core::TimePoint aNow);
-  double Instant() const;
+  void Fade(core::TimePoint aNow);
+  double KeepUntil(core::TimePoint aNow) const;
   void StartNext(core::TimePoint aNow, WorkChanges& aChanges);
 
   const WorkQueueSettings mSettings;
@@ -89,8 +94,11 @@
   std::uint32_t mRunning = 0;
   Order mOrder;
   std::unordered_map<std::uint64_t, Entry> mItems;
-  double mLoad = 0;
-  core::TimePoint mObservedAt;
+  /// Slot seconds asked for, fading with mSmoothing.
+  double mAsked = 0;
+  core::TimePoint mFadedAt;
+  /// Slot seconds that the waiting calls ask for.
+  double mWaitingSeconds = 0;
 };
 
 } // namespace nutmegrock::overload
--- a/src/nutmegrock/proxy/HeaderNames.h
+++ b/src/nutmegrock/proxy/HeaderNames.h
@@ -20,6 +20,8 @@
   std::string mNotRun = "Nutmegrock-Run";
   /// Service of the backend server beside which the request began.
   std::string mCallerService = "Nutmegrock-Caller-Service";
+  /// In answers to health checks: identity of the backend server.
+  std::string mServerId = "Nutmegrock-Server";
   /// In answers: running requests, waiting requests and slots.
   std::string mLoad = "Nutmegrock-Load";
 };
--- a/src/nutmegrock/proxy/MessageHead.h
+++ b/src/nutmegrock/proxy/MessageHead.h
@@ -58,6 +58,9 @@
   std::optional<std::chrono::seconds> mIdleTime;
   /// Value of kPeerNoteHeader.
   std::string mPeerNote;
+  /// Identity of the backend server and its load, as it gives them.
+  std::string mServerId;
+  std::string mLoad;
 
   bool IsSuccess() const { return mStatus >= 200 && mStatus < 300; }
 };
--- a/src/nutmegrock/proxy/MessageParser.cpp
+++ b/src/nutmegrock/proxy/MessageParser.cpp
@@ -166,6 +166,11 @@
     }
     mHead.mSealed = mHead.mSealed || Is(aName, mNames.mSeal);
     mHead.mNotRun = mHead.mNotRun || Is(aName, mNames.mNotRun);
+    if (Is(aName, mNames.mServerId)) {
+      mHead.mServerId = StringOf(aValue);
+    } else if (Is(aName, mNames.mLoad)) {
+      mHead.mLoad = StringOf(aValue);
+    }
     return false;
   }
 }
--- a/src/nutmegrock/retry/RepeatShare.cpp
+++ b/src/nutmegrock/retry/RepeatShare.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Runs are forgotten with this time constant. A run makes its calls within less
-/// than it.
+/// Runs are forgotten with this time constant. A run makes its calls within
+/// less than it.
 constexpr std::chrono::seconds kMemory{ 2 };
 
 } // namespace
