Spill to other zones only when they are less loaded; leave late and end at once

A node that was told to stop took its sound server out of service at once, for up to 6 s, and 7 processes were killed at the end of the grace time because a thread was still waiting at the store.

Change: the share that leaves a zone moves with the load above that of all zones. A node that stops serves until callers have been moved (2.1 s), then tells the other nodes, and the process ends without waiting for its threads. A hop may use 0.8 of what is left of the retry bound; the part inherited from the hops above is subtracted as before.

Ruled out: a fixed threshold above 1, which leaves a zone with a slow server overloaded.

--- a/src/nutmegrock/cli/GatewayCommand.cpp
+++ b/src/nutmegrock/cli/GatewayCommand.cpp
@@ -5,6 +5,7 @@
 #include "gateway/GatewayRuntime.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <memory>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
@@ -58,7 +59,10 @@
     return static_cast<int>(ExitCode::Refused);
   }
   const std::size_t cut = (*runtime)->Run(file.getValue());
-  return static_cast<int>(cut == 0 ? ExitCode::Ok : ExitCode::Refused);
+  // A thread may be waiting at the store for longer than the platform leaves
+  // for the end of a process; nothing is kept here that would need an orderly
+  // end.
+  std::_Exit(static_cast<int>(cut == 0 ? ExitCode::Ok : ExitCode::Refused));
 }
 
 } // namespace nutmegrock::cli
--- a/src/nutmegrock/gateway/GatewayControl.cpp
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -21,7 +21,11 @@
 constexpr milliseconds kLeaveTime{ 2'600 };
 /// For this long after the signal, requests of other nodes that have not heard
 /// yet are still run.
-constexpr milliseconds kTakeWorkTime{ 1'200 };
+constexpr milliseconds kTakeWorkTime{ 2'500 };
+/// Other nodes are told to send no new work this long after the signal. The
+/// server beside a node that stops is sound, so each moment without the node
+/// costs its capacity.
+constexpr milliseconds kTellNodesTime{ 2'100 };
 /// Kept back from the platform's time to stop, for the end of the process.
 constexpr milliseconds kStopReserve{ 400 };
 constexpr milliseconds kSettingsCheck{ 2'000 };
@@ -198,13 +202,16 @@
   mLog.State(fmt::format("event=stopping in_flight={}", InFlight()));
   mCallers->StartStopping();
   mNodes->StartStopping();
-  PublishState();
 }
 
 void
 GatewayRuntime::Parts::TickStopping(core::TimePoint aNow)
 {
   const auto since = aNow - mStoppingSince;
+  if (since > kTellNodesTime && !mLeaving) {
+    mLeaving = true;
+    PublishState();
+  }
   if (since > kTakeWorkTime) {
     mServing->StartStopping();
   }
--- a/src/nutmegrock/gateway/GatewayParts.cpp
+++ b/src/nutmegrock/gateway/GatewayParts.cpp
@@ -340,7 +340,7 @@
 {
   const auto& server = mServing->Server();
   auto state = membership::MemberState::Starting;
-  if (mStopping) {
+  if (mLeaving) {
     state = membership::MemberState::Draining;
   } else {
     switch (server.Phase(core::Clock::now())) {
--- a/src/nutmegrock/gateway/GatewayParts.h
+++ b/src/nutmegrock/gateway/GatewayParts.h
@@ -115,6 +115,8 @@
   std::uint32_t mProbes = 0;
   core::TimePoint mStoppingSince;
   bool mStopping = false;
+  /// Other nodes have been told that this one stops.
+  bool mLeaving = false;
   bool mDone = false;
 };
 
--- a/src/nutmegrock/retry/RetryAllowance.h
+++ b/src/nutmegrock/retry/RetryAllowance.h
@@ -20,7 +20,7 @@
   /// Largest part of the bound that one hop uses by itself. Calls made by a run
   /// that was itself a further attempt count as further arrivals below, so the
   /// rest is left for the hops below.
-  double mHopPart = 0.5;
+  double mHopPart = 0.8;
   /// Further attempts in a window beside the share, over all nodes.
   double mExtraOfAll = 24;
   /// Length of the sliding window.
--- a/src/nutmegrock/routing/Router.cpp
+++ b/src/nutmegrock/routing/Router.cpp
@@ -17,11 +17,11 @@
 core::Expected<std::unique_ptr<Router>>
 Router::Create(const RouterSettings& aSettings)
 {
-  const bool valid =
-    aSettings.mRampStart > 0 && aSettings.mRampStart <= 1 &&
-    aSettings.mSpillFull > aSettings.mSpillBegin && aSettings.mProbeEvery > 0 &&
-    aSettings.mReportLifetime > core::Duration{ 0 } &&
-    aSettings.mEjection.mMaxShare >= 0 && aSettings.mEjection.mMaxShare <= 1;
+  const bool valid = aSettings.mRampStart > 0 && aSettings.mRampStart <= 1 &&
+                     aSettings.mSpillGain > 0 && aSettings.mProbeEvery > 0 &&
+                     aSettings.mReportLifetime > core::Duration{ 0 } &&
+                     aSettings.mEjection.mMaxShare >= 0 &&
+                     aSettings.mEjection.mMaxShare <= 1;
   if (!valid) {
     return core::Fail(core::ErrorKind::InvalidSettings,
                       "router: shares must be in [0, 1], the ramp start and "
--- a/src/nutmegrock/routing/RouterSettings.h
+++ b/src/nutmegrock/routing/RouterSettings.h
@@ -15,10 +15,12 @@
   core::Duration mReturnRamp = std::chrono::milliseconds{ 1500 };
   /// Weight at the beginning of a ramp, as a share of the full weight.
   double mRampStart = 0.1;
-  /// Load of the own availability zone, as a share of its slots, above which
-  /// requests begin to spill over; all spill over at mSpillFull.
+  /// Load of the own availability zone, as a share of its slots, from which on
+  /// requests may go to other zones, as long as those are less loaded.
   double mSpillBegin = 0.7;
-  double mSpillFull = 1.0;
+  /// Change of the share that leaves the zone, for each 20 ms and each unit of
+  /// load above that of all zones.
+  double mSpillGain = 0.05;
   /// One in this many requests of a service may go to an ejected server.
   std::uint32_t mProbeEvery = 25;
   /// Age at which a reported load no longer counts.
--- a/src/nutmegrock/routing/ServiceRouter.cpp
+++ b/src/nutmegrock/routing/ServiceRouter.cpp
@@ -16,7 +16,9 @@
 constexpr double kMostReported = 2;
 
 /// Time for which the load of a zone is not computed again.
-constexpr std::chrono::milliseconds kSpillEvery{ 5 };
+constexpr std::chrono::milliseconds kSpillEvery{ 20 };
+/// Steps taken together after a time without requests.
+constexpr double kMostSpillSteps = 10;
 
 /// Mixes the request hash with an incarnation (the finalizer of MurmurHash3,
 /// Appleby).
@@ -215,25 +217,41 @@
 double
 ServiceRouter::SpillShare(core::TimePoint aNow, std::uint32_t aZone)
 {
-  if (aZone == mSpillZone && aNow - mSpillAt < kSpillEvery) {
+  if (aZone != mSpillZone) {
+    mSpillZone = aZone;
+    mSpillAt = aNow - kSpillEvery;
+    mSpill = 0;
+  }
+  if (aNow - mSpillAt < kSpillEvery) {
     return mSpill;
   }
-  double slots = 0;
-  double used = 0;
+  double near_slots = 0;
+  double near_used = 0;
+  double all_slots = 0;
+  double all_used = 0;
   for (std::size_t i = 0; i < mEntries.size(); ++i) {
     const Entry& entry = mEntries[i];
-    if (entry.mZone == aZone && entry.mServing && !entry.mEjected) {
-      slots += entry.mWeight;
-      used += std::max<double>(mEjection.InFlight(i),
-                               entry.mWeight * Reported(aNow, i));
+    if (!entry.mServing || entry.mEjected) {
+      continue;
+    }
+    const double used = std::max<double>(mEjection.InFlight(i),
+                                         entry.mWeight * Reported(aNow, i));
+    all_slots += entry.mWeight;
+    all_used += used;
+    if (entry.mZone == aZone) {
+      near_slots += entry.mWeight;
+      near_used += used;
     }
   }
-  mSpillZone = aZone;
+  // Another zone takes requests only as long as it is less loaded. The share
+  // moves in steps, since the effect of a step is reported later.
+  const double near = near_used / std::max(1.0, near_slots);
+  const double all = all_used / std::max(1.0, all_slots);
+  const double excess = near - std::max(mSettings.mSpillBegin, all);
+  const double steps = std::min(
+    kMostSpillSteps, static_cast<double>((aNow - mSpillAt) / kSpillEvery));
   mSpillAt = aNow;
-  mSpill = std::clamp((used / std::max(1.0, slots) - mSettings.mSpillBegin) /
-                        (mSettings.mSpillFull - mSettings.mSpillBegin),
-                      0.0,
-                      1.0);
+  mSpill = std::clamp(mSpill + steps * mSettings.mSpillGain * excess, 0.0, 1.0);
   return mSpill;
 }
 
