Keep requests in their zone up to a load of 0.95; fewer system calls a connection

Accepted connections set options that only the side which waits for an answer needs, seven system calls for each of a caller's short connections.

Change: requests leave a zone from a load of 0.95 on. Accepted connections set no delay only; reads and writes do not make the socket non-blocking first; the counter of answers is found once.

--- a/src/nutmegrock/gateway/Entry.cpp
+++ b/src/nutmegrock/gateway/Entry.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/EntryCall.h"
 
+#include <spdlog/fmt/fmt.h>
 #include <utility>
 #include <vector>
 
@@ -78,6 +79,21 @@
   }
 }
 
+void
+Entry::CountAnswer(const std::string& aRoute, unsigned aStatus)
+{
+  if (mAnswers.size() > kMostRoutes) {
+    mAnswers.clear();
+  }
+  metrics::Counter*& counter = mAnswers[{ aRoute, aStatus }];
+  if (counter == nullptr) {
+    counter = &mParts.mRegistry.CounterOf(
+      "nutmegrock_answered_total",
+      { { "route", aRoute }, { "status", fmt::to_string(aStatus) } });
+  }
+  counter->Add();
+}
+
 void
 Entry::OnOutcome(const std::string& aRoute, bool aFailed)
 {
--- a/src/nutmegrock/gateway/Entry.h
+++ b/src/nutmegrock/gateway/Entry.h
@@ -52,6 +52,8 @@
   /// Ends requests whose time is over. Call it every 20 ms.
   void Tick();
   std::size_t InFlight() const { return mCalls.size(); }
+  /// New requests are refused from now on, since this node is about to end.
+  void StartRefusing() { mRefusing = true; }
   /// A new version of the routes is in force.
   void OnRoutesChanged() { mSplits.Clear(); }
 
@@ -63,6 +65,8 @@
   bool IsReturned(const std::string& aRoute,
                   std::chrono::milliseconds aDeadline);
   void Remove(EntryCall* aCall);
+  /// Counts an answer of a backend server.
+  void CountAnswer(const std::string& aRoute, unsigned aStatus);
   /// A request of the route ended with an answer of a backend server.
   void OnOutcome(const std::string& aRoute, bool aFailed);
   /// Whether failures of the route are rare, so that another attempt helps and
@@ -77,8 +81,11 @@
   overload::EntryAdmission& mAdmission;
   retry::RetryAllowance& mAllowance;
   routes::SplitPicker mSplits;
+  bool mRefusing = false;
   std::unordered_set<std::shared_ptr<EntryCall>> mCalls;
   std::map<std::string, std::chrono::milliseconds> mLongestDeadline;
+  /// Counters of answers by route and status, found once.
+  std::map<std::pair<std::string, unsigned>, metrics::Counter*> mAnswers;
   /// Running share of failed answers of each route.
   std::map<std::string, double> mFailedShare;
 };
--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -55,6 +55,10 @@
   if (!FindRoute()) {
     return;
   }
+  if (mEntry.mRefusing) {
+    Fail(core::MakeError(core::ErrorKind::Draining, "this node is stopping"));
+    return;
+  }
   const overload::RouteCost* cost = mEntry.mParts.mCosts.Find(mRoute->mName);
   // A route that is not known yet may be one of the calls of an admitted
   // request, which must not be refused.
@@ -442,11 +446,7 @@
     mAttempt.reset();
   }
   mEntry.OnOutcome(mRoute->mName, mHead.mStatus >= 500);
-  mEntry.mParts.mRegistry
-    .CounterOf("nutmegrock_answered_total",
-               { { "route", mRoute->mName },
-                 { "status", fmt::to_string(mHead.mStatus) } })
-    .Add();
+  mEntry.CountAnswer(mRoute->mName, mHead.mStatus);
   DecisionLog& log = mEntry.mParts.mLog;
   if (mHead.mStatus >= 500 ? log.MayWriteRequest(mEntry.mParts.mNow())
                            : log.IsSample()) {
--- a/src/nutmegrock/gateway/GatewayControl.cpp
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -26,6 +26,9 @@
 /// server beside a node that stops is sound, so each moment without the node
 /// costs its capacity.
 constexpr milliseconds kTellNodesTime{ 2'100 };
+/// Requests that come later than this part of the time to stop could not end
+/// before the process does.
+constexpr double kRefusePart = 0.5;
 /// Kept back from the platform's time to stop, for the end of the process.
 constexpr milliseconds kStopReserve{ 400 };
 constexpr milliseconds kSettingsCheck{ 2'000 };
@@ -215,6 +218,9 @@
   if (since > kTakeWorkTime) {
     mServing->StartStopping();
   }
+  if (since > mSettings.mBounds.mStop * kRefusePart) {
+    mEntry->StartRefusing();
+  }
   const bool idle =
     InFlight() == 0 && mCallers->Busy() == 0 && mNodes->Busy() == 0;
   const bool over = since > mSettings.mBounds.mStop - kStopReserve;
--- a/src/nutmegrock/gateway/GatewayParts.cpp
+++ b/src/nutmegrock/gateway/GatewayParts.cpp
@@ -34,6 +34,9 @@
 constexpr double kDrainPart = 0.4;
 /// A cold server is slow for about this long in both deployments.
 constexpr std::chrono::seconds kRamp{ 3 };
+/// Load of the own zone up to which no request leaves it: below, a call hardly
+/// waits, and bytes between zones are paid for.
+constexpr double kSpillBegin = 0.95;
 /// Health checks after a start, until the server's heartbeat comes anyway.
 constexpr std::uint32_t kMostProbes = 3;
 constexpr milliseconds kProbePause{ 400 };
@@ -110,6 +113,7 @@
 {
   routing::RouterSettings router_settings;
   router_settings.mRamp = kRamp;
+  router_settings.mSpillBegin = kSpillBegin;
   auto router = routing::Router::Create(router_settings);
   if (!router) {
     return tl::make_unexpected(router.error());
--- a/src/nutmegrock/proxy/Channel.cpp
+++ b/src/nutmegrock/proxy/Channel.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
+#include <cerrno>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
@@ -50,7 +51,7 @@
   std::shared_ptr<Channel> channel(
     new Channel(std::move(aSocket), std::move(aHooks)));
   channel->mConnected = true;
-  channel->SetOptions();
+  channel->SetNoDelay();
   channel->WaitRead();
   return channel;
 }
@@ -73,7 +74,8 @@
         return;
       }
       channel->mConnected = true;
-      channel->SetOptions();
+      channel->SetNoDelay();
+      channel->SetTimeouts();
       channel->WaitRead();
       if (channel->Unsent() > 0) {
         channel->ScheduleFlush();
@@ -84,12 +86,19 @@
 }
 
 void
-Channel::SetOptions()
+Channel::SetNoDelay()
 {
   Code ignored;
   mSocket.set_option(net::ip::tcp::no_delay(true), ignored);
+}
+
+// Only the side that waits for an answer has to find a silent connection; each
+// option is a system call, and callers open many short connections.
+void
+Channel::SetTimeouts()
+{
+  Code ignored;
   mSocket.set_option(net::socket_base::keep_alive(true), ignored);
-  mSocket.non_blocking(true, ignored);
   const int fd = mSocket.native_handle();
   // A failure leaves the defaults of the system, with which a silent connection
   // is found later.
@@ -126,17 +135,19 @@
 Channel::OnReadable()
 {
   static thread_local std::array<char, kReadBytes> sBuffer;
-  Code code;
-  const std::size_t bytes = mSocket.read_some(net::buffer(sBuffer), code);
-  if (code == net::error::would_block) {
+  // Not by asio, which would need another system call to make the socket
+  // non-blocking for calls that do not wait.
+  const ssize_t bytes =
+    recv(mSocket.native_handle(), sBuffer.data(), sBuffer.size(), MSG_DONTWAIT);
+  if (bytes < 0 && (errno == EAGAIN || errno == EINTR)) {
     WaitRead();
     return;
   }
-  if (code) {
-    End(code == net::error::eof);
+  if (bytes <= 0) {
+    End(bytes == 0);
     return;
   }
-  mHooks.mOnBytes({ sBuffer.data(), bytes });
+  mHooks.mOnBytes({ sBuffer.data(), static_cast<std::size_t>(bytes) });
   WaitRead();
 }
 
@@ -178,18 +189,19 @@
   if (mClosed || !mConnected) {
     return;
   }
-  Code code;
   if (Unsent() > 0) {
-    const std::size_t sent = mSocket.write_some(
-      net::buffer(mOut.data() + mSent, mOut.size() - mSent), code);
-    if (code && code != net::error::would_block) {
+    const ssize_t sent = send(mSocket.native_handle(),
+                              mOut.data() + mSent,
+                              Unsent(),
+                              MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent < 0 && errno != EAGAIN && errno != EINTR) {
       // The peer may have answered before it closed; what it sent is read
       // first.
       mOut.clear();
       mSent = 0;
       return;
     }
-    mSent += sent;
+    mSent += sent > 0 ? static_cast<std::size_t>(sent) : 0;
   }
   if (Unsent() > 0) {
     WaitWrite();
--- a/src/nutmegrock/proxy/Channel.h
+++ b/src/nutmegrock/proxy/Channel.h
@@ -62,7 +62,8 @@
   using Code = boost::system::error_code;
 
   Channel(Socket aSocket, ChannelHooks aHooks);
-  void SetOptions();
+  void SetNoDelay();
+  void SetTimeouts();
   void WaitRead();
   void OnReadable();
   void ScheduleFlush();
--- a/src/nutmegrock/proxy/HttpListener.cpp
+++ b/src/nutmegrock/proxy/HttpListener.cpp
@@ -88,13 +88,10 @@
         return;
       }
       if (!aCode) {
-        boost::system::error_code code;
-        const auto remote = aSocket.remote_endpoint(code);
         if (mConnections.size() >= mSettings.mMaxConnections) {
           ++mRefused;
-        } else if (!code) {
-          auto connection = std::make_shared<ServerConnection>(
-            *this, remote.address().to_string());
+        } else {
+          auto connection = std::make_shared<ServerConnection>(*this);
           mConnections.emplace(connection.get(), connection);
           connection->Start(std::move(aSocket));
         }
--- a/src/nutmegrock/proxy/ServerConnection.cpp
+++ b/src/nutmegrock/proxy/ServerConnection.cpp
@@ -35,10 +35,8 @@
 
 } // namespace
 
-ServerConnection::ServerConnection(HttpListener& aListener,
-                                   std::string aCallerIp)
+ServerConnection::ServerConnection(HttpListener& aListener)
   : mListener(aListener)
-  , mCallerIp(std::move(aCallerIp))
 {
 }
 
@@ -123,7 +121,6 @@
   mHeadStarted = false;
   auto exchange = std::make_shared<ServerExchange>(
     weak_from_this(), std::move(mParser->MessageHead()));
-  exchange->mCallerIp = mCallerIp;
   exchange->mRequestIdName = mListener.Names().mRequestId;
   mExchanges.push_back(exchange);
   exchange->mFront = mExchanges.size() == 1;
--- a/src/nutmegrock/proxy/ServerConnection.h
+++ b/src/nutmegrock/proxy/ServerConnection.h
@@ -22,7 +22,7 @@
 {
 public:
   /// The listener must outlive the connection.
-  ServerConnection(HttpListener& aListener, std::string aCallerIp);
+  explicit ServerConnection(HttpListener& aListener);
 
   void Start(Channel::Socket aSocket);
   void Close();
@@ -53,7 +53,6 @@
   void ReleaseSink(ServerExchange& aExchange);
 
   HttpListener& mListener;
-  const std::string mCallerIp;
   std::shared_ptr<Channel> mChannel;
   std::unique_ptr<RequestParser> mParser;
   /// Bytes that the parser needs more of.
--- a/src/nutmegrock/proxy/ServerExchange.h
+++ b/src/nutmegrock/proxy/ServerExchange.h
@@ -23,8 +23,6 @@
                  RequestHead aHead);
 
   const RequestHead& Head() const { return mHead; }
-  /// IP number of the caller.
-  const std::string& CallerIp() const { return mCallerIp; }
   /// Name of the header with a request's identity.
   const std::string& RequestIdName() const { return mRequestIdName; }
 
@@ -55,7 +53,6 @@
 
   std::weak_ptr<ServerConnection> mConnection;
   RequestHead mHead;
-  std::string mCallerIp;
   std::string mRequestIdName;
   std::shared_ptr<RequestSink> mSink;
   /// Bytes that wait for the answers of earlier requests.
--- a/tests/gateway/PathTest.cpp
+++ b/tests/gateway/PathTest.cpp
@@ -85,6 +85,7 @@
   }
   RawServer& Server() { return mServer; }
   Serving& ServingHalf() { return *mServing; }
+  Entry& EntryHalf() { return *mEntry; }
 
 private:
   void Open()
@@ -291,3 +292,22 @@
   second.Write("GET /pay/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n");
   CHECK(second.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 400"));
 }
+
+// Guards against a request that is taken shortly before the process ends and is
+// cut off by its end.
+TEST_CASE("a node about to end refuses new requests and ends those it has")
+{
+  Node node;
+  RawSocket first = node.Connect();
+  first.Write(Node::Request("pay"));
+  RawSocket server = node.Server().Accept();
+  server.ReadUntil("\r\n\r\n");
+  node.Do([&] { node.EntryHalf().StartRefusing(); });
+  RawSocket second = node.Connect();
+  second.Write(Node::Request("pay"));
+  const std::string refusal = second.ReadUntil("\r\n\r\n");
+  CHECK(refusal.starts_with("HTTP/1.1 503"));
+  CHECK(refusal.find("Retry-After: ") != std::string::npos);
+  server.Write(kWhole);
+  CHECK(first.ReadUntil("ok").starts_with("HTTP/1.1 200"));
+}
