--- a/src/nutmegrock/gateway/ServerProbe.cpp
+++ b/src/nutmegrock/gateway/ServerProbe.cpp
@@ -13,7 +13,7 @@
                   const std::string& aPath,
                   Handler aHandler)
 {
-  const auto probe = std::make_shared<ServerProbe>(std::move(aHandler));
+  auto probe = std::make_shared<ServerProbe>(std::move(aHandler));
   proxy::ClientRequest request;
   request.mHead = "GET " + aPath + " HTTP/1.1\r\n" +
                   proxy::HeaderLine("Host", aServer.Text()) + "\r\n";
--- a/src/nutmegrock/proxy/ClientPool.cpp
+++ b/src/nutmegrock/proxy/ClientPool.cpp
@@ -92,7 +92,7 @@
   const core::TimePoint now = mNow();
   auto& idle = found->second;
   while (!idle.empty()) {
-    const ConnectionPtr connection = idle.back();
+    ConnectionPtr connection = idle.back();
     idle.pop_back();
     if (!connection->IsClosed() && !connection->IsStale(now)) {
       return connection;
