--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -1,7 +1,7 @@
 #include "gateway/EntryCall.h"
 
 #include "core/Hash.h"
-#include "proxy/MessageText.h"
+#include "proxy/RequestText.h"
 
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
@@ -208,17 +208,10 @@
   const proxy::RequestHead& head = mExchange->Head();
   const auto& names = mEntry.mParts.mPool.Names();
   proxy::ClientRequest request;
-  std::string& text = request.mHead;
-  text.reserve(head.mLines.size() + 512);
-  text += head.mMethod;
-  text += ' ';
-  text += head.mTarget;
-  text += " HTTP/1.1\r\n";
-  text += head.mLines;
-  text += proxy::HeaderLine(names.mRequestId, head.mRequestId);
-  text += proxy::HeaderLine(proxy::kPeerCallHeader, Encode(aCall));
-  proxy::AddFraming(text, head.mFraming, head.mLength);
-  text += "\r\n";
+  request.mHead = proxy::RequestText(
+    head,
+    proxy::HeaderLine(names.mRequestId, head.mRequestId) +
+      proxy::HeaderLine(proxy::kPeerCallHeader, Encode(aCall)));
   request.mRequestId = head.mRequestId;
   request.mFraming = head.mFraming;
   request.mIsHead = head.mMethod == "HEAD";
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -1,6 +1,6 @@
 #include "gateway/ServingCall.h"
 
-#include "proxy/MessageText.h"
+#include "proxy/RequestText.h"
 
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
@@ -37,20 +37,12 @@
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
     std::max(core::Duration(0), mDeadline - aNow));
   proxy::ClientRequest request;
-  std::string& text = request.mHead;
-  text.reserve(mHead.mLines.size() + 512);
-  text += mHead.mMethod;
-  text += ' ';
-  text += mHead.mTarget;
-  text += " HTTP/1.1\r\n";
-  text += mHead.mLines;
-  text += proxy::HeaderLine(names.mRequestId, mHead.mRequestId);
-  text += proxy::HeaderLine(names.mDeadlineMs, fmt::to_string(left.count()));
-  text +=
-    proxy::HeaderLine(names.mExpectedServer, mServing.mServer.Latest()->mId);
-  text += proxy::HeaderLine(names.mCallerService, mCall.mCallerService);
-  proxy::AddFraming(text, mHead.mFraming, mHead.mLength);
-  text += "\r\n";
+  request.mHead = proxy::RequestText(
+    mHead,
+    proxy::HeaderLine(names.mRequestId, mHead.mRequestId) +
+      proxy::HeaderLine(names.mDeadlineMs, fmt::to_string(left.count())) +
+      proxy::HeaderLine(names.mExpectedServer, mServing.mServer.Latest()->mId) +
+      proxy::HeaderLine(names.mCallerService, mCall.mCallerService));
   request.mRequestId = mHead.mRequestId;
   request.mFraming = mHead.mFraming;
   request.mIsHead = mHead.mMethod == "HEAD";
