Remove functions that nothing calls; count failed connects

Cause: reading the change as a newcomer showed functions and a field without a caller (closing idle connections from outside, look-ups of routes and services by name, the time a server is cold, the time left of an entry request), and a count of failed connects that no metric shows.

Change: they are gone, the count is nutmegrock_connect_failed_total.

--- a/src/nutmegrock/announce/LocalServer.cpp
+++ b/src/nutmegrock/announce/LocalServer.cpp
@@ -84,7 +84,6 @@
   const bool was_leaving = same_run && mLeavingSince.has_value();
   mLatest = aAnnouncement;
   mHeardAt = aNow;
-  mWarmAt = aNow + aAnnouncement.mWarmUpLeft;
   if (aAnnouncement.mDraining) {
     if (!was_leaving) {
       mLeavingSince = aNow;
--- a/src/nutmegrock/announce/LocalServer.h
+++ b/src/nutmegrock/announce/LocalServer.h
@@ -73,8 +73,6 @@
   bool MayStartWork(core::TimePoint aNow) const;
   /// What the server said last; empty when none has announced itself.
   const std::optional<Announcement>& Latest() const { return mLatest; }
-  /// When the present server stops being slow after its start.
-  core::TimePoint WarmAt() const { return mWarmAt; }
 
 private:
   bool IsOlder(const Announcement& aAnnouncement) const;
@@ -82,7 +80,6 @@
   const LocalServerSettings mSettings;
   std::optional<Announcement> mLatest;
   core::TimePoint mHeardAt;
-  core::TimePoint mWarmAt;
   std::optional<core::TimePoint> mLeavingSince;
   /// Identities that have left, with the newest start known of each.
   std::map<std::string, std::int64_t> mLeft;
--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -120,7 +120,6 @@
   request.mRoute = mRoute->mName;
   request.mPriority = mRoute->mPriority;
   request.mObjective = mRoute->mLatencyObjective;
-  request.mTimeLeft = ToMilliseconds(mDeadline - mArrived);
   request.mHash = core::HashOf(mExchange->Head().mRequestId);
   request.mReturned = mReturned;
   const auto decision = mEntry.mAdmission.Decide(mArrived, request);
--- a/src/nutmegrock/gateway/GatewayControl.cpp
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -166,6 +166,7 @@
   };
   set("nutmegrock_connections_opened_total", mPool->Counts().mOpened);
   set("nutmegrock_connections_reused_total", mPool->Counts().mReused);
+  set("nutmegrock_connect_failed_total", mPool->Counts().mConnectFailed);
   set("nutmegrock_stray_answers_total", mPool->Counts().mStray);
   set("nutmegrock_log_lines_dropped_total", mLog.Dropped());
   set("nutmegrock_bad_requests_total", mCallers->BadRequests());
--- a/src/nutmegrock/overload/EntryAdmission.h
+++ b/src/nutmegrock/overload/EntryAdmission.h
@@ -19,8 +19,6 @@
   std::string_view mRoute;
   std::uint32_t mPriority = 0;
   std::chrono::milliseconds mObjective{ 0 };
-  /// Time that the caller still waits.
-  std::chrono::milliseconds mTimeLeft{ 0 };
   /// Hash of the request's identity.
   std::uint64_t mHash = 0;
   /// The caller has been refused before.
--- a/src/nutmegrock/proxy/ClientPool.cpp
+++ b/src/nutmegrock/proxy/ClientPool.cpp
@@ -144,19 +144,6 @@
   mAll.erase(aConnection);
 }
 
-void
-ClientPool::CloseIdle(const core::Address& aAddress)
-{
-  const auto found = mIdle.find(aAddress.Text());
-  if (found == mIdle.end()) {
-    return;
-  }
-  const std::vector<ConnectionPtr> idle = std::exchange(found->second, {});
-  for (const ConnectionPtr& connection : idle) {
-    connection->Abandon();
-  }
-}
-
 void
 ClientPool::Tick()
 {
--- a/src/nutmegrock/proxy/ClientPool.h
+++ b/src/nutmegrock/proxy/ClientPool.h
@@ -48,11 +48,8 @@
   /// Ends connection attempts that take too long and idle connections that the
   /// other side may be about to close. Call it some ten times a second.
   void Tick();
-  /// Closes the idle connections to an address.
-  void CloseIdle(const core::Address& aAddress);
 
   const ClientPoolCounts& Counts() const { return mCounts; }
-  std::size_t Connections() const { return mAll.size(); }
 
   boost::asio::io_context& Io() { return mIo; }
   const HeaderNames& Names() const { return mNames; }
--- a/src/nutmegrock/proxy/HttpListener.cpp
+++ b/src/nutmegrock/proxy/HttpListener.cpp
@@ -120,20 +120,6 @@
   }
 }
 
-void
-HttpListener::CloseIdle()
-{
-  std::vector<std::shared_ptr<ServerConnection>> idle;
-  for (const auto& entry : mConnections) {
-    if (entry.second->IsIdle()) {
-      idle.push_back(entry.second);
-    }
-  }
-  for (const auto& connection : idle) {
-    connection->Close();
-  }
-}
-
 std::size_t
 HttpListener::Busy() const
 {
--- a/src/nutmegrock/proxy/HttpListener.h
+++ b/src/nutmegrock/proxy/HttpListener.h
@@ -57,9 +57,6 @@
   /// Answers announce the end of their connection from now on.
   void StartStopping() { mStopping = true; }
   bool IsStopping() const { return mStopping; }
-  /// Closes connections without requests under way.
-  void CloseIdle();
-  std::size_t Connections() const { return mConnections.size(); }
   /// Connections with requests under way.
   std::size_t Busy() const;
   /// Requests that were not HTTP, and connections above the limit.
--- a/src/nutmegrock/routes/RouteSet.cpp
+++ b/src/nutmegrock/routes/RouteSet.cpp
@@ -122,20 +122,4 @@
   return nullptr;
 }
 
-const Route*
-RouteSet::FindByName(std::string_view aName) const
-{
-  const auto found = mByName.find(aName);
-  return found == mByName.end() ? nullptr : &mSource.mRoutes[found->second];
-}
-
-bool
-RouteSet::HasService(std::string_view aName) const
-{
-  return std::any_of(
-    mSource.mServices.begin(),
-    mSource.mServices.end(),
-    [aName](const RouteService& aService) { return aService.mName == aName; });
-}
-
 } // namespace nutmegrock::routes
--- a/src/nutmegrock/routes/RouteSet.h
+++ b/src/nutmegrock/routes/RouteSet.h
@@ -49,10 +49,6 @@
   /// null. The query and the port of the host are ignored; host names are
   /// compared without case.
   const Route* Find(std::string_view aHost, std::string_view aTarget) const;
-  /// The route of that name, or null.
-  const Route* FindByName(std::string_view aName) const;
-  /// Whether the service is known to this version.
-  bool HasService(std::string_view aName) const;
 
 private:
   explicit RouteSet(RouteSetSource aSource);
--- a/tests/overload/CallGraphTest.cpp
+++ b/tests/overload/CallGraphTest.cpp
@@ -141,13 +141,8 @@
     const auto decide =
       [&](std::string_view aRoute, std::uint32_t aPriority, double aWork) {
         hash = hash * 6364136223846793005ULL + 1442695040888963407ULL;
-        auto decision = admission.Decide(now,
-                                         { aRoute,
-                                           aPriority,
-                                           milliseconds(1200),
-                                           milliseconds(5000),
-                                           hash,
-                                           false });
+        auto decision = admission.Decide(
+          now, { aRoute, aPriority, milliseconds(1200), hash, false });
         admitted += decision.mAdmitted ? aWork : 0;
         return decision;
       };
