Make a route known to its entry nodes also while all its runs fail

A serving node sent the cost of a route only after a good run; with none, the entry nodes took the route for a call of a backend server, which is never shed, and the overload stayed.

Change: the cost, with the verdict on who calls the route, is sent from the first answer on.

Ruled out: the membership (all 12 nodes were alive) and the store.

Test: 'a route whose runs all fail is made known all the same' failed before and passes; gateway 14 of 14 cases.

--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -205,7 +205,7 @@
   mParts.mLoads.OnServer(
     now, mSettings.mServer.mService, mSettings.mSelf, note.mLoad);
   Usual& usual = UsualOf(aRoute);
-  if (usual.mSeconds > 0 && now - usual.mCostSentAt >= kCostEvery) {
+  if (now - usual.mCostSentAt >= kCostEvery) {
     usual.mCostSentAt = now;
     note.mCost = mParts.mCosts.Compose(
       aRoute, mSettings.mServer.mService, usual.mSeconds, mParts.mGraph);
--- a/tests/gateway/PathTest.cpp
+++ b/tests/gateway/PathTest.cpp
@@ -311,3 +311,24 @@
   server.Write(kWhole);
   CHECK(first.ReadUntil("ok").starts_with("HTTP/1.1 200"));
 }
+
+// Load pattern: after a loss of power every run of a route fails, since the
+// deep service is overloaded from the first second. Guards against a mesh that
+// does not recover because a route without a good run is never known to its
+// entry nodes, and so is never shed.
+TEST_CASE("a route whose runs all fail is made known all the same")
+{
+  Node node;
+  for (int i = 0; i < 2; ++i) {
+    RawSocket client = node.Connect();
+    client.Write(Node::Request("pay"));
+    RawSocket server = node.Server().Accept();
+    server.ReadUntil("\r\n\r\n");
+    server.Write("HTTP/1.1 500 Failed\r\nNutmegrock-Request: id-1\r\n"
+                 "Nutmegrock-Seal: s\r\nContent-Length: 0\r\n"
+                 "Connection: close\r\n\r\n");
+    CHECK(client.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 500"));
+  }
+  std::this_thread::sleep_for(milliseconds(250));
+  node.Do([&] { CHECK(node.ServingHalf().NoteFor("pay").mCost.has_value()); });
+}
