Take an unused callback of a test by reference

Cause: the linter refuses a parameter that is copied and not used. Change: it is a reference. Ruled out: nothing.

--- a/tests/routes/RouteSyncTest.cpp
+++ b/tests/routes/RouteSyncTest.cpp
@@ -85,7 +85,7 @@
   RouteSync sync(store,
                  DecodeNumber,
                  holder,
-                 { [](const core::Address&, RouteSync::PullCallback) {},
+                 { [](const core::Address&, const RouteSync::PullCallback&) {},
                    [&unusable](const std::string& aLine) {
                      unusable += aLine.starts_with("event=routes_unusable");
                    } });
