Begin an answer to the caller in one place; drop two unread members

Cause: a last read of the change found the same call in three places of EntryCall, a text that nothing fills, and a flag of ServingCall that is set and never read.

Change: one function, and the two members are gone. Behaviour stays as it is.

--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -377,10 +377,7 @@
   mStreaming =
     aHead.mFraming == proxy::BodyFraming::Length && aHead.mLength > kMostHeld;
   if (mStreaming) {
-    mExchange->SendHead(
-      mHead,
-      proxy::HeaderLine(mEntry.mParts.mPool.Names().mRequestId,
-                        mExchange->Head().mRequestId));
+    PassHeadOn();
   }
 }
 
@@ -412,10 +409,7 @@
       return;
     }
     mStreaming = true;
-    mExchange->SendHead(
-      mHead,
-      proxy::HeaderLine(mEntry.mParts.mPool.Names().mRequestId,
-                        mExchange->Head().mRequestId));
+    PassHeadOn();
     mExchange->SendBody(std::exchange(mHeld, {}));
   } else {
     mExchange->SendBody(aBytes);
@@ -452,6 +446,14 @@
   Finish();
 }
 
+void
+EntryCall::PassHeadOn()
+{
+  mExchange->SendHead(mHead,
+                      proxy::HeaderLine(mEntry.mParts.mPool.Names().mRequestId,
+                                        mExchange->Head().mRequestId));
+}
+
 void
 EntryCall::AnswerHeld()
 {
@@ -459,9 +461,7 @@
     mHead.mFraming = proxy::BodyFraming::Length;
     mHead.mLength = mHeld.size();
   }
-  mExchange->SendHead(mHead,
-                      proxy::HeaderLine(mEntry.mParts.mPool.Names().mRequestId,
-                                        mExchange->Head().mRequestId));
+  PassHeadOn();
   mExchange->SendBody(mHeld);
   mExchange->End();
 }
--- a/src/nutmegrock/gateway/EntryCall.h
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -81,6 +81,8 @@
   bool ShouldReplace(const proxy::AnswerHead& aHead);
   void Fail(const core::Error& aError);
   void AnswerHeld();
+  /// Begins the answer to the caller with mHead.
+  void PassHeadOn();
   void Finish();
   void LogEnd(unsigned aStatus, std::string_view aReason);
   std::string_view KindOfCaller() const
@@ -93,7 +95,6 @@
   routes::RouteSetPtr mRoutes;
   const routes::Route* mRoute = nullptr;
   std::string mService;
-  std::string mExtraLines;
   bool mNested = false;
   bool mReturned = false;
   /// Probability that the run which made this call was a further attempt.
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -162,7 +162,6 @@
     return;
   }
   if (aHead.mNotRun) {
-    mHeadPassed = true;
     mServing.mParts.mRegistry
       .CounterOf("nutmegrock_backend_refused_total",
                  { { "status", fmt::to_string(aHead.mStatus) } })
@@ -183,7 +182,6 @@
                       "a success came without the mark of a backend server")));
     return;
   }
-  mHeadPassed = true;
   mGoodStatus = aHead.mStatus < 500;
   proxy::AnswerHead head = aHead;
   head.mPeerNote = Encode(mServing.NoteFor(mCall.mRoute));
--- a/src/nutmegrock/gateway/ServingCall.h
+++ b/src/nutmegrock/gateway/ServingCall.h
@@ -73,7 +73,6 @@
   /// Body that arrived while the call was waiting.
   std::string mBody;
   bool mBodyEnded = false;
-  bool mHeadPassed = false;
   bool mGoodStatus = false;
 };
 
