--- a/src/nutmegrock/gateway/Entry.cpp
+++ b/src/nutmegrock/gateway/Entry.cpp
@@ -37,6 +37,7 @@
   , mAdmission(aAdmission)
   , mAllowance(aAllowance)
   , mSplits(mSettings.mSelf.mBits)
+  , mTraffic(mParts.mRegistry)
 {
 }
 
--- a/src/nutmegrock/gateway/Entry.h
+++ b/src/nutmegrock/gateway/Entry.h
@@ -2,6 +2,7 @@
 
 #include "core/Incarnation.h"
 #include "gateway/Serving.h"
+#include "gateway/ZoneTraffic.h"
 #include "overload/EntryAdmission.h"
 #include "proxy/ServerExchange.h"
 #include "retry/RetryAllowance.h"
@@ -81,6 +82,7 @@
   overload::EntryAdmission& mAdmission;
   retry::RetryAllowance& mAllowance;
   routes::SplitPicker mSplits;
+  ZoneTraffic mTraffic;
   bool mRefusing = false;
   std::unordered_set<std::shared_ptr<EntryCall>> mCalls;
   std::map<std::string, std::chrono::milliseconds> mLongestDeadline;
--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -158,6 +158,7 @@
   mChoice = *choice;
   mAttemptAt = now;
   mAttemptOpen = true;
+  mAttemptBytes = mReplay.size();
   mHasFeedback = false;
   mServerLeaving = false;
   mTried.push_back(choice->mIncarnation);
@@ -211,6 +212,7 @@
     head,
     proxy::HeaderLine(names.mRequestId, head.mRequestId) +
       proxy::HeaderLine(proxy::kPeerCallHeader, Encode(aCall)));
+  mAttemptBytes += request.mHead.size();
   request.mRequestId = head.mRequestId;
   request.mFraming = head.mFraming;
   request.mIsHead = head.mMethod == "HEAD";
@@ -234,6 +236,7 @@
     }
   }
   if (mAttempt) {
+    mAttemptBytes += aBytes.size();
     mAttempt->SendBody(aBytes);
     if (mAttempt->Unsent() > proxy::kMostUnsent) {
       mExchange->PauseBody(true);
@@ -306,6 +309,7 @@
     return;
   }
   mAttemptOpen = false;
+  mEntry.mTraffic.Count(mService, mChoice.mOtherZone, mAttemptBytes);
   const core::TimePoint now = mEntry.mParts.mNow();
   const bool healthy = aOutcome == routing::AttemptOutcome::Ok;
   mEntry.mRouter.OnEnd(now,
@@ -345,6 +349,7 @@
     return;
   }
   const auto self = shared_from_this();
+  mAttemptBytes += aHead.mLines.size() + aHead.mPeerNote.size();
   const auto note = DecodePeerNote(aHead.mPeerNote);
   if (!note) {
     if (mAttempt) {
@@ -403,6 +408,7 @@
   if (mDone || !mAttemptOpen) {
     return;
   }
+  mAttemptBytes += aBytes.size();
   if (!mStreaming) {
     mHeld += aBytes;
     if (mHeld.size() <= kMostHeld) {
--- a/src/nutmegrock/gateway/EntryCall.h
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -109,6 +109,8 @@
   routing::Choice mChoice;
   core::TimePoint mAttemptAt;
   bool mAttemptOpen = false;
+  /// Bytes of heads and bodies in both directions.
+  std::uint64_t mAttemptBytes = 0;
   core::CallFeedback mFeedback;
   bool mHasFeedback = false;
   bool mServerLeaving = false;
--- a/src/nutmegrock/routing/ServiceRouter.cpp
+++ b/src/nutmegrock/routing/ServiceRouter.cpp
@@ -256,10 +256,13 @@
 }
 
 Choice
-ServiceRouter::Make(std::size_t aIndex, bool aProbe) const
+ServiceRouter::Make(std::size_t aIndex, std::uint32_t aZone, bool aProbe) const
 {
   const Candidate& candidate = mCandidates.at(aIndex);
-  return { candidate.mIncarnation, candidate.mPeer, aProbe };
+  return { candidate.mIncarnation,
+           candidate.mPeer,
+           aProbe,
+           mEntries.at(aIndex).mZone != aZone };
 }
 
 std::optional<std::size_t>
@@ -284,10 +287,10 @@
                       std::string_view aZone,
                       std::span<const core::Incarnation> aExcluded)
 {
+  const std::uint32_t zone = ZoneIndex(aZone);
   if (const auto probe = Probe(aNow, aExcluded)) {
-    return Make(*probe, true);
+    return Make(*probe, zone, true);
   }
-  const std::uint32_t zone = ZoneIndex(aZone);
   Ranking ranking = Rank(aNow, aRequestHash, zone, aExcluded);
   if (EjectOverdue(aNow, ranking.mAll) || EjectOverdue(aNow, ranking.mNear)) {
     ranking = Rank(aNow, aRequestHash, zone, aExcluded);
@@ -297,11 +300,12 @@
     if (ranking.mEjected.mFirst == Best::kNone) {
       return std::nullopt;
     }
-    return Make(LessLoaded(aNow, ranking.mEjected), false);
+    return Make(LessLoaded(aNow, ranking.mEjected), zone, false);
   }
   const bool near = ranking.mNear.mFirst != Best::kNone &&
                     UnitOf(Mix(aRequestHash)) >= SpillShare(aNow, zone);
-  return Make(LessLoaded(aNow, near ? ranking.mNear : ranking.mAll), false);
+  return Make(
+    LessLoaded(aNow, near ? ranking.mNear : ranking.mAll), zone, false);
 }
 
 void
--- a/src/nutmegrock/routing/ServiceRouter.h
+++ b/src/nutmegrock/routing/ServiceRouter.h
@@ -107,7 +107,7 @@
   std::uint32_t ZoneIndex(std::string_view aZone) const;
   /// Share of requests that leave the zone at its present load.
   double SpillShare(core::TimePoint aNow, std::uint32_t aZone);
-  Choice Make(std::size_t aIndex, bool aProbe) const;
+  Choice Make(std::size_t aIndex, std::uint32_t aZone, bool aProbe) const;
   /// Takes over what the ejection says about a server.
   void Refresh(std::size_t aIndex);
 
