Keep learned costs of routes in the store; ask for them where missing

The cost of a route went with one answer in 200 ms, to any of 15 entry nodes. A server that has just started also replaced a known cost by its own incomplete one, so uploads were shed for the deep service.

An entry node that does not know a cost asks for it with the request. Incomplete reports do not replace complete ones. Calls are placed by zone like requests, and a zone without a service counts by the part of the cost that is spent there.

--- /dev/null
+++ b/src/nutmegrock/gateway/CostText.cpp
@@ -0,0 +1,79 @@
+#include "gateway/CostText.h"
+
+#include "gateway/TextFields.h"
+
+#include <iterator>
+#include <spdlog/fmt/fmt.h>
+
+namespace nutmegrock::gateway {
+
+std::string
+EncodeCost(const overload::RouteCost& aCost)
+{
+  const auto internal = aCost.mInternal;
+  std::string text = fmt::format(
+    "{}{}", aCost.mComplete ? 1 : 0, !internal ? '?' : (*internal ? 'i' : 'o'));
+  for (const overload::ServiceCost& cost : aCost.mServices) {
+    fmt::format_to(std::back_inserter(text),
+                   ",{}:{}",
+                   cost.mService,
+                   ToThousandths(cost.mSlotSeconds));
+  }
+  return text;
+}
+
+std::optional<overload::RouteCost>
+DecodeCost(std::string_view aText)
+{
+  overload::RouteCost cost;
+  const auto parts = SplitText(aText, ',');
+  // Complete or not, then internal, from outside, or not known.
+  const std::string_view flags = parts.front();
+  if (flags.size() != 2 || (flags[0] != '0' && flags[0] != '1')) {
+    return std::nullopt;
+  }
+  cost.mComplete = flags[0] == '1';
+  if (flags[1] != '?') {
+    cost.mInternal = flags[1] == 'i';
+  }
+  for (std::size_t i = 1; i < parts.size(); ++i) {
+    const auto fields = SplitText(parts[i], ':');
+    const auto seconds =
+      fields.size() == 2 ? FromThousandths(fields[1]) : std::nullopt;
+    if (!seconds) {
+      return std::nullopt;
+    }
+    cost.mServices.push_back({ std::string(fields[0]), *seconds });
+  }
+  return cost;
+}
+
+std::string
+EncodeCosts(const NamedCosts& aCosts)
+{
+  std::string text;
+  for (const auto& [route, cost] : aCosts) {
+    text += route + ' ' + EncodeCost(cost) + '\n';
+  }
+  return text;
+}
+
+std::optional<NamedCosts>
+DecodeCosts(std::string_view aText)
+{
+  NamedCosts costs;
+  for (const std::string_view line : SplitText(aText, '\n')) {
+    if (line.empty()) {
+      continue;
+    }
+    const auto fields = SplitText(line, ' ');
+    auto cost = fields.size() == 2 ? DecodeCost(fields[1]) : std::nullopt;
+    if (!cost || fields[0].empty()) {
+      return std::nullopt;
+    }
+    costs.emplace(fields[0], std::move(*cost));
+  }
+  return costs;
+}
+
+} // namespace nutmegrock::gateway
--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -69,9 +69,8 @@
     return;
   }
   mService = mEntry.mSplits.Pick(*mRoute);
-  mZone = mNested ? mEntry.mSettings.mZone
-                  : mEntry.mPlacement.Place(
-                      mArrived, mRoute->mName, mHash, mEntry.mSettings.mZone);
+  mZone = mEntry.mPlacement.Place(
+    mArrived, mRoute->mName, mHash, mEntry.mSettings.mZone);
   mRepeatShare = mNested ? mEntry.mParts.mRepeats.Share() : 0;
   mEntry.mAllowance.OnRequest(mArrived, mService, mRepeatShare);
   if (mNested) {
@@ -174,6 +173,7 @@
   constexpr double kPermille = 1000;
   call.mRepeatPermille = static_cast<std::uint32_t>(
     kPermille * (mServersReached > 0 ? 1 : mRepeatShare));
+  call.mWantsCost = mEntry.mParts.mCosts.Wants(now, mRoute->mName);
   mSink = std::make_shared<AttemptSink>(*this);
   ++mAttemptNumber;
   if (choice->mIncarnation == mEntry.mSettings.mSelf) {
--- a/src/nutmegrock/gateway/GatewayParts.cpp
+++ b/src/nutmegrock/gateway/GatewayParts.cpp
@@ -43,8 +43,8 @@
 /// Health checks after a start, until the server's heartbeat comes anyway.
 constexpr std::uint32_t kMostProbes = 3;
 constexpr milliseconds kProbePause{ 400 };
-/// Threads for the store's client; two calls are open at most.
-constexpr std::size_t kStoreThreads = 3;
+/// Threads for the store's client; three calls are open at most.
+constexpr std::size_t kStoreThreads = 4;
 
 std::int64_t
 WallMs()
@@ -98,6 +98,7 @@
 GatewayRuntime::Parts::~Parts()
 {
   // Their threads call into the parts.
+  mLearned.reset();
   mMembership.reset();
   mSync.reset();
 }
@@ -117,6 +118,7 @@
   if (auto opened = OpenMembership(); !opened) {
     return opened;
   }
+  OpenLearnedCosts();
   mSync->Start();
   mLog.State(fmt::format(
     "event=start service={} zone={} incarnation={} caller={} peer={}",
@@ -341,12 +343,46 @@
   return true;
 }
 
+void
+GatewayRuntime::Parts::OpenLearnedCosts()
+{
+  LearnedCosts::Hooks hooks;
+  hooks.mOnRead = [this](NamedCosts aCosts) {
+    boost::asio::post(
+      mIo, [this, costs = std::move(aCosts)] { OnSavedCosts(costs); });
+  };
+  hooks.mLog = [](const std::string& aLine) { spdlog::info("{}", aLine); };
+  mLearned = std::make_unique<LearnedCosts>(
+    mPorts.mTable, mSettings.mService, std::move(hooks));
+}
+
+void
+GatewayRuntime::Parts::OnSavedCosts(const NamedCosts& aCosts)
+{
+  mCosts.Restore(aCosts);
+  mSavedCosts.OnSaved(core::Clock::now(), aCosts);
+}
+
+void
+GatewayRuntime::Parts::SaveCosts(core::TimePoint aNow)
+{
+  if (mSavesCosts && !mStopping && mSavedCosts.IsDue(aNow, mCosts.All())) {
+    NamedCosts known = overload::SavedCosts::Known(mCosts.All());
+    mSavedCosts.OnSaved(aNow, known);
+    mLearned->Save(std::move(known));
+  }
+}
+
 void
 GatewayRuntime::Parts::OnView(const membership::MemberViewPtr& aView)
 {
   mFeed->Apply(*aView, core::Clock::now(), WallMs());
   mAllowance.SetNodes(aView->Alive());
   mServices = aView->mByService.size();
+  // One node of each service writes; while views differ two may, which the
+  // store's versions bear.
+  const auto& siblings = aView->OfService(mSettings.mService);
+  mSavesCosts = !siblings.empty() && siblings.front()->mIncarnation == mSelf;
   for (const auto& [service, members] : aView->mByService) {
     mLoads.SetZones(service, ZonesOf(members));
   }
@@ -450,6 +486,7 @@
     mNotices->Tick();
     mReady->Tick();
     mMetrics->Tick();
+    SaveCosts(now);
   }
   if (mStopping) {
     TickStopping(now);
--- a/src/nutmegrock/gateway/GatewayParts.h
+++ b/src/nutmegrock/gateway/GatewayParts.h
@@ -2,12 +2,14 @@
 
 #include "gateway/Entry.h"
 #include "gateway/GatewayRuntime.h"
+#include "gateway/LearnedCosts.h"
 #include "gateway/ServerProbe.h"
 #include "gateway/Serving.h"
 #include "membership/udp/MembershipService.h"
 #include "metrics/Registry.h"
 #include "node/CandidateFeed.h"
 #include "overload/EntryAdmission.h"
+#include "overload/SavedCosts.h"
 #include "proxy/HttpListener.h"
 #include "retry/RetryAllowance.h"
 #include "routes/RouteSync.h"
@@ -45,6 +47,7 @@
   core::Expected<bool> OpenPeers();
   core::Expected<bool> OpenMembership();
   void OpenRoutes();
+  void OpenLearnedCosts();
 
   std::shared_ptr<proxy::RequestSink> HandleNotice(
     const proxy::ServerExchangePtr& aExchange);
@@ -61,6 +64,8 @@
   void ProbeServer(core::TimePoint aNow);
   void OnView(const membership::MemberViewPtr& aView);
   void OnRoutes(const routes::RouteSetPtr& aRoutes);
+  void OnSavedCosts(const NamedCosts& aCosts);
+  void SaveCosts(core::TimePoint aNow);
   void ScheduleTick();
   void Tick();
   void WaitForSignals();
@@ -102,6 +107,7 @@
   std::unique_ptr<transport::peer::PeerServer> mPeerServer;
   std::unique_ptr<routes::RouteSync> mSync;
   std::unique_ptr<membership::udp::MembershipService> mMembership;
+  std::unique_ptr<LearnedCosts> mLearned;
 
   std::string mSettingsPath;
   std::string mSettingsText;
@@ -110,6 +116,9 @@
   membership::MemberState mPublished = membership::MemberState::Starting;
   std::uint32_t mPublishedSlots = 0;
   std::size_t mServices = 0;
+  overload::SavedCosts mSavedCosts;
+  /// This node writes the costs of its service to the store.
+  bool mSavesCosts = false;
   std::shared_ptr<ServerProbe> mProbe;
   core::TimePoint mProbedAt;
   std::uint32_t mProbes = 0;
--- a/src/nutmegrock/gateway/InboundCall.cpp
+++ b/src/nutmegrock/gateway/InboundCall.cpp
@@ -33,6 +33,7 @@
     return;
   }
   mRoute = call->mRoute;
+  mWantsCost = call->mWantsCost;
   auto outgoing = mServing.Start(*call, head, weak_from_this());
   if (!mEnded) {
     mCall = std::move(outgoing);
@@ -111,7 +112,7 @@
   }
   constexpr unsigned kNotRunStatus = 503;
   constexpr unsigned kUnknownStatus = 502;
-  PeerNote note = mServing.NoteFor(mRoute);
+  PeerNote note = mServing.NoteFor(mRoute, mWantsCost);
   note.mError = aError;
   std::string lines = proxy::HeaderLine(proxy::kPeerNoteHeader, Encode(note));
   if (!mExchange->Head().mRequestId.empty()) {
--- a/src/nutmegrock/gateway/InboundCall.h
+++ b/src/nutmegrock/gateway/InboundCall.h
@@ -41,6 +41,7 @@
   proxy::ServerExchangePtr mExchange;
   proxy::OutgoingRequestPtr mCall;
   std::string mRoute;
+  bool mWantsCost = false;
   bool mEnded = false;
 };
 
--- /dev/null
+++ b/src/nutmegrock/gateway/LearnedCosts.cpp
@@ -0,0 +1,118 @@
+#include "gateway/LearnedCosts.h"
+
+#include <spdlog/fmt/fmt.h>
+#include <utility>
+
+namespace nutmegrock::gateway {
+
+namespace {
+
+/// Reads at the start; afterwards the costs have been learned anew.
+constexpr int kMostReads = 10;
+constexpr std::chrono::milliseconds kReadPause{ 400 };
+
+} // namespace
+
+LearnedCosts::LearnedCosts(std::shared_ptr<store::TableService> aTable,
+                           const std::string& aService,
+                           Hooks aHooks)
+  : mTable(std::move(aTable))
+  , mKey("costs/" + aService)
+  , mHooks(std::move(aHooks))
+  , mThread([this] { Run(); })
+{
+}
+
+LearnedCosts::~LearnedCosts()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mStopping = true;
+  }
+  mWake.notify_all();
+  mThread.join();
+}
+
+void
+LearnedCosts::Save(NamedCosts aCosts)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mWaiting = EncodeCosts(aCosts);
+  }
+  mWake.notify_all();
+}
+
+void
+LearnedCosts::Run()
+{
+  std::unique_lock lock(mMutex);
+  bool read = false;
+  for (int i = 0; i < kMostReads && !read && !mStopping; ++i) {
+    lock.unlock();
+    read = Read(true);
+    lock.lock();
+    if (!read) {
+      mWake.wait_for(lock, kReadPause, [this] { return mStopping; });
+    }
+  }
+  while (!mStopping) {
+    mWake.wait(lock, [this] { return mStopping || mWaiting.has_value(); });
+    if (mStopping) {
+      return;
+    }
+    const std::string text = *std::exchange(mWaiting, std::nullopt);
+    lock.unlock();
+    Write(text);
+    lock.lock();
+  }
+}
+
+bool
+LearnedCosts::Read(bool aForCosts)
+{
+  const auto row = mTable->Read(mKey);
+  if (!row) {
+    return false;
+  }
+  mVersion = *row ? (*row)->mVersion : 0;
+  if (!*row || !aForCosts) {
+    return true;
+  }
+  auto costs = DecodeCosts((*row)->mValue);
+  if (!costs) {
+    // The next write replaces it.
+    mHooks.mLog(fmt::format(
+      "event=costs_unusable row={} version={}", mKey, (*row)->mVersion));
+    return true;
+  }
+  mHooks.mLog(fmt::format("event=costs_read row={} version={} routes={}",
+                          mKey,
+                          (*row)->mVersion,
+                          costs->size()));
+  mHooks.mOnRead(std::move(*costs));
+  return true;
+}
+
+// After an error it is not known which version the row has.
+bool
+LearnedCosts::Write(const std::string& aText)
+{
+  for (const bool again : { true, false }) {
+    const auto written = mTable->Write(mKey, aText, mVersion);
+    if (written) {
+      mVersion = *written;
+      return true;
+    }
+    if (written.error().mKind != core::ErrorKind::VersionConflict || !again ||
+        !Read(false)) {
+      mHooks.mLog(fmt::format("event=costs_not_saved row={} reason=\"{}\"",
+                              mKey,
+                              written.error().mMessage));
+      return false;
+    }
+  }
+  return false;
+}
+
+} // namespace nutmegrock::gateway
--- a/src/nutmegrock/gateway/PeerCall.cpp
+++ b/src/nutmegrock/gateway/PeerCall.cpp
@@ -9,20 +9,21 @@
 std::string
 Encode(const PeerCall& aCall)
 {
-  return fmt::format("{:x};{};{};{};{};{};{}",
+  return fmt::format("{:x};{};{};{};{};{};{};{}",
                      aCall.mTarget.mBits,
                      aCall.mService,
                      aCall.mCallerService,
                      aCall.mRoute,
                      aCall.mObjectiveLeft.count(),
                      aCall.mTimeLeft.count(),
-                     aCall.mRepeatPermille);
+                     aCall.mRepeatPermille,
+                     aCall.mWantsCost ? 1 : 0);
 }
 
 core::Expected<PeerCall>
 DecodePeerCall(std::string_view aText)
 {
-  constexpr std::size_t kFields = 7;
+  constexpr std::size_t kFields = 8;
   const auto fields = SplitText(aText, ';');
   const auto fail = [] {
     return core::Fail(core::ErrorKind::ProtocolError,
@@ -46,6 +47,7 @@
   call.mObjectiveLeft = std::chrono::milliseconds(*objective);
   call.mTimeLeft = std::chrono::milliseconds(*left);
   call.mRepeatPermille = *repeat;
+  call.mWantsCost = fields[7] == "1";
   return call;
 }
 
--- a/src/nutmegrock/gateway/PeerCall.h
+++ b/src/nutmegrock/gateway/PeerCall.h
@@ -28,6 +28,8 @@
   /// Probability that this is a further attempt or a call of one, in
   /// thousandths.
   std::uint32_t mRepeatPermille = 0;
+  /// The entry node does not know the route's cost; the answer is to bring it.
+  bool mWantsCost = false;
 
   bool operator==(const PeerCall&) const = default;
 };
--- a/src/nutmegrock/gateway/PeerNote.cpp
+++ b/src/nutmegrock/gateway/PeerNote.cpp
@@ -1,8 +1,8 @@
 #include "gateway/PeerNote.h"
 
+#include "gateway/CostText.h"
 #include "gateway/TextFields.h"
 
-#include <cmath>
 #include <iterator>
 #include <spdlog/fmt/fmt.h>
 
@@ -10,27 +10,6 @@
 
 namespace {
 
-constexpr double kThousandth = 1000.0;
-
-std::int64_t
-ToThousandths(double aValue)
-{
-  return std::llround(aValue * kThousandth);
-}
-
-/// A load of millions would only come from a fault; it is cut.
-constexpr std::int64_t kMostThousandths = 1'000'000;
-
-std::optional<double>
-FromThousandths(std::string_view aText)
-{
-  const auto value = ParseNumber<std::int64_t>(aText);
-  if (!value || *value < 0) {
-    return std::nullopt;
-  }
-  return static_cast<double>(std::min(*value, kMostThousandths)) / kThousandth;
-}
-
 core::ErrorKind
 KindOf(std::string_view aName)
 {
@@ -45,25 +24,8 @@
 bool
 ReadCost(std::string_view aValue, PeerNote& aNote)
 {
-  overload::RouteCost cost;
-  const auto parts = SplitText(aValue, ',');
-  // Complete or not, then internal, from outside, or not known.
-  const std::string_view flags = parts.front();
-  cost.mComplete = !flags.empty() && flags[0] == '1';
-  if (flags.size() > 1 && flags[1] != '?') {
-    cost.mInternal = flags[1] == 'i';
-  }
-  for (std::size_t i = 1; i < parts.size(); ++i) {
-    const auto fields = SplitText(parts[i], ':');
-    const auto seconds =
-      fields.size() == 2 ? FromThousandths(fields[1]) : std::nullopt;
-    if (!seconds) {
-      return false;
-    }
-    cost.mServices.push_back({ std::string(fields[0]), *seconds });
-  }
-  aNote.mCost = std::move(cost);
-  return true;
+  aNote.mCost = DecodeCost(aValue);
+  return aNote.mCost.has_value();
 }
 
 bool
@@ -150,15 +112,7 @@
                  aNote.mLeaving ? 1 : 0,
                  aNote.mRouteVersion);
   if (aNote.mCost) {
-    const auto internal = aNote.mCost->mInternal;
-    fmt::format_to(out,
-                   ";c={}{}",
-                   aNote.mCost->mComplete ? 1 : 0,
-                   !internal ? '?' : (*internal ? 'i' : 'o'));
-    for (const overload::ServiceCost& cost : aNote.mCost->mServices) {
-      fmt::format_to(
-        out, ",{}:{}", cost.mService, ToThousandths(cost.mSlotSeconds));
-    }
+    text += ";c=" + EncodeCost(*aNote.mCost);
   }
   const char* separator = ";p=";
   for (const overload::LoadReport& report : aNote.mLoads) {
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -197,7 +197,7 @@
 }
 
 PeerNote
-Serving::NoteFor(const std::string& aRoute)
+Serving::NoteFor(const std::string& aRoute, bool aWithCost)
 {
   const core::TimePoint now = mParts.mNow();
   PeerNote note;
@@ -210,7 +210,7 @@
                          mSettings.mSelf,
                          note.mLoad);
   Usual& usual = UsualOf(aRoute);
-  if (now - usual.mCostSentAt >= kCostEvery) {
+  if (aWithCost || now - usual.mCostSentAt >= kCostEvery) {
     usual.mCostSentAt = now;
     note.mCost = mParts.mCosts.Compose(
       aRoute, mSettings.mServer.mService, usual.mSeconds, mParts.mGraph);
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -88,8 +88,9 @@
 
   std::size_t InFlight() const { return mCalls.size(); }
   const overload::WorkQueue& Queue() const { return mQueue; }
-  /// The note that goes with an answer of the route.
-  PeerNote NoteFor(const std::string& aRoute);
+  /// The note that goes with an answer of the route; with its cost if that was
+  /// asked for, or has not been sent for a while.
+  PeerNote NoteFor(const std::string& aRoute, bool aWithCost);
 
 private:
   friend class ServingCall;
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -184,7 +184,7 @@
   }
   mGoodStatus = aHead.mStatus < 500;
   proxy::AnswerHead head = aHead;
-  head.mPeerNote = Encode(mServing.NoteFor(mCall.mRoute));
+  head.mPeerNote = Encode(mServing.NoteFor(mCall.mRoute, mCall.mWantsCost));
   sink->OnAnswerHead(head);
 }
 
--- a/src/nutmegrock/gateway/TextFields.h
+++ b/src/nutmegrock/gateway/TextFields.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -39,4 +42,26 @@
   return value;
 }
 
+/// Fractions are written in thousandths.
+inline std::int64_t
+ToThousandths(double aValue)
+{
+  constexpr double kThousandth = 1000.0;
+  return std::llround(aValue * kThousandth);
+}
+
+/// A fraction of at least zero, or nothing. A value above a thousand would only
+/// come from a fault; it is cut.
+inline std::optional<double>
+FromThousandths(std::string_view aText)
+{
+  constexpr double kThousandth = 1000.0;
+  constexpr std::int64_t kMostThousandths = 1'000'000;
+  const auto value = ParseNumber<std::int64_t>(aText);
+  if (!value || *value < 0) {
+    return std::nullopt;
+  }
+  return static_cast<double>(std::min(*value, kMostThousandths)) / kThousandth;
+}
+
 } // namespace nutmegrock::gateway
--- a/src/nutmegrock/overload/RouteCosts.cpp
+++ b/src/nutmegrock/overload/RouteCosts.cpp
@@ -8,6 +8,9 @@
 
 /// Weight of a new report against what was known.
 constexpr double kNewWeight = 0.2;
+/// Time between two requests that ask for the cost of a route which is not
+/// known well.
+constexpr std::chrono::milliseconds kAskEvery{ 30 };
 
 void
 Add(std::vector<ServiceCost>& aCosts,
@@ -59,9 +62,17 @@
     }
     return;
   }
+  // A server that has just started does not know yet what its runs call; what
+  // others have reported stays.
+  const std::optional<bool> internal =
+    aCost.mInternal ? aCost.mInternal : found->second.mInternal;
+  if (found->second.mComplete && !aCost.mComplete) {
+    found->second.mInternal = internal;
+    return;
+  }
   RouteCost mixed;
   mixed.mComplete = aCost.mComplete;
-  mixed.mInternal = aCost.mInternal;
+  mixed.mInternal = internal;
   for (const ServiceCost& cost : found->second.mServices) {
     Add(mixed.mServices, cost.mService, cost.mSlotSeconds * (1 - kNewWeight));
   }
@@ -76,6 +87,39 @@
   found->second = std::move(mixed);
 }
 
+void
+RouteCosts::Restore(const std::map<std::string, RouteCost, std::less<>>& aCosts)
+{
+  for (const auto& [route, cost] : aCosts) {
+    const RouteCost* known = Find(route);
+    if (known == nullptr) {
+      Learn(route, cost);
+    } else if (!known->mComplete || !known->mInternal) {
+      RouteCost merged = known->mComplete ? *known : cost;
+      merged.mInternal = known->mInternal ? known->mInternal : cost.mInternal;
+      mCosts.insert_or_assign(route, std::move(merged));
+    }
+  }
+}
+
+bool
+RouteCosts::Wants(core::TimePoint aNow, std::string_view aRoute)
+{
+  const RouteCost* known = Find(aRoute);
+  if (known != nullptr && known->mComplete && known->mInternal) {
+    return false;
+  }
+  if (mAskedAt.size() > kMostRoutes) {
+    mAskedAt.clear();
+  }
+  core::TimePoint& asked = mAskedAt[std::string(aRoute)];
+  if (asked != core::TimePoint{} && aNow - asked < kAskEvery) {
+    return false;
+  }
+  asked = aNow;
+  return true;
+}
+
 const RouteCost*
 RouteCosts::Find(std::string_view aRoute) const
 {
--- a/src/nutmegrock/overload/RouteCosts.h
+++ b/src/nutmegrock/overload/RouteCosts.h
@@ -50,6 +50,11 @@
 public:
   /// An answer for the route brought this cost.
   void Learn(std::string_view aRoute, const RouteCost& aCost);
+  /// Takes over costs that were saved; what has been learned since goes first.
+  void Restore(const std::map<std::string, RouteCost, std::less<>>& aCosts);
+  /// Whether the next request of the route should ask its serving node for the
+  /// cost: it is not known well, and was not asked for just now.
+  bool Wants(core::TimePoint aNow, std::string_view aRoute);
   /// The cost of a route; null when no answer has brought one.
   const RouteCost* Find(std::string_view aRoute) const;
   /// Cost of a route that runs at this node's server: aOwnSeconds at its own
@@ -69,6 +74,7 @@
   static constexpr std::size_t kMostRoutes = 1024;
 
   std::map<std::string, RouteCost, std::less<>> mCosts;
+  std::map<std::string, core::TimePoint, std::less<>> mAskedAt;
 };
 
 } // namespace nutmegrock::overload
--- a/src/nutmegrock/overload/ZonePlacement.cpp
+++ b/src/nutmegrock/overload/ZonePlacement.cpp
@@ -15,8 +15,9 @@
 /// Load that is assumed where no fresh report is known: loads below it are not
 /// passed on between nodes.
 constexpr double kUnknownLoad = 0.5;
-/// Counts for a zone in which a needed service has no servers. Each call would
-/// leave the zone.
+/// Added to the load of a zone in which a service has no servers, for a route
+/// that spends all its time there, since its calls would leave the zone; less
+/// for a route that spends only a part of it there.
 constexpr double kMissingLoad = 3.0;
 /// Another zone takes requests when it is less loaded by this much.
 constexpr double kLeastRoom = 0.05;
@@ -83,47 +84,63 @@
   return aOwnZone;
 }
 
+// Zones in which any service of the route has servers.
+std::vector<ZonePlacement::Pressure>
+ZonePlacement::ZonesOf(const RouteCost& aCost) const
+{
+  std::vector<Pressure> zones;
+  for (const ServiceCost& part : aCost.mServices) {
+    for (const ZoneSlots& zone : mLoads.Zones(part.mService)) {
+      const bool known =
+        std::any_of(zones.begin(), zones.end(), [&](const Pressure& aOther) {
+          return aOther.mZone == zone.mZone;
+        });
+      if (!known) {
+        zones.push_back({ zone.mZone, 0, 0 });
+      }
+    }
+  }
+  return zones;
+}
+
 // The load of a zone is that of the service which is loaded most there; the
 // slots are those of the service that is loaded most in all.
 std::vector<ZonePlacement::Pressure>
 ZonePlacement::PressuresOf(core::TimePoint aNow, const RouteCost& aCost) const
 {
-  std::string_view heaviest;
+  double total = 0;
   double heaviest_load = -1;
-  std::vector<Pressure> pressures;
+  std::string_view heaviest;
   for (const ServiceCost& part : aCost.mServices) {
+    total += part.mSlotSeconds;
     const double load = mLoads.Load(aNow, part.mService).value_or(0);
     if (load > heaviest_load) {
       heaviest_load = load;
       heaviest = part.mService;
     }
-    for (const ZoneSlots& zone : mLoads.Zones(part.mService)) {
-      const bool known = std::any_of(
-        pressures.begin(), pressures.end(), [&](const auto& aOther) {
-          return aOther.mZone == zone.mZone;
-        });
-      if (!known) {
-        pressures.push_back({ zone.mZone, 0, 0 });
-      }
-    }
   }
+  std::vector<Pressure> pressures = ZonesOf(aCost);
   for (Pressure& pressure : pressures) {
+    double missing = 0;
     for (const ServiceCost& part : aCost.mServices) {
       const auto& zones = mLoads.Zones(part.mService);
       const auto zone =
         std::find_if(zones.begin(), zones.end(), [&](const ZoneSlots& aZone) {
           return aZone.mZone == pressure.mZone;
         });
-      const double load =
-        zone == zones.end()
-          ? kMissingLoad
-          : mLoads.ZoneLoad(aNow, part.mService, pressure.mZone)
-              .value_or(kUnknownLoad);
-      pressure.mLoad = std::max(pressure.mLoad, load);
-      if (zone != zones.end() && part.mService == heaviest) {
+      if (zone == zones.end()) {
+        missing += kMissingLoad * part.mSlotSeconds / std::max(total, 1e-9);
+        continue;
+      }
+      pressure.mLoad =
+        std::max(pressure.mLoad,
+                 mLoads.ZoneLoad(aNow, part.mService, pressure.mZone)
+                   .value_or(kUnknownLoad));
+      if (part.mService == heaviest) {
         pressure.mSlots = zone->mSlots;
       }
     }
+    pressure.mLoad += missing;
   }
   return pressures;
 }
--- a/src/nutmegrock/overload/ZonePlacement.h
+++ b/src/nutmegrock/overload/ZonePlacement.h
@@ -25,10 +25,10 @@
   core::Duration mEvery = std::chrono::milliseconds{ 50 };
 };
 
-/// Chooses the availability zone in which a whole request runs. The calls below
-/// a request stay in its zone as long as there is room, so a request that is
-/// placed where the deep service has room crosses zones once, where its calls
-/// would cross it many times. Not synchronized.
+/// Chooses the availability zone in which a request runs with all its calls.
+/// They stay in its zone as long as there is room, so a request that is placed
+/// where the deep service has room crosses zones once, where its calls would
+/// cross many times. Not synchronized.
 class ZonePlacement
 {
 public:
@@ -71,6 +71,7 @@
               const RouteCost& aCost,
               std::string_view aOwnZone,
               Route& aRoute) const;
+  std::vector<Pressure> ZonesOf(const RouteCost& aCost) const;
   std::vector<Pressure> PressuresOf(core::TimePoint aNow,
                                     const RouteCost& aCost) const;
 
--- /dev/null
+++ b/tests/gateway/LearnedCostsTest.cpp
@@ -0,0 +1,118 @@
+#include "gateway/LearnedCosts.h"
+#include "tests/membership/FakeTable.h"
+
+#include <chrono>
+#include <doctest/doctest.h>
+#include <future>
+#include <thread>
+
+using namespace nutmegrock;
+using namespace nutmegrock::gateway;
+using nutmegrock::membership::FakeTable;
+
+namespace {
+
+const NamedCosts kCosts = {
+  { "check", { { { "dispatch", 0.3 }, { "tracker", 0.1 } }, true, false } },
+  { "roster", { { { "dispatch", 0.03 } }, true, true } }
+};
+
+/// The costs that a node reads at its start, if any come within a second.
+std::optional<NamedCosts>
+ReadAtStart(const std::shared_ptr<FakeTable>& aTable)
+{
+  std::promise<NamedCosts> read;
+  auto future = read.get_future();
+  LearnedCosts learned(
+    aTable,
+    "till",
+    { [&read](NamedCosts aCosts) { read.set_value(std::move(aCosts)); },
+      [](const std::string&) {} });
+  if (future.wait_for(std::chrono::seconds(1)) != std::future_status::ready) {
+    return std::nullopt;
+  }
+  return future.get();
+}
+
+bool
+WaitForRow(FakeTable& aTable, const std::string& aValue)
+{
+  for (int i = 0; i < 200; ++i) {
+    const auto row = aTable.Read("costs/till");
+    if (row && *row && (*row)->mValue == aValue) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return false;
+}
+
+} // namespace
+
+// Failure: all nodes die at once. Guards against a restarted system that
+// admits everything until it has learned the call graph again.
+TEST_CASE("costs outlive all nodes")
+{
+  const auto table = std::make_shared<FakeTable>();
+  CHECK(!ReadAtStart(table).has_value());
+  {
+    LearnedCosts learned(
+      table, "till", { [](const NamedCosts&) {}, [](const std::string&) {} });
+    learned.Save(kCosts);
+    CHECK(WaitForRow(*table, EncodeCosts(kCosts)));
+  }
+  const auto read = ReadAtStart(table);
+  REQUIRE(read.has_value());
+  CHECK(*read == kCosts);
+}
+
+// Failure: two nodes of a service take themselves for the writer.
+TEST_CASE("a row that another node has written is replaced")
+{
+  const auto table = std::make_shared<FakeTable>();
+  LearnedCosts learned(
+    table, "till", { [](const NamedCosts&) {}, [](const std::string&) {} });
+  learned.Save({});
+  REQUIRE(WaitForRow(*table, ""));
+  const auto row = table->Read("costs/till");
+  REQUIRE(table->Write("costs/till", "check 1o", (*row)->mVersion).has_value());
+  learned.Save(kCosts);
+  CHECK(WaitForRow(*table, EncodeCosts(kCosts)));
+}
+
+TEST_CASE("a row that cannot be read is left out with a line")
+{
+  const auto table = std::make_shared<FakeTable>();
+  REQUIRE(table->Write("costs/till", "check what:ever", 0).has_value());
+  std::promise<std::string> line;
+  auto future = line.get_future();
+  bool read = false;
+  {
+    LearnedCosts learned(
+      table,
+      "till",
+      { [&read](const NamedCosts&) { read = true; },
+        [&line](const std::string& aLine) { line.set_value(aLine); } });
+    REQUIRE(future.wait_for(std::chrono::seconds(2)) ==
+            std::future_status::ready);
+  }
+  CHECK(future.get().starts_with("event=costs_unusable"));
+  CHECK(!read);
+}
+
+TEST_CASE("costs in a text are read as they were written")
+{
+  CHECK(DecodeCosts(EncodeCosts(kCosts)) == kCosts);
+  CHECK(DecodeCosts("") == NamedCosts{});
+  for (const char* text : { "check",
+                            "check ",
+                            "check 1",
+                            "check 2o",
+                            "check 1o,dispatch",
+                            "check 1o,dispatch:-3",
+                            "check 1o,dispatch:3 more",
+                            " 1o,dispatch:3" }) {
+    CAPTURE(text);
+    CHECK(!DecodeCosts(text).has_value());
+  }
+}
