Do not eject servers that are slower but sound; place by flows

Cause: servers of one service run at 0.7 to 1.6 of the usual speed. The entry node judged latency with the time in the queue, against the faster of the servers it saw, so the slow server of a zone was ejected at three times that, and a fifth of the deep service's capacity was left out.

Each ejection is a line and a counter. ZonePlacement keeps a flow to each less loaded zone in place of one share, so that two slow zones do not swap requests.

--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -157,6 +157,7 @@
   mChoice = *choice;
   mAttemptAt = now;
   mAttemptOpen = true;
+  mAttemptWaited = core::Duration(0);
   mAttemptBytes = mReplay.size();
   mHasFeedback = false;
   mServerLeaving = false;
@@ -313,12 +314,12 @@
     mService, mChoice.mZone != mEntry.mSettings.mZone, mAttemptBytes);
   const core::TimePoint now = mEntry.mParts.mNow();
   const bool healthy = aOutcome == routing::AttemptOutcome::Ok;
-  mEntry.mRouter.OnEnd(now,
-                       mChoice.mIncarnation,
-                       healthy && mServerLeaving ? routing::AttemptOutcome::Gone
-                                                 : aOutcome,
-                       now - mAttemptAt,
-                       mHasFeedback ? &mFeedback : nullptr);
+  mEntry.mRouter.OnEnd(
+    now,
+    mChoice.mIncarnation,
+    healthy && mServerLeaving ? routing::AttemptOutcome::Gone : aOutcome,
+    std::max(core::Duration(0), now - mAttemptAt - mAttemptWaited),
+    mHasFeedback ? &mFeedback : nullptr);
 }
 
 void
@@ -330,6 +331,7 @@
   mFeedback.mLoadPermille =
     static_cast<std::uint32_t>(std::min(aNote.mLoad, 1e3) * kPermille);
   mServerLeaving = aNote.mLeaving;
+  mAttemptWaited = aNote.mWaited;
   mEntry.mParts.mLoads.OnServer(
     now, mService, mChoice.mZone, mChoice.mIncarnation, aNote.mLoad);
   for (const overload::LoadReport& report : aNote.mLoads) {
--- a/src/nutmegrock/gateway/EntryCall.h
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -113,6 +113,9 @@
   routing::Choice mChoice;
   core::TimePoint mAttemptAt;
   bool mAttemptOpen = false;
+  /// Time for which the request waited for a slot. A server that is slow since
+  /// it is busy is judged by its load, not by its latency.
+  core::Duration mAttemptWaited{ 0 };
   /// Bytes of heads and bodies in both directions.
   std::uint64_t mAttemptBytes = 0;
   core::CallFeedback mFeedback;
--- a/src/nutmegrock/gateway/GatewayParts.cpp
+++ b/src/nutmegrock/gateway/GatewayParts.cpp
@@ -1,6 +1,7 @@
 #include "gateway/GatewayParts.h"
 
 #include "gateway/InboundCall.h"
+#include "gateway/RouterDefaults.h"
 #include "gateway/SimpleRequest.h"
 #include "node/IoThreads.h"
 #include "settings/SettingsFile.h"
@@ -32,14 +33,6 @@
 constexpr double kRetryExtraPart = 0.4;
 /// Part of the time to drain in which requests on their way still start.
 constexpr double kDrainPart = 0.4;
-/// A cold server is slow for about this long in both deployments.
-constexpr std::chrono::seconds kRamp{ 3 };
-/// Load of the own zone up to which no request leaves it: below, a call hardly
-/// waits, and bytes between zones are paid for.
-constexpr double kSpillBegin = 0.95;
-/// The rest of the difference between zones is evened out by placing whole
-/// requests, which cross zones once and not with each call.
-constexpr double kSpillMargin = 0.1;
 /// Health checks after a start, until the server's heartbeat comes anyway.
 constexpr std::uint32_t kMostProbes = 3;
 constexpr milliseconds kProbePause{ 400 };
@@ -133,11 +126,12 @@
 core::Expected<bool>
 GatewayRuntime::Parts::OpenDecisions()
 {
-  routing::RouterSettings router_settings;
-  router_settings.mRamp = kRamp;
-  router_settings.mSpillBegin = kSpillBegin;
-  router_settings.mSpillMargin = kSpillMargin;
-  auto router = routing::Router::Create(router_settings);
+  auto router = routing::Router::Create(
+    RouterDefaults(),
+    [this](core::Incarnation aServer,
+           std::optional<routing::EjectionReason> aReason) {
+      OnEjection(aServer, aReason);
+    });
   if (!router) {
     return tl::make_unexpected(router.error());
   }
@@ -373,6 +367,27 @@
   }
 }
 
+void
+GatewayRuntime::Parts::OnEjection(
+  core::Incarnation aServer,
+  std::optional<routing::EjectionReason> aReason)
+{
+  const std::string_view reason =
+    aReason
+      ? routing::kEjectionReasonNames.at(static_cast<std::size_t>(*aReason))
+      : "-";
+  if (aReason) {
+    mRegistry
+      .CounterOf("nutmegrock_ejections_total",
+                 { { "reason", std::string(reason) } })
+      .Add();
+  }
+  mLog.State(fmt::format("event={} server={} reason={}",
+                         aReason ? "ejected" : "ejection_over",
+                         aServer.Text(),
+                         reason));
+}
+
 void
 GatewayRuntime::Parts::OnView(const membership::MemberViewPtr& aView)
 {
--- a/src/nutmegrock/gateway/GatewayParts.h
+++ b/src/nutmegrock/gateway/GatewayParts.h
@@ -62,6 +62,8 @@
 
   void PublishState();
   void ProbeServer(core::TimePoint aNow);
+  void OnEjection(core::Incarnation aServer,
+                  std::optional<routing::EjectionReason> aReason);
   void OnView(const membership::MemberViewPtr& aView);
   void OnRoutes(const routes::RouteSetPtr& aRoutes);
   void OnSavedCosts(const NamedCosts& aCosts);
--- a/src/nutmegrock/gateway/PeerNote.cpp
+++ b/src/nutmegrock/gateway/PeerNote.cpp
@@ -80,6 +80,11 @@
       aNote.mLoad = load.value_or(0);
       return load.has_value();
     }
+    case 'q': {
+      const auto waited = ParseNumber<std::uint32_t>(value);
+      aNote.mWaited = std::chrono::milliseconds(waited.value_or(0));
+      return waited.has_value();
+    }
     case 's':
       aNote.mLeaving = value == "1";
       return true;
@@ -111,6 +116,9 @@
                  ToThousandths(aNote.mLoad),
                  aNote.mLeaving ? 1 : 0,
                  aNote.mRouteVersion);
+  if (aNote.mWaited.count() > 0) {
+    fmt::format_to(out, ";q={}", aNote.mWaited.count());
+  }
   if (aNote.mCost) {
     text += ";c=" + EncodeCost(*aNote.mCost);
   }
--- a/src/nutmegrock/gateway/PeerNote.h
+++ b/src/nutmegrock/gateway/PeerNote.h
@@ -4,6 +4,7 @@
 #include "overload/RouteCosts.h"
 #include "overload/ServiceLoads.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,6 +18,8 @@
 {
   /// Running and waiting calls of its server as a share of the limit.
   double mLoad = 0;
+  /// Time for which the request waited for a slot of the server.
+  std::chrono::milliseconds mWaited{ 0 };
   /// The server takes no new work.
   bool mLeaving = false;
   /// Version of the routes in force at the serving node.
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -184,7 +184,10 @@
   }
   mGoodStatus = aHead.mStatus < 500;
   proxy::AnswerHead head = aHead;
-  head.mPeerNote = Encode(mServing.NoteFor(mCall.mRoute, mCall.mWantsCost));
+  PeerNote note = mServing.NoteFor(mCall.mRoute, mCall.mWantsCost);
+  note.mWaited =
+    std::chrono::duration_cast<std::chrono::milliseconds>(mStarted - mArrived);
+  head.mPeerNote = Encode(note);
   sink->OnAnswerHead(head);
 }
 
--- a/src/nutmegrock/overload/ZonePlacement.cpp
+++ b/src/nutmegrock/overload/ZonePlacement.cpp
@@ -19,8 +19,6 @@
 /// that spends all its time there, since its calls would leave the zone; less
 /// for a route that spends only a part of it there.
 constexpr double kMissingLoad = 3.0;
-/// Another zone takes requests when it is less loaded by this much.
-constexpr double kLeastRoom = 0.05;
 /// Longest time that one step answers for, after a time without requests.
 constexpr double kMostStepSeconds = 0.2;
 
@@ -71,15 +69,11 @@
     Update(aNow, *cost, aOwnZone, route);
   }
   double draw = UnitOf(aHash);
-  if (draw >= route.mShare) {
-    return aOwnZone;
-  }
-  draw /= route.mShare;
-  for (const Target& target : route.mTargets) {
-    if (draw < target.mWeight) {
-      return target.mZone;
+  for (const Flow& flow : route.mFlows) {
+    if (draw < flow.mShare) {
+      return flow.mZone;
     }
-    draw -= target.mWeight;
+    draw -= flow.mShare;
   }
   return aOwnZone;
 }
@@ -157,35 +151,43 @@
   aRoute.mUpdatedAt = aNow;
   const auto pressures = PressuresOf(aNow, aCost);
   // A zone without any servers for the route has no entry.
-  double own = kMissingLoad;
-  double slots = 0;
-  double used = 0;
+  double own = kUnknownLoad + kMissingLoad;
+  double other_slots = 0;
   for (const Pressure& pressure : pressures) {
     if (pressure.mZone == aOwnZone) {
       own = pressure.mLoad;
+    } else {
+      other_slots += pressure.mSlots;
     }
-    slots += pressure.mSlots;
-    used += pressure.mSlots * pressure.mLoad;
   }
-  const double all = slots > 0 ? used / slots : own;
-  const double excess = own - std::max(mSettings.mBegin, all);
-  aRoute.mShare =
-    own >= kMissingLoad
-      ? 1
-      : std::clamp(
-          aRoute.mShare + seconds * mSettings.mGain * excess, 0.0, 1.0);
-  aRoute.mTargets.clear();
+  // Each flow grows while its zone is less loaded than the own one, and shrinks
+  // otherwise, so that it settles where both are alike. Flows of zones that are
+  // no longer known end.
+  std::vector<Flow> flows;
   double sum = 0;
   for (const Pressure& pressure : pressures) {
-    const double room = own - pressure.mLoad;
-    if (pressure.mZone != aOwnZone && room >= kLeastRoom) {
-      aRoute.mTargets.push_back({ pressure.mZone, pressure.mSlots * room });
-      sum += pressure.mSlots * room;
+    if (pressure.mZone == aOwnZone || pressure.mSlots <= 0) {
+      continue;
+    }
+    const auto old = std::find_if(
+      aRoute.mFlows.begin(), aRoute.mFlows.end(), [&](const Flow& aFlow) {
+        return aFlow.mZone == pressure.mZone;
+      });
+    double difference = own - std::max(mSettings.mBegin, pressure.mLoad);
+    if (difference > 0 && difference < mSettings.mDeadband) {
+      difference = 0;
     }
+    const double step =
+      seconds * mSettings.mGain * difference * pressure.mSlots / other_slots;
+    const double before = old == aRoute.mFlows.end() ? 0 : old->mShare;
+    const double share = std::clamp(before + step, 0.0, 1.0);
+    sum += share;
+    flows.push_back({ pressure.mZone, share });
   }
-  for (Target& target : aRoute.mTargets) {
-    target.mWeight /= std::max(sum, 1e-9);
+  for (Flow& flow : flows) {
+    flow.mShare /= std::max(1.0, sum);
   }
+  aRoute.mFlows = std::move(flows);
 }
 
 } // namespace nutmegrock::overload
--- a/src/nutmegrock/overload/ZonePlacement.h
+++ b/src/nutmegrock/overload/ZonePlacement.h
@@ -18,9 +18,12 @@
   /// whole requests leave the zone. Below the load at which single calls leave
   /// it, so that whole requests go first.
   double mBegin = 0.85;
-  /// Change of the leaving share for each second and each unit of load above
-  /// that of all zones. A step shows in the loads after about half a second.
+  /// Change of the share that goes to all other zones together for each second
+  /// and each unit of load that they are below the own zone. A step shows in
+  /// the loads after about half a second.
   double mGain = 1.0;
+  /// Smaller differences of load are noise.
+  double mDeadband = 0.05;
   /// Time between two looks at the loads.
   core::Duration mEvery = std::chrono::milliseconds{ 50 };
 };
@@ -46,18 +49,16 @@
                            const std::string& aOwnZone);
 
 private:
-  struct Target
+  /// Share of a route's requests that goes to another zone.
+  struct Flow
   {
     std::string mZone;
-    double mWeight = 0;
+    double mShare = 0;
   };
   struct Route
   {
     core::TimePoint mUpdatedAt;
-    /// Share of the requests that leave the own zone.
-    double mShare = 0;
-    /// Where they go; the weights sum up to 1.
-    std::vector<Target> mTargets;
+    std::vector<Flow> mFlows;
   };
   /// Load and room of one zone for a route.
   struct Pressure
--- a/src/nutmegrock/routing/Ejection.cpp
+++ b/src/nutmegrock/routing/Ejection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace nutmegrock::routing {
 
@@ -19,8 +20,9 @@
 
 } // namespace
 
-Ejection::Ejection(const EjectionSettings& aSettings)
+Ejection::Ejection(const EjectionSettings& aSettings, EjectionHook aHook)
   : mSettings(aSettings)
+  , mHook(std::move(aHook))
 {
 }
 
@@ -190,6 +192,9 @@
   aHealth.mGoodProbes = 0;
   aHealth.mBackoff = mSettings.mFirstBackoff;
   aHealth.mProbeAt = aNow + aHealth.mBackoff;
+  if (mHook) {
+    mHook(aHealth.mIncarnation, aReason);
+  }
 }
 
 void
@@ -216,6 +221,9 @@
   aHealth.mFailures = 0;
   aHealth.mMedian = 0;
   aHealth.mAnswers = 0;
+  if (mHook) {
+    mHook(aHealth.mIncarnation, std::nullopt);
+  }
 }
 
 void
--- a/src/nutmegrock/routing/Ejection.h
+++ b/src/nutmegrock/routing/Ejection.h
@@ -6,6 +6,8 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -66,13 +68,18 @@
                            "latency",
                            "overdue" };
 
+/// A server was ejected for this reason, or has returned when there is none.
+/// Called under the lock of the service's shard; must not call the router.
+using EjectionHook =
+  std::function<void(core::Incarnation, std::optional<EjectionReason>)>;
+
 /// Which backend servers of one service are left out because they fail, are
 /// slow or do not answer, judged by this node's own attempts. Servers are named
 /// by their index in the list of SetServers(). Not synchronized.
 class Ejection
 {
 public:
-  explicit Ejection(const EjectionSettings& aSettings);
+  explicit Ejection(const EjectionSettings& aSettings, EjectionHook aHook = {});
 
   /// Replaces the servers; what is known about those that stay is kept.
   void SetServers(std::span<const core::Incarnation> aServers);
@@ -144,6 +151,7 @@
   void UpdateMedian();
 
   EjectionSettings mSettings;
+  EjectionHook mHook;
   std::vector<Health> mServers;
   std::uint32_t mEjected = 0;
   std::array<std::uint64_t, kEjectionReasons> mCounts{};
--- a/src/nutmegrock/routing/Router.cpp
+++ b/src/nutmegrock/routing/Router.cpp
@@ -7,15 +7,16 @@
 
 namespace nutmegrock::routing {
 
-Router::Router(const RouterSettings& aSettings)
+Router::Router(const RouterSettings& aSettings, EjectionHook aHook)
   : mSettings(aSettings)
+  , mHook(std::move(aHook))
 {
 }
 
 Router::~Router() = default;
 
 core::Expected<std::unique_ptr<Router>>
-Router::Create(const RouterSettings& aSettings)
+Router::Create(const RouterSettings& aSettings, EjectionHook aHook)
 {
   const bool valid = aSettings.mRampStart > 0 && aSettings.mRampStart <= 1 &&
                      aSettings.mSpillGain > 0 && aSettings.mProbeEvery > 0 &&
@@ -27,7 +28,7 @@
                       "router: shares must be in [0, 1], the ramp start and "
                       "probe share positive, spill full above spill begin");
   }
-  return std::unique_ptr<Router>(new Router(aSettings));
+  return std::unique_ptr<Router>(new Router(aSettings, std::move(aHook)));
 }
 
 Router::Shard&
@@ -66,7 +67,7 @@
   const std::lock_guard lock(shard.mMutex);
   auto& service = shard.mServices[key];
   if (!service) {
-    service = std::make_unique<ServiceRouter>(mSettings);
+    service = std::make_unique<ServiceRouter>(mSettings, mHook);
   }
   Reindex(key, service->Candidates(), aCandidates);
   if (aCandidates.empty()) {
--- a/src/nutmegrock/routing/Router.h
+++ b/src/nutmegrock/routing/Router.h
@@ -35,9 +35,10 @@
 class Router
 {
 public:
-  /// Fails with InvalidSettings.
+  /// Fails with InvalidSettings. The hook hears of each ejection.
   static core::Expected<std::unique_ptr<Router>> Create(
-    const RouterSettings& aSettings);
+    const RouterSettings& aSettings,
+    EjectionHook aHook = {});
   Router(const Router&) = delete;
   Router& operator=(const Router&) = delete;
   ~Router();
@@ -91,7 +92,7 @@
     std::unordered_map<std::uint64_t, std::uint64_t> mServiceOf;
   };
 
-  explicit Router(const RouterSettings& aSettings);
+  Router(const RouterSettings& aSettings, EjectionHook aHook);
   Shard& ShardOf(std::uint64_t aKey);
   void Reindex(std::uint64_t aKey,
                const std::vector<Candidate>& aOld,
@@ -101,6 +102,7 @@
   void Visit(core::Incarnation aIncarnation, Visitor aVisitor);
 
   RouterSettings mSettings;
+  EjectionHook mHook;
   std::array<Shard, kShards> mShards;
   std::array<IndexShard, kShards> mIndex;
 };
--- a/src/nutmegrock/routing/ServiceRouter.cpp
+++ b/src/nutmegrock/routing/ServiceRouter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace nutmegrock::routing {
 
@@ -46,11 +47,12 @@
 
 } // namespace
 
-ServiceRouter::ServiceRouter(const RouterSettings& aSettings)
+ServiceRouter::ServiceRouter(const RouterSettings& aSettings,
+                             EjectionHook aHook)
   : mSettings(aSettings)
   , mJoining(aSettings.mRamp, aSettings.mRampStart)
   , mReturning(aSettings.mReturnRamp, aSettings.mRampStart)
-  , mEjection(aSettings.mEjection)
+  , mEjection(aSettings.mEjection, std::move(aHook))
 {
 }
 
--- a/src/nutmegrock/routing/ServiceRouter.h
+++ b/src/nutmegrock/routing/ServiceRouter.h
@@ -22,7 +22,7 @@
 class ServiceRouter
 {
 public:
-  explicit ServiceRouter(const RouterSettings& aSettings);
+  ServiceRouter(const RouterSettings& aSettings, EjectionHook aHook);
 
   void Update(const std::vector<Candidate>& aCandidates);
   /// As Router::Choose(); does not allocate. Nothing when there is no server.
--- a/tests/gateway/PeerCodecTest.cpp
+++ b/tests/gateway/PeerCodecTest.cpp
@@ -33,6 +33,7 @@
   note.mLoad = 1.25;
   note.mLeaving = true;
   note.mRouteVersion = 12;
+  note.mWaited = milliseconds(35);
   CHECK(DecodePeerNote(Encode(note)) == note);
   note.mCost = overload::RouteCost{ { { "dispatch", 0.176 }, { "till", 0.03 } },
                                     true,
@@ -60,6 +61,7 @@
                             "l",
                             "l=x",
                             "l=1;v=",
+                            "l=1;q=-2",
                             "l=1;c=1,dispatch",
                             "l=1;p=dispatch:1",
                             "l=1;e=queue_full:not-run" }) {
--- a/tests/routing/RouterTest.cpp
+++ b/tests/routing/RouterTest.cpp
@@ -1,4 +1,5 @@
 #include "routing/Router.h"
+#include "gateway/RouterDefaults.h"
 
 #include <doctest/doctest.h>
 #include <map>
@@ -329,3 +330,76 @@
   CHECK(ShareLeaving(1.2, 1.3) == 0);
   CHECK(ShareLeaving(1.2, 0.4) > 0.3);
 }
+
+// Load pattern: of three servers of the deep service two run at 0.7 of the
+// usual speed and one at 1.6, and the slow ones are nearly full. Guards against
+// leaving out a third of the capacity since a server is slower than another.
+TEST_CASE("a server that is slower but sound stays in use")
+{
+  std::vector<routing::EjectionReason> ejected;
+  auto router = std::move(*Router::Create(
+    gateway::RouterDefaults(),
+    [&ejected](Incarnation, std::optional<routing::EjectionReason> aReason) {
+      ejected.push_back(aReason.value_or(routing::EjectionReason::Overdue));
+    }));
+  core::TimePoint now{ 1h };
+  router->Update(now,
+                 "deep",
+                 { Server(1, "a", CandidateState::Serving, 75),
+                   Server(2, "b", CandidateState::Serving, 75),
+                   Server(3, "c", CandidateState::Serving, 75) });
+  const auto run = [&](std::uint64_t aServer, std::chrono::milliseconds aTime) {
+    now += std::chrono::milliseconds(2);
+    router->OnStart(now - aTime, Incarnation{ aServer });
+    router->OnEnd(
+      now, Incarnation{ aServer }, AttemptOutcome::Ok, aTime, nullptr);
+  };
+  for (int i = 0; i < 400; ++i) {
+    run(1, std::chrono::milliseconds(i % 3 == 0 ? 90 : 43));
+    run(2, std::chrono::milliseconds(43));
+    run(3, std::chrono::milliseconds(19));
+  }
+  CHECK(ejected.empty());
+  for (int i = 0; i < 400; ++i) {
+    run(1, std::chrono::milliseconds(400));
+    run(3, std::chrono::milliseconds(19));
+  }
+  REQUIRE(!ejected.empty());
+  CHECK(ejected.front() == routing::EjectionReason::Latency);
+}
+
+// Load pattern: one of three zones is loaded beyond the others, which differ.
+// Guards against requests that leave a full zone for another full one.
+TEST_CASE("requests that leave their zone go where there is room")
+{
+  auto router = std::move(*Router::Create(gateway::RouterDefaults()));
+  core::TimePoint now{ 1h };
+  router->Update(now,
+                 "deep",
+                 { Server(1, "a", CandidateState::Serving, 75),
+                   Server(2, "b", CandidateState::Serving, 75),
+                   Server(3, "c", CandidateState::Serving, 75) });
+  int to_full = 0;
+  int to_room = 0;
+  for (std::uint64_t i = 0; i < 1200; ++i) {
+    now += std::chrono::milliseconds(5);
+    constexpr std::array kLoads = { 1300U, 1300U, 600U };
+    for (std::size_t server = 0; server < kLoads.size(); ++server) {
+      core::CallFeedback feedback;
+      feedback.mLoadPermille = kLoads.at(server);
+      router->OnStart(now, Incarnation{ server + 1 });
+      router->OnEnd(now,
+                    Incarnation{ server + 1 },
+                    AttemptOutcome::Ok,
+                    std::chrono::milliseconds(20),
+                    &feedback);
+    }
+    const auto choice =
+      router->Choose(now, "deep", i * 0x9e3779b97f4a7c15ULL, "a", {});
+    REQUIRE(choice.has_value());
+    to_full += choice->mZone == "b" ? 1 : 0;
+    to_room += choice->mZone == "c" ? 1 : 0;
+  }
+  CHECK(to_full == 0);
+  CHECK(to_room > 100);
+}
