--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Serving.h"
 
 #include "gateway/ServingCall.h"
+#include "gateway/TextFields.h"
 
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
@@ -23,6 +24,12 @@
 /// Loads below this need no action anywhere, and are not passed on.
 constexpr double kLeastPassedLoad = 0.5;
 constexpr std::size_t kMostPassedLoads = 8;
+/// A run that takes longer than this multiple of its usual time, and than this
+/// time, may have ended without an answer.
+constexpr int kLostFactor = 4;
+constexpr core::Duration kLeastLostTime = std::chrono::milliseconds{ 100 };
+/// A load that the server told earlier says nothing about its slots now.
+constexpr std::chrono::milliseconds kServerLoadLifetime{ 200 };
 
 } // namespace
 
@@ -155,6 +162,7 @@
 {
   const core::TimePoint now = mParts.mNow();
   Apply(mQueue.Tick(now));
+  Apply(mQueue.SetLost(now, LostCalls(now)));
   std::vector<std::shared_ptr<ServingCall>> over;
   for (const auto& entry : mCalls) {
     if (entry.second->Deadline() <= now) {
@@ -166,6 +174,42 @@
   }
 }
 
+void
+Serving::OnServerLoad(std::string_view aLoad)
+{
+  const auto fields = SplitText(aLoad, ',');
+  const auto running = ParseNumber<std::uint32_t>(fields[0]);
+  const auto waiting =
+    fields.size() > 1 ? ParseNumber<std::uint32_t>(fields[1]) : std::nullopt;
+  if (running && waiting) {
+    mServerHolds = *running + *waiting;
+    mServerHoldsAt = mParts.mNow();
+  }
+}
+
+// The server's word is a hint that may be old or wrong, so only calls that have
+// taken far longer than usual are taken for lost.
+std::uint32_t
+Serving::LostCalls(core::TimePoint aNow)
+{
+  if (mServerHoldsAt == core::TimePoint{} ||
+      aNow - mServerHoldsAt > kServerLoadLifetime ||
+      mServerHolds >= mQueue.Running()) {
+    return 0;
+  }
+  std::uint32_t overdue = 0;
+  for (const auto& [id, call] : mCalls) {
+    const core::Duration usual = std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double>(UsualOf(call->Route()).mSeconds));
+    overdue +=
+      call->IsRunning() &&
+          call->RunTime(aNow) > std::max(kLeastLostTime, usual * kLostFactor)
+        ? 1
+        : 0;
+  }
+  return std::min(overdue, mQueue.Running() - mServerHolds);
+}
+
 Serving::Usual&
 Serving::UsualOf(const std::string& aRoute)
 {
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace nutmegrock::gateway {
@@ -104,6 +105,10 @@
 
   core::Expected<bool> Check(const PeerCall& aCall) const;
   void Apply(const overload::WorkChanges& aChanges);
+  /// The server has told its load with an answer.
+  void OnServerLoad(std::string_view aLoad);
+  /// Calls that the server has ended without an answer, as its load tells.
+  std::uint32_t LostCalls(core::TimePoint aNow);
   void OnRunEnded(const std::string& aRoute, core::Duration aTime, bool aGood);
   Usual& UsualOf(const std::string& aRoute);
   void Remove(std::uint64_t aId);
@@ -116,6 +121,9 @@
   std::map<std::string, Usual> mUsual;
   std::uint64_t mNextId = 1;
   core::TimePoint mLoadsSentAt;
+  /// Calls that the server said it holds, running and waiting.
+  std::uint32_t mServerHolds = 0;
+  core::TimePoint mServerHoldsAt;
   bool mStopping = false;
 };
 
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -161,6 +161,9 @@
   if (!sink || mState != State::Running) {
     return;
   }
+  if (!aHead.mLoad.empty()) {
+    mServing.OnServerLoad(aHead.mLoad);
+  }
   if (aHead.mNotRun) {
     mServing.mParts.mRegistry
       .CounterOf("nutmegrock_backend_refused_total",
--- a/src/nutmegrock/gateway/ServingCall.h
+++ b/src/nutmegrock/gateway/ServingCall.h
@@ -27,6 +27,9 @@
   overload::WorkItem ItemFor(core::Duration aUsualTime) const;
   core::TimePoint Deadline() const { return mDeadline; }
   bool IsRunning() const { return mState == State::Running; }
+  const std::string& Route() const { return mCall.mRoute; }
+  /// Time since the request was sent to the backend server.
+  core::Duration RunTime(core::TimePoint aNow) const { return aNow - mStarted; }
   /// Sends the request to the backend server.
   void Run();
   /// Ends the call with an answer of this node's own.
--- a/src/nutmegrock/overload/WorkQueue.cpp
+++ b/src/nutmegrock/overload/WorkQueue.cpp
@@ -57,7 +57,7 @@
   const double backlog =
     mItems.empty() ? 0 : mWaitingSeconds / SecondsOf(mSettings.mDrainTime);
   return std::max((rate + backlog) / mLimit,
-                  static_cast<double>(mRunning) / mLimit * kRunningPart);
+                  static_cast<double>(Holding()) / mLimit * kRunningPart);
 }
 
 core::Expected<bool>
@@ -69,7 +69,7 @@
     return core::Fail(core::ErrorKind::QueueTimeout,
                       "too little time is left for the call");
   }
-  if (mRunning < mLimit && mItems.empty()) {
+  if (Holding() < mLimit && mItems.empty()) {
     ++mRunning;
     return true;
   }
@@ -85,7 +85,7 @@
 void
 WorkQueue::StartNext(core::TimePoint aNow, WorkChanges& aChanges)
 {
-  while (mRunning < mLimit && !mOrder.empty()) {
+  while (Holding() < mLimit && !mOrder.empty()) {
     const std::uint64_t id = mOrder.begin()->second;
     const auto entry = mItems.find(id);
     const WorkItem& item = entry->second.mItem;
@@ -101,6 +101,16 @@
   }
 }
 
+WorkChanges
+WorkQueue::SetLost(core::TimePoint aNow, std::uint32_t aLost)
+{
+  WorkChanges changes;
+  // A wrong report must not lead to more than twice the usual work.
+  mLost = std::min(aLost, mLimit);
+  StartNext(aNow, changes);
+  return changes;
+}
+
 WorkChanges
 WorkQueue::OnEnd(core::TimePoint aNow)
 {
--- a/src/nutmegrock/overload/WorkQueue.h
+++ b/src/nutmegrock/overload/WorkQueue.h
@@ -3,6 +3,7 @@
 #include "core/Error.h"
 #include "core/Time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -59,6 +60,10 @@
 
   /// The server runs this many calls at once.
   void SetSlots(std::uint32_t aSlots);
+  /// Of the calls that were started, this many no longer hold a slot: the
+  /// server has ended them and their answer is lost. Their slots are used
+  /// again, and they do not count as load.
+  WorkChanges SetLost(core::TimePoint aNow, std::uint32_t aLost);
   /// A call arrived: true if it may start now, false if it waits. Fails with
   /// QueueFull, or with QueueTimeout when too little of its time is left.
   core::Expected<bool> Offer(core::TimePoint aNow, const WorkItem& aItem);
@@ -85,6 +90,8 @@
     Order::iterator mPlace;
   };
 
+  /// Calls that hold a slot.
+  std::uint32_t Holding() const { return mRunning - std::min(mLost, mRunning); }
   void Fade(core::TimePoint aNow);
   double KeepUntil(core::TimePoint aNow) const;
   void StartNext(core::TimePoint aNow, WorkChanges& aChanges);
@@ -92,6 +99,7 @@
   const WorkQueueSettings mSettings;
   std::uint32_t mLimit = 0;
   std::uint32_t mRunning = 0;
+  std::uint32_t mLost = 0;
   Order mOrder;
   std::unordered_map<std::uint64_t, Entry> mItems;
   /// Slot seconds asked for, fading with mSmoothing.
--- a/tests/overload/WorkQueueTest.cpp
+++ b/tests/overload/WorkQueueTest.cpp
@@ -120,3 +120,30 @@
     CHECK(sum / samples <= demand + 0.55);
   }
 }
+
+// Load pattern: the server loses the answers of a third of the calls, which
+// then hang until their time limit. Guards against a queue that fills since it
+// takes them for running, and against a wrong report that floods the server.
+TEST_CASE("slots of calls whose answers are lost are used again")
+{
+  WorkQueue queue;
+  queue.SetSlots(5);
+  REQUIRE(queue.Limit() == 4);
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    REQUIRE(queue.Offer(kStart, Item(id, 300, 700)).value());
+  }
+  for (std::uint64_t id = 5; id <= 12; ++id) {
+    REQUIRE(!queue.Offer(kStart, Item(id, 300, 700)).value());
+  }
+  CHECK(queue.SetLost(kStart, 2).mStart == std::vector<std::uint64_t>{ 5, 6 });
+  // At most twice the usual work, whatever is said.
+  CHECK(queue.SetLost(kStart, 100).mStart ==
+        std::vector<std::uint64_t>{ 7, 8 });
+  CHECK(queue.Running() == 8);
+  // Once nothing is lost any more, nothing starts until slots are free.
+  CHECK(queue.SetLost(kStart, 0).mStart.empty());
+  for (int i = 0; i < 4; ++i) {
+    CHECK(queue.OnEnd(kStart).mStart.empty());
+  }
+  CHECK(queue.OnEnd(kStart).mStart == std::vector<std::uint64_t>{ 9 });
+}
