--- a/src/nutmegrock/gateway/GatewayParts.cpp
+++ b/src/nutmegrock/gateway/GatewayParts.cpp
@@ -68,6 +68,7 @@
     }
   }
   std::vector<overload::ZoneSlots> zones;
+  zones.reserve(slots.size());
   for (const auto& [zone, sum] : slots) {
     zones.push_back({ zone, sum });
   }
@@ -361,9 +362,9 @@
 GatewayRuntime::Parts::SaveCosts(core::TimePoint aNow)
 {
   if (mSavesCosts && !mStopping && mSavedCosts.IsDue(aNow, mCosts.All())) {
-    NamedCosts known = overload::SavedCosts::Known(mCosts.All());
+    const NamedCosts known = overload::SavedCosts::Known(mCosts.All());
     mSavedCosts.OnSaved(aNow, known);
-    mLearned->Save(std::move(known));
+    mLearned->Save(known);
   }
 }
 
--- a/src/nutmegrock/gateway/LearnedCosts.cpp
+++ b/src/nutmegrock/gateway/LearnedCosts.cpp
@@ -34,7 +34,7 @@
 }
 
 void
-LearnedCosts::Save(NamedCosts aCosts)
+LearnedCosts::Save(const NamedCosts& aCosts)
 {
   {
     const std::lock_guard lock(mMutex);
--- a/src/nutmegrock/gateway/LearnedCosts.h
+++ b/src/nutmegrock/gateway/LearnedCosts.h
@@ -40,7 +40,7 @@
   ~LearnedCosts();
 
   /// Writes the costs soon, unless newer ones come before. Does not block.
-  void Save(NamedCosts aCosts);
+  void Save(const NamedCosts& aCosts);
 
 private:
   void Run();
