Do not give up attempts at the entry node; keep their slots in use

The traces show a call that was given up after 0.4 s, sent to a second server, left by its caller, and read by its first server a full second after it was sent. Why that connection delivers so late was not found.

--- a/src/nutmegrock/gateway/Entry.cpp
+++ b/src/nutmegrock/gateway/Entry.cpp
@@ -71,17 +71,11 @@
 {
   const core::TimePoint now = mParts.mNow();
   std::vector<std::shared_ptr<EntryCall>> over;
-  std::vector<std::shared_ptr<EntryCall>> lost;
   for (const auto& call : mCalls) {
     if (call->Deadline() <= now) {
       over.push_back(call);
-    } else if (call->IsLost(now)) {
-      lost.push_back(call);
     }
   }
-  for (const auto& call : lost) {
-    call->GiveUpAttempt();
-  }
   for (const auto& call : over) {
     call->Expire();
   }
--- a/src/nutmegrock/gateway/Entry.h
+++ b/src/nutmegrock/gateway/Entry.h
@@ -6,7 +6,6 @@
 #include "overload/EntryAdmission.h"
 #include "overload/ZonePlacement.h"
 #include "proxy/ServerExchange.h"
-#include "retry/AttemptWatch.h"
 #include "retry/RetryAllowance.h"
 #include "routes/RouteHolder.h"
 #include "routes/SplitPicker.h"
@@ -86,7 +85,6 @@
   routes::SplitPicker mSplits;
   ZoneTraffic mTraffic;
   overload::ZonePlacement mPlacement;
-  retry::AttemptWatch mWatch;
   bool mRefusing = false;
   std::unordered_set<std::shared_ptr<EntryCall>> mCalls;
   std::map<std::string, std::chrono::milliseconds> mLongestDeadline;
--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -158,7 +158,6 @@
   mAttemptAt = now;
   mAttemptOpen = true;
   mAttemptWaited = core::Duration(0);
-  mHeadSeen = false;
   mAttemptBytes = mReplay.size();
   mHasFeedback = false;
   mServerLeaving = false;
@@ -304,37 +303,6 @@
   Fail(sent || mPossiblyRun ? core::PossiblyRun(std::move(error)) : error);
 }
 
-bool
-EntryCall::IsLost(core::TimePoint aNow) const
-{
-  return !mDone && mAttemptOpen && !mHeadSeen && !mGaveUp &&
-         mRoute->IsIdempotent() && mBodyEnded && mReplayable &&
-         mEntry.mWatch.IsLost(mRoute->mName,
-                              aNow - mAttemptAt,
-                              mEntry.mParts.mLoads.Load(aNow, mService)) &&
-         mEntry.mRouter.Available(aNow, mService, mTried) > 0;
-}
-
-void
-EntryCall::GiveUpAttempt()
-{
-  const auto self = shared_from_this();
-  mGaveUp = true;
-  ++mServersReached;
-  if (!MayRetry(core::PossiblyRun(core::MakeError(
-                  core::ErrorKind::BackendTimeout, "no answer for long")),
-                true)) {
-    --mServersReached;
-    return;
-  }
-  mPossiblyRun = true;
-  if (mAttempt) {
-    mAttempt->Cancel();
-  }
-  EndAttempt(routing::AttemptOutcome::TimedOut);
-  Retry();
-}
-
 void
 EntryCall::EndAttempt(routing::AttemptOutcome aOutcome)
 {
@@ -401,7 +369,6 @@
     OnAnswerFailed(*note->mError);
     return;
   }
-  mHeadSeen = true;
   ++mServersReached;
   mPossiblyRun = true;
   if (ShouldReplace(aHead)) {
@@ -473,10 +440,6 @@
   if (mBodyEnded) {
     mAttempt.reset();
   }
-  if (mHead.mStatus < 500) {
-    mEntry.mWatch.OnAnswer(mRoute->mName,
-                           mEntry.mParts.mNow() - mAttemptAt - mAttemptWaited);
-  }
   mEntry.OnOutcome(mRoute->mName, mHead.mStatus >= 500);
   mEntry.CountAnswer(mRoute->mName, mHead.mStatus);
   DecisionLog& log = mEntry.mParts.mLog;
--- a/src/nutmegrock/gateway/EntryCall.h
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -26,11 +26,6 @@
   core::TimePoint Deadline() const { return mDeadline; }
   /// The time is over.
   void Expire();
-  /// Whether the answer to the present attempt has probably been lost, and the
-  /// request may be sent to another server.
-  bool IsLost(core::TimePoint aNow) const;
-  /// Sends the request to another server, if the retry allowance has room.
-  void GiveUpAttempt();
 
   void OnRequestBody(std::string_view aBytes) override;
   void OnRequestEnd() override;
@@ -118,7 +113,6 @@
   routing::Choice mChoice;
   core::TimePoint mAttemptAt;
   bool mAttemptOpen = false;
-  bool mHeadSeen = false;
   /// Time for which the request waited for a slot. A server that is slow since
   /// it is busy is judged by its load, not by its latency.
   core::Duration mAttemptWaited{ 0 };
@@ -132,9 +126,6 @@
   /// Backend servers that may have got the request.
   std::uint32_t mServersReached = 0;
   bool mPossiblyRun = false;
-  /// An attempt without an answer has been given up, or was tried to: once for
-  /// each request.
-  bool mGaveUp = false;
 
   /// The body so far, for another attempt; dropped when it grows too long.
   std::string mReplay;
--- a/src/nutmegrock/overload/ServiceLoads.cpp
+++ b/src/nutmegrock/overload/ServiceLoads.cpp
@@ -13,8 +13,8 @@
 /// A passed-on load replaces the known one when it is newer by this much, so
 /// that own observations are preferred.
 constexpr std::chrono::milliseconds kNewerBy{ 60 };
-/// Zones of a service that are remembered; beyond it all are forgotten and heard
-/// of again. The design has 25.
+/// Zones of a service that are remembered; beyond it all are forgotten and
+/// heard of again. The design has 25.
 constexpr std::size_t kMostZones = 64;
 
 /// Slots of the zone; 0 when the service has no servers there.
