Look for changed costs without copying them

Cause: every 250 ms the node that saves the costs of its service copied all known costs only to compare them, and once more to save them.

Change: SavedCosts::IsDue compares in place. Which costs count as known is decided in one function. Behaviour and tests are as before.

--- a/src/nutmegrock/overload/SavedCosts.cpp
+++ b/src/nutmegrock/overload/SavedCosts.cpp
@@ -17,6 +17,13 @@
 /// Costs below this many slot seconds are noise.
 constexpr double kLeastCost = 0.005;
 
+/// Whether the cost is known well enough to be saved.
+bool
+IsKnown(const RouteCost& aCost)
+{
+  return aCost.mComplete && aCost.mInternal.has_value();
+}
+
 bool
 Differs(double aOld, double aNew)
 {
@@ -55,7 +62,7 @@
 {
   Costs known;
   for (const auto& [route, cost] : aCosts) {
-    if (cost.mComplete && cost.mInternal) {
+    if (IsKnown(cost)) {
       known.emplace(route, cost);
     }
   }
@@ -68,10 +75,13 @@
   if (mSavedAt != core::TimePoint{} && aNow - mSavedAt < kEvery) {
     return false;
   }
-  const Costs known = Known(aCosts);
-  return std::any_of(known.begin(), known.end(), [this](const auto& aEntry) {
-    const auto saved = mSaved.find(aEntry.first);
-    return saved == mSaved.end() || Differs(saved->second, aEntry.second);
+  return std::any_of(aCosts.begin(), aCosts.end(), [this](const auto& aEntry) {
+    const auto& [route, cost] = aEntry;
+    if (!IsKnown(cost)) {
+      return false;
+    }
+    const auto saved = mSaved.find(route);
+    return saved == mSaved.end() || Differs(saved->second, cost);
   });
 }
 
