Reproduce an admission that oscillates above a deep service

It fails on the present code with a run time of 1.6 s (load 0.64 to 1.20 at three times the demand, 0.72 to 1.11 at twice, wanted 0.85 to 1.0) and passes with 0.1 to 1 s, so the delay decides and not the demand.

--- a/tests/overload/ShedLevelTest.cpp
+++ b/tests/overload/ShedLevelTest.cpp
@@ -1,8 +1,9 @@
 #include "overload/ShedLevel.h"
 
-#include <cmath>
+#include <algorithm>
 #include <deque>
 #include <doctest/doctest.h>
+#include <numeric>
 
 using namespace nutmegrock;
 using namespace nutmegrock::overload;
@@ -46,6 +47,56 @@
   }
 };
 
+struct LoadRange
+{
+  double mLowest = 100;
+  double mHighest = 0;
+};
+
+/// A service whose calls arrive evenly over the run time of the requests that
+/// lead to them, and whose load is averaged and reported with a delay.
+struct DeepService
+{
+  static constexpr milliseconds kStep{ 50 };
+  static constexpr std::size_t kReportSteps = 2;
+  /// Weight of a step in the average of the load, for a time constant of 0.2 s.
+  static constexpr double kServerWeight = 0.22;
+
+  ShedLevel mLevel;
+  core::TimePoint mNow = kStart;
+  std::deque<double> mAdmitted;
+  double mLoad = 0;
+  double mServerLoad = 0;
+  std::deque<double> mReports;
+
+  /// Runs for aTime with a demand that leads to aDemand times the capacity when
+  /// all of it is admitted. Returns the lowest and the highest load of the last
+  /// 8 s.
+  LoadRange Run(milliseconds aTime, double aDemand, milliseconds aRunTime)
+  {
+    const auto run_steps =
+      std::max<std::size_t>(1, static_cast<std::size_t>(aRunTime / kStep));
+    LoadRange range;
+    for (milliseconds at(0); at < aTime; at += kStep) {
+      mNow += kStep;
+      mLevel.OnDemand(mNow, 2, aDemand);
+      mAdmitted.push_front(aDemand * mLevel.Admitted(2));
+      mAdmitted.resize(run_steps);
+      mLoad = std::accumulate(mAdmitted.begin(), mAdmitted.end(), 0.0) /
+              static_cast<double>(run_steps);
+      mServerLoad += kServerWeight * (mLoad - mServerLoad);
+      mReports.push_front(mServerLoad);
+      mReports.resize(kReportSteps + 1);
+      mLevel.Update(mNow, mReports.back());
+      if (aTime - at <= std::chrono::seconds(8)) {
+        range.mLowest = std::min(range.mLowest, mLoad);
+        range.mHighest = std::max(range.mHighest, mLoad);
+      }
+    }
+    return range;
+  }
+};
+
 } // namespace
 
 TEST_CASE("nothing is shed below the target")
@@ -89,3 +140,23 @@
   CHECK(loop.mLevel.Admitted(0) > 0.3);
   CHECK(loop.mLevel.Admitted(0) < 0.9);
 }
+
+// Requests call the deep service up to 1.6 s after their admission. Guards
+// against an admitted share that oscillated: the service was idle and flooded
+// in turn, and most requests were refused or failed.
+TEST_CASE("the load of a deep service settles instead of oscillating" *
+          doctest::should_fail())
+{
+  for (const int run_time : { 100, 500, 1000, 1600 }) {
+    for (const double demand : { 2.0, 3.0 }) {
+      CAPTURE(run_time);
+      CAPTURE(demand);
+      DeepService service;
+      service.Run(milliseconds(3000), 0.7, milliseconds(run_time));
+      const LoadRange range =
+        service.Run(milliseconds(20'000), demand, milliseconds(run_time));
+      CHECK(range.mLowest > 0.85);
+      CHECK(range.mHighest < 1.0);
+    }
+  }
+}
