Log the cost that decides a refusal, and the course of shedding

Uploads were refused for the load of a service that they do not call, and the logs could not tell an assumed cost from a wrongly learned one, nor show whether load and admitted share settle or swing. The reason of a refusal and nutmegrock_shed_total now name the cost and its origin; event=shedding and event=route_cost show both over time, at most one line a second for each service and route.

--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -131,12 +131,22 @@
   if (decision.mAdmitted) {
     return true;
   }
+  const std::string_view cost = decision.mCostAssumed ? "assumed" : "learned";
+  mEntry.mComponents.mRegistry
+    .CounterOf("nutmegrock_shed_total",
+               { { "route", mRoute->mName },
+                 { "service", decision.mService },
+                 { "cost", std::string(cost) } })
+    .Add();
   core::Error error = core::MakeError(
     core::ErrorKind::LevelTooLow,
-    fmt::format("service {} is overloaded: load {:.2f}, share admitted {:.2f}",
+    fmt::format("service {} is overloaded: load {:.2f}, share admitted {:.2f}, "
+                "{} cost {:.3f} s",
                 decision.mService,
                 decision.mLoad,
-                decision.mShare));
+                decision.mShare,
+                cost,
+                decision.mSlotSeconds));
   error.mRetryAfter = decision.mRetryAfter;
   Fail(error);
   return false;
--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -88,6 +88,7 @@
   , mSignals(mIo, SIGTERM, SIGINT, SIGHUP)
   , mLog({}, [](std::string_view aLine) { spdlog::info("{}", aLine); })
   , mAdmission(mCosts, mLoads)
+  , mSheddingLog([this](std::string_view aLine) { mLog.LogState(aLine); })
   , mAllowance(AllowanceFor(mSettings.mBounds))
 {
 }
@@ -500,6 +501,7 @@
   mEntry->Tick();
   mServing->Tick();
   mAdmission.Tick(now);
+  mSheddingLog.Tick(now, mAdmission.Levels(), mCosts);
   mPool->Tick();
   ProbeServer(now);
   PublishState();
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -5,6 +5,7 @@
 #include "gateway/LearnedCosts.h"
 #include "gateway/ServerProbe.h"
 #include "gateway/Serving.h"
+#include "gateway/SheddingLog.h"
 #include "membership/udp/MembershipService.h"
 #include "metrics/Registry.h"
 #include "node/CandidateUpdater.h"
@@ -93,6 +94,7 @@
   overload::RouteCosts mCosts;
   overload::ServiceLoads mLoads;
   overload::EntryAdmission mAdmission;
+  SheddingLog mSheddingLog;
   retry::RetryAllowance mAllowance;
   std::unique_ptr<routing::Router> mRouter;
   std::unique_ptr<node::CandidateUpdater> mCandidateUpdater;
--- a/src/nutmegrock/overload/EntryAdmission.cpp
+++ b/src/nutmegrock/overload/EntryAdmission.cpp
@@ -89,7 +89,8 @@
     aRequest.mRefusedBefore ? unit * kRefusedBeforeFactor : unit;
   for (auto& [service, level] : mLevels) {
     double seconds = cost == nullptr ? 0 : cost->SlotSecondsAt(service);
-    if (seconds == 0 && (cost == nullptr || !cost->mComplete)) {
+    const bool assumed = seconds == 0 && (cost == nullptr || !cost->mComplete);
+    if (assumed) {
       seconds = kUnknownCost;
     }
     if (seconds == 0) {
@@ -102,6 +103,8 @@
       decision.mService = service;
       decision.mLoad = level.Load();
       decision.mShare = level.Share();
+      decision.mSlotSeconds = seconds;
+      decision.mCostAssumed = assumed;
       decision.mRetryAfter = RetryDelay(aRequest, unit);
     }
   }
--- a/src/nutmegrock/overload/EntryAdmission.h
+++ b/src/nutmegrock/overload/EntryAdmission.h
@@ -34,6 +34,10 @@
   /// Load of that service and share of the demand that is admitted for it.
   double mLoad = 0;
   double mShare = 1;
+  /// Cost of the request at that service in slot seconds, and true if it was
+  /// assumed because the calls of the route are not known yet.
+  double mSlotSeconds = 0;
+  bool mCostAssumed = false;
   /// Delay after which a refused caller may retry.
   std::chrono::milliseconds mRetryAfter{ 0 };
 };
--- a/src/nutmegrock/overload/SavedCosts.cpp
+++ b/src/nutmegrock/overload/SavedCosts.cpp
@@ -24,14 +24,16 @@
 }
 
 bool
-Differs(double aOld, double aNew)
+DiffersInValue(double aOld, double aNew)
 {
   return std::abs(aNew - aOld) >
          std::max(kMinCost, kMinChange * std::max(aOld, aNew));
 }
 
+} // namespace
+
 bool
-Differs(const RouteCost& aOld, const RouteCost& aNew)
+SavedCosts::Differs(const RouteCost& aOld, const RouteCost& aNew)
 {
   if (aOld.mInternal != aNew.mInternal) {
     return true;
@@ -40,15 +42,14 @@
     return std::any_of(aOne.mServices.begin(),
                        aOne.mServices.end(),
                        [&aOther](const ServiceCost& aCost) {
-                         return Differs(aOther.SlotSecondsAt(aCost.mService),
-                                        aCost.mSlotSeconds);
+                         return DiffersInValue(
+                           aOther.SlotSecondsAt(aCost.mService),
+                           aCost.mSlotSeconds);
                        });
   };
   return any(aOld, aNew) || any(aNew, aOld);
 }
 
-} // namespace
-
 void
 SavedCosts::OnSaved(core::TimePoint aNow, Costs aCosts)
 {
--- a/src/nutmegrock/overload/SavedCosts.h
+++ b/src/nutmegrock/overload/SavedCosts.h
@@ -20,6 +20,8 @@
   /// Returns true if these costs differ enough from the saved ones to be
   /// written now.
   bool IsDue(core::TimePoint aNow, const Costs& aCosts) const;
+  /// Returns true if the costs differ by more than the noise of an estimate.
+  static bool Differs(const RouteCost& aOld, const RouteCost& aNew);
   /// Those of the costs that are complete enough to be saved.
   static Costs CompleteCosts(const Costs& aCosts);
 
