Compare the admitted share with the load that it caused

Callers saw most requests refused or failed for as long as a burst lasted, while the deep service was idle and flooded in turn. Cause: admission divides the share admitted between 1.0 and 0.15 s ago by the present load, but a request reaches a deep service over its whole run time, and servers and entry nodes average the load besides. A share that was compared with the load of an earlier one made both swing.

Past shares now pass through the same steps as the load: a window as long as the time for which the first service of the route runs the request, the age of a report, and the averages of server and entry node.

The test of the failing model passes: load within 0.85 to 1.0 for run times of 0.1 to 1.6 s; before, 0.64 to 1.20 with 1.6 s at three times the demand. Ruled out: noise and unequal nodes, which the model does not have.

--- a/src/nutmegrock/overload/EntryAdmission.cpp
+++ b/src/nutmegrock/overload/EntryAdmission.cpp
@@ -96,7 +96,11 @@
     if (seconds == 0) {
       continue;
     }
-    level.OnDemand(aNow, aRequest.mPriority, seconds);
+    level.OnDemand(aNow,
+                   aRequest.mPriority,
+                   seconds,
+                   cost == nullptr ? core::Duration(0)
+                                   : cost->SpreadAt(service));
     const double admitted = level.Admitted(aRequest.mPriority);
     if (draw >= admitted && decision.mAdmitted) {
       decision.mAdmitted = false;
--- a/src/nutmegrock/overload/RouteCosts.cpp
+++ b/src/nutmegrock/overload/RouteCosts.cpp
@@ -52,6 +52,16 @@
   return 0;
 }
 
+core::Duration
+RouteCost::SpreadAt(std::string_view aService) const
+{
+  if (mServices.empty() || mServices.front().mService == aService) {
+    return core::Duration(0);
+  }
+  return std::chrono::duration_cast<core::Duration>(
+    std::chrono::duration<double>(mServices.front().mSlotSeconds));
+}
+
 void
 RouteCosts::Learn(std::string_view aRoute, const RouteCost& aCost)
 {
--- a/src/nutmegrock/overload/RouteCosts.h
+++ b/src/nutmegrock/overload/RouteCosts.h
@@ -35,6 +35,10 @@
 
   /// Cost at the service in slot seconds; 0 if it is not listed.
   double SlotSecondsAt(std::string_view aService) const;
+  /// Time after its admission over which the calls of a request reach the
+  /// service: zero for the service that runs it first, which holds a slot
+  /// longest, and otherwise the time for which that one runs it.
+  core::Duration SpreadAt(std::string_view aService) const;
   bool operator==(const RouteCost&) const = default;
 };
 
--- a/src/nutmegrock/overload/ShedLevel.cpp
+++ b/src/nutmegrock/overload/ShedLevel.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace nutmegrock::overload {
 
@@ -17,6 +18,13 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
+/// Weight of the newest value in a moving average.
+double
+StepOf(core::Duration aElapsed, core::Duration aTimeConstant)
+{
+  return 1 - std::exp(-SecondsOf(aElapsed) / SecondsOf(aTimeConstant));
+}
+
 } // namespace
 
 ShedLevel::ShedLevel(ShedLevelSettings aSettings)
@@ -34,6 +42,7 @@
     for (double& demand : mDemand) {
       demand *= keep;
     }
+    mDemandSpread *= keep;
   }
   mDecayedAt = aNow;
 }
@@ -41,24 +50,39 @@
 void
 ShedLevel::OnDemand(core::TimePoint aNow,
                     std::uint32_t aPriority,
-                    double aSlotSeconds)
+                    double aSlotSeconds,
+                    core::Duration aSpread)
 {
   DecayDemand(aNow);
   mDemand.at(std::min<std::size_t>(aPriority, kPriorities - 1)) += aSlotSeconds;
+  mDemandSpread += aSlotSeconds * SecondsOf(aSpread);
 }
 
-// Mean share over the lag window. Before the first update everything was
-// admitted.
+// Mean spread of the demand.
+core::Duration
+ShedLevel::Spread() const
+{
+  const double total = std::accumulate(mDemand.begin(), mDemand.end(), 0.0);
+  if (total <= 0) {
+    return core::Duration(0);
+  }
+  return std::min(mSettings.mMaxSpread,
+                  std::chrono::duration_cast<core::Duration>(
+                    std::chrono::duration<double>(mDemandSpread / total)));
+}
+
+// Mean share of the requests whose calls the latest load report covers. Before
+// the first update everything was admitted.
 double
-ShedLevel::LaggedShare(core::TimePoint aNow) const
+ShedLevel::ArrivingShare(core::TimePoint aNow) const
 {
-  const core::TimePoint begin = aNow - mSettings.mLagBegin;
-  const core::TimePoint end = aNow - mSettings.mLagEnd;
+  const core::TimePoint end = aNow - mSettings.mReportDelay;
+  const core::TimePoint begin = end - Spread();
   double sum = 0;
   core::TimePoint at = begin;
   double share = 1;
   for (const PastShare& past : mHistory) {
-    if (past.mAt >= end) {
+    if (past.mAt > end) {
       break;
     }
     if (past.mAt > at) {
@@ -67,28 +91,35 @@
     }
     share = past.mShare;
   }
-  sum += share * SecondsOf(end - at);
-  return sum / SecondsOf(end - begin);
+  if (begin == end) {
+    return share;
+  }
+  return (sum + share * SecondsOf(end - at)) / SecondsOf(end - begin);
 }
 
 void
 ShedLevel::Update(core::TimePoint aNow, double aLoad)
 {
   const double load = std::min(aLoad, mSettings.mMaxLoad);
+  const double arriving = ArrivingShare(aNow);
   if (mUpdatedAt == core::TimePoint{}) {
     mLoad = load;
   } else {
-    const double step = 1 - std::exp(-SecondsOf(aNow - mUpdatedAt) /
-                                     SecondsOf(mSettings.mSmoothing));
+    const core::Duration elapsed = aNow - mUpdatedAt;
+    mServerShare +=
+      StepOf(elapsed, mSettings.mServerSmoothing) * (arriving - mServerShare);
+    const double step = StepOf(elapsed, mSettings.mSmoothing);
+    mLoadShare += step * (mServerShare - mLoadShare);
     mLoad += step * (load - mLoad);
   }
   mUpdatedAt = aNow;
-  const double fits =
-    LaggedShare(aNow) * mSettings.mTarget / std::max(mLoad, 0.01);
+  const double fits = mLoadShare * mSettings.mTarget / std::max(mLoad, 0.01);
   mShare = std::clamp(fits, mSettings.mMinShare, kMaxShare);
   mHistory.push_back({ aNow, std::min(1.0, mShare) });
-  // The newest share older than the window still applies at its begin.
-  while (mHistory.size() > 1 && aNow - mHistory[1].mAt > mSettings.mLagBegin) {
+  // The newest share older than the longest window still applies at its begin.
+  const core::TimePoint oldest =
+    aNow - mSettings.mReportDelay - mSettings.mMaxSpread;
+  while (mHistory.size() > 1 && mHistory[1].mAt < oldest) {
     mHistory.pop_front();
   }
 }
--- a/tests/overload/ShedLevelTest.cpp
+++ b/tests/overload/ShedLevelTest.cpp
@@ -31,8 +31,8 @@
     int samples = 0;
     for (milliseconds at(0); at < aTime; at += kStep) {
       mNow += kStep;
-      mLevel.OnDemand(mNow, 0, 0.2 * aLoad);
-      mLevel.OnDemand(mNow, 2, 0.8 * aLoad);
+      mLevel.OnDemand(mNow, 0, 0.2 * aLoad, aLag);
+      mLevel.OnDemand(mNow, 2, 0.8 * aLoad, aLag);
       mAdmitted.push_back(
         aLoad * (0.2 * mLevel.Admitted(0) + 0.8 * mLevel.Admitted(2)));
       const double load =
@@ -79,7 +79,7 @@
     LoadRange range;
     for (milliseconds at(0); at < aTime; at += kStep) {
       mNow += kStep;
-      mLevel.OnDemand(mNow, 2, aDemand);
+      mLevel.OnDemand(mNow, 2, aDemand, aRunTime);
       mAdmitted.push_front(aDemand * mLevel.Admitted(2));
       mAdmitted.resize(run_steps);
       mLoad = std::accumulate(mAdmitted.begin(), mAdmitted.end(), 0.0) /
@@ -144,8 +144,7 @@
 // Requests call the deep service up to 1.6 s after their admission. Guards
 // against an admitted share that oscillated: the service was idle and flooded
 // in turn, and most requests were refused or failed.
-TEST_CASE("the load of a deep service settles instead of oscillating" *
-          doctest::should_fail())
+TEST_CASE("the load of a deep service settles instead of oscillating")
 {
   for (const int run_time : { 100, 500, 1000, 1600 }) {
     for (const double demand : { 2.0, 3.0 }) {
