Bound what is read from a server whose bytes never end

A faulty backend server may send bytes that are no response, or a response without an end, until its caller closes. A response head was bounded already; the rest was not: chunk extensions and trailers were kept in memory without a limit, interim responses and responses to earlier requests were read until the deadline, bytes after an early response as long as the request's body was sent, and the body of a health check for ever. A body that had been forwarded in part when the deadline passed was ended with an error text and a last chunk, so that it looked complete.

The parser rejects framing that exceeds the header limit, a connection accepts 1 MiB of other responses, reading pauses after an early response, a health check is cancelled after 64 KiB or 2 s, and a response cut off midway closes the connection of the caller. The response itself stays bounded by back pressure and the deadline.

Each of the new tests failed or hung on the old code and passes now. Responses of the store are not included: its client reads them whole.

--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -514,9 +514,7 @@
   mServersReached += reached_server ? 1 : 0;
   mPossiblyRun = mPossiblyRun || !not_run;
   if (mStreaming) {
-    mExchange->Abort();
-    LogEnd(0, "answer ended early");
-    Finish();
+    AbortResponse(aError);
     return;
   }
   mBuffered.clear();
@@ -570,6 +568,10 @@
   if (mDone) {
     return;
   }
+  if (mStreaming) {
+    AbortResponse(aError);
+    return;
+  }
   core::Error error = mPossiblyRun ? core::MarkPossiblyRun(aError) : aError;
   unsigned status = core::RowOf(error.mKind).mStatus;
   const bool client_fault = status >= 400 && status < 500;
@@ -606,6 +608,23 @@
   Finish();
 }
 
+void
+EntryCall::AbortResponse(const core::Error& aError)
+{
+  const std::string reason(core::RowOf(aError.mKind).mName);
+  mEntry.mComponents.mRegistry
+    .CounterOf("nutmegrock_response_aborted_total",
+               { { "route", mRoute->mName },
+                 { "reason", reason },
+                 { "from", std::string(CallerKind()) } })
+    .Add();
+  if (mEntry.mComponents.mLog.ShouldLogRequest(mEntry.mComponents.mNow())) {
+    LogEnd(mHead.mStatus, "response ended early, " + reason);
+  }
+  mExchange->Abort();
+  Finish();
+}
+
 void
 EntryCall::LogEnd(unsigned aStatus, std::string_view aReason)
 {
--- a/src/nutmegrock/gateway/EntryCall.h
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -83,6 +83,9 @@
   /// retry.
   bool ShouldReplace(const proxy::ResponseHead& aHead);
   void Fail(const core::Error& aError);
+  /// Closes the caller's connection in the middle of the response, so that the
+  /// response cannot be taken for complete.
+  void AbortResponse(const core::Error& aError);
   void SendBufferedResponse();
   /// Starts the response to the caller with mHead.
   void ForwardHead();
--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -38,6 +38,8 @@
 /// anyway.
 constexpr std::uint32_t kMaxProbes = 3;
 constexpr milliseconds kProbeInterval{ 400 };
+/// Time after which a health check without a complete response is cancelled.
+constexpr milliseconds kProbeTimeout{ 2'000 };
 /// Threads for the store client; at most three calls run concurrently.
 constexpr std::size_t kStoreThreads = 4;
 
@@ -462,6 +464,9 @@
 void
 GatewayRuntime::Components::ProbeServer(core::TimePoint aNow)
 {
+  if (mProbe && aNow - mProbedAt >= kProbeTimeout) {
+    mProbe.reset();
+  }
   const routes::RouteSetPtr routes = mRoutes.Current();
   if (mServing->Server().Latest() || mStopping || !routes ||
       mProbeCount >= kMaxProbes || aNow - mProbedAt < kProbeInterval) {
--- a/src/nutmegrock/gateway/ServerProbe.cpp
+++ b/src/nutmegrock/gateway/ServerProbe.cpp
@@ -7,6 +7,13 @@
 
 namespace nutmegrock::gateway {
 
+namespace {
+
+/// Maximum size of the body of a health check's response, in bytes.
+constexpr std::size_t kMaxBodyBytes = std::size_t{ 64 } * 1024;
+
+} // namespace
+
 std::shared_ptr<ServerProbe>
 ServerProbe::Send(proxy::ClientPool& aPool,
                   const core::Address& aServer,
@@ -26,6 +33,22 @@
 {
 }
 
+ServerProbe::~ServerProbe()
+{
+  if (mRequest) {
+    mRequest->Cancel();
+  }
+}
+
+void
+ServerProbe::OnResponseBody(std::string_view aBytes)
+{
+  mBodyBytes += aBytes.size();
+  if (mBodyBytes > kMaxBodyBytes && mRequest) {
+    std::exchange(mRequest, nullptr)->Cancel();
+  }
+}
+
 void
 ServerProbe::OnResponseHead(const proxy::ResponseHead& aHead)
 {
--- a/src/nutmegrock/gateway/ServerProbe.h
+++ b/src/nutmegrock/gateway/ServerProbe.h
@@ -4,6 +4,7 @@
 #include "proxy/ClientPool.h"
 #include "proxy/Streams.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -27,23 +28,26 @@
   using Handler = std::function<void(const ServerHealth&)>;
 
   /// Sends the check. Calls the handler when the server is healthy and reports
-  /// its identity; otherwise nothing happens. Destroying the probe drops the
-  /// response.
+  /// its identity; otherwise nothing happens. Destroying the probe cancels it.
   static std::shared_ptr<ServerProbe> Send(proxy::ClientPool& aPool,
                                            const core::Address& aServer,
                                            const std::string& aPath,
                                            Handler aHandler);
 
   explicit ServerProbe(Handler aHandler);
+  ServerProbe(const ServerProbe&) = delete;
+  ServerProbe& operator=(const ServerProbe&) = delete;
+  ~ServerProbe() override;
 
   void OnResponseHead(const proxy::ResponseHead& aHead) override;
-  void OnResponseBody(std::string_view) override {}
-  void OnResponseEnd() override {}
-  void OnResponseFailed(const core::Error&) override {}
+  void OnResponseBody(std::string_view aBytes) override;
+  void OnResponseEnd() override { mRequest.reset(); }
+  void OnResponseFailed(const core::Error&) override { mRequest.reset(); }
   void OnRequestSent() override {}
 
 private:
   const Handler mHandler;
+  std::size_t mBodyBytes = 0;
   proxy::OutgoingRequestPtr mRequest;
 };
 
--- a/src/nutmegrock/proxy/ClientConnection.cpp
+++ b/src/nutmegrock/proxy/ClientConnection.cpp
@@ -15,6 +15,10 @@
 /// Maximum size of a response head in bytes.
 constexpr std::uint32_t kMaxHeaderBytes = 64U * 1024U;
 
+/// Maximum size of interim responses and responses to earlier requests that
+/// arrive before the response to the current request, in bytes.
+constexpr std::size_t kMaxDroppedBytes = std::size_t{ 1024 } * 1024;
+
 /// Idle time after which a connection is not reused if the other side has sent
 /// no keep-alive timeout.
 constexpr std::chrono::seconds kDefaultIdleTimeout{ 4 };
@@ -96,6 +100,7 @@
   mResponded = false;
   mUnexpected = false;
   mKeepAlive = true;
+  mDroppedBytes = 0;
   mParser.reset();
   mChannel->Write(aRequest.mHead);
   if (!aRequest.mBody.empty()) {
@@ -138,7 +143,8 @@
 void
 ClientConnection::PauseResponse(bool aPaused)
 {
-  if (!mClosed) {
+  // After the response, OnBytesAfterResponse() decides.
+  if (!mClosed && !mResponded) {
     mChannel->SetPaused(aPaused);
   }
 }
@@ -164,13 +170,7 @@
 {
   const auto self = shared_from_this();
   if (!mBusy || mResponded) {
-    // These bytes belong to no request.
-    mPool.CountUnexpectedResponse();
-    if (mBusy) {
-      mKeepAlive = false;
-      return;
-    }
-    Close();
+    OnBytesAfterResponse();
     return;
   }
   std::string joined;
@@ -189,6 +189,11 @@
     if (mClosed) {
       return;
     }
+    const bool dropped = mParser->HasHead() &&
+                         (mUnexpected || mParser->MessageHead().mStatus < 200);
+    if (dropped && !CountDropped(used)) {
+      return;
+    }
     if (code && code != http::error::need_more) {
       Fail(core::ErrorKind::BackendProtocol,
            "the response is not valid HTTP: " + code.message());
@@ -212,6 +217,32 @@
   }
 }
 
+// Bytes that belong to no request. While the rest of a request's body is sent
+// they are left unread, since they may have no end.
+void
+ClientConnection::OnBytesAfterResponse()
+{
+  mPool.CountUnexpectedResponse();
+  if (mBusy) {
+    mKeepAlive = false;
+    mChannel->SetPaused(true);
+    return;
+  }
+  Close();
+}
+
+bool
+ClientConnection::CountDropped(std::size_t aBytes)
+{
+  mDroppedBytes += aBytes;
+  if (mDroppedBytes <= kMaxDroppedBytes) {
+    return true;
+  }
+  Fail(core::ErrorKind::BackendProtocol,
+       "too many bytes of other responses before the response");
+  return false;
+}
+
 void
 ClientConnection::OnHead()
 {
--- a/src/nutmegrock/proxy/ClientConnection.h
+++ b/src/nutmegrock/proxy/ClientConnection.h
@@ -65,6 +65,10 @@
 private:
   void OnConnected(bool aSuccess);
   void OnBytes(std::string_view aBytes);
+  void OnBytesAfterResponse();
+  /// Counts bytes of interim responses and of responses to earlier requests.
+  /// Fails the request and returns false when there are too many.
+  bool CountDropped(std::size_t aBytes);
   void MakeParser();
   void OnHead();
   void OnBody(std::string_view aBytes);
@@ -85,6 +89,8 @@
   core::Duration mMaxIdleTime;
   core::TimePoint mSince;
   std::uint64_t mRequestNumber = 0;
+  /// Bytes of other responses that arrived before that of the current request.
+  std::size_t mDroppedBytes = 0;
   bool mConnecting = false;
   bool mBusy = false;
   bool mIsHead = false;
--- a/src/nutmegrock/proxy/MessageParser.cpp
+++ b/src/nutmegrock/proxy/MessageParser.cpp
@@ -89,6 +89,7 @@
                                         std::uint64_t aMaxBodyBytes)
   : mNames(aNames)
   , mHooks(std::move(aHooks))
+  , mMaxHeaderBytes(aMaxHeaderBytes)
 {
   Base::header_limit(aMaxHeaderBytes);
   Base::body_limit(aMaxBodyBytes);
@@ -99,8 +100,13 @@
 std::size_t
 MessageParser<IsRequest>::Put(std::string_view aBytes, Code& aCode)
 {
-  return Base::put(boost::asio::const_buffer(aBytes.data(), aBytes.size()),
-                   aCode);
+  const std::size_t used =
+    Base::put(boost::asio::const_buffer(aBytes.data(), aBytes.size()), aCode);
+  if (aCode == http::error::need_more &&
+      aBytes.size() - used > mMaxHeaderBytes) {
+    aCode = http::error::header_limit;
+  }
+  return used;
 }
 
 template<bool IsRequest>
--- a/src/nutmegrock/proxy/MessageParser.h
+++ b/src/nutmegrock/proxy/MessageParser.h
@@ -39,7 +39,8 @@
 
   /// Parses bytes and returns how many were consumed; the rest has to be passed
   /// again, followed by more. aCode is need_more if the message is not
-  /// complete.
+  /// complete, and header_limit if the rest exceeds the header limit, as chunk
+  /// extensions or trailers without end do.
   std::size_t Put(std::string_view aBytes, Code& aCode);
   /// The connection has ended. aCode is set if the message is not complete.
   void PutEnd(Code& aCode);
@@ -77,6 +78,7 @@
 
   const HeaderNames& mNames;
   const ParserHooks mHooks;
+  const std::uint32_t mMaxHeaderBytes;
   Head mHead;
   /// Header names listed in Connection, which must not be forwarded.
   std::string mConnectionOptions;
--- a/tests/gateway/PathTest.cpp
+++ b/tests/gateway/PathTest.cpp
@@ -260,6 +260,38 @@
   CHECK(server.WaitForClose());
 }
 
+// Guards against a server that sends a body without end: it is held only until
+// the deadline, and the part that was forwarded is not taken for a response.
+TEST_CASE("a body without end is cut off at the deadline and looks incomplete")
+{
+  const std::string chunk = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
+  for (const std::string framing : { "Transfer-Encoding: chunked\r\n", "" }) {
+    CAPTURE(framing);
+    Node node;
+    RawSocket client = node.Connect();
+    client.Write(Node::Request("read", 400));
+    RawSocket server = node.Server().Accept();
+    server.ReadUntil("\r\n\r\n");
+    auto written = std::async(std::launch::async, [&] {
+      server.Write("HTTP/1.1 200 OK\r\nNutmegrock-Request: id-1\r\n"
+                   "Nutmegrock-Seal: s\r\n" +
+                   framing + "\r\n");
+      const auto until = core::Clock::now() + std::chrono::seconds(5);
+      while (server.TryWrite(chunk, std::chrono::seconds(2)) == chunk.size()) {
+        if (core::Clock::now() > until) {
+          return false;
+        }
+      }
+      return true;
+    });
+    const std::string response = client.ReadToEnd();
+    CHECK(response.starts_with("HTTP/1.1 200"));
+    CHECK(response.find("Transfer-Encoding: chunked") != std::string::npos);
+    CHECK(!response.ends_with("0\r\n\r\n"));
+    CHECK(written.get());
+  }
+}
+
 TEST_CASE("a disconnecting caller cancels its request at the server")
 {
   Node node;
--- /dev/null
+++ b/tests/gateway/ServerProbeTest.cpp
@@ -0,0 +1,117 @@
+#include "gateway/ServerProbe.h"
+
+#include "tests/transport/RawSocket.h"
+
+#include <boost/asio/post.hpp>
+#include <doctest/doctest.h>
+#include <future>
+#include <thread>
+
+using namespace nutmegrock;
+using namespace nutmegrock::gateway;
+using nutmegrock::tests::RawServer;
+using nutmegrock::tests::RawSocket;
+
+namespace {
+
+/// A pool on a thread of its own that sends one health check.
+class ProbeThread
+{
+public:
+  explicit ProbeThread(const core::Address& aServer)
+  {
+    Do([&] {
+      mPool = std::make_unique<proxy::ClientPool>(
+        mIo, proxy::HeaderNames(), [] { return core::Clock::now(); });
+      mProbe = ServerProbe::Send(
+        *mPool, aServer, "/health", [this](const ServerHealth& aHealth) {
+          mHealth = aHealth;
+        });
+    });
+  }
+  ProbeThread(const ProbeThread&) = delete;
+  ProbeThread& operator=(const ProbeThread&) = delete;
+  ~ProbeThread()
+  {
+    Do([this] {
+      mProbe.reset();
+      mPool.reset();
+    });
+    mIo.stop();
+    mThread.join();
+  }
+  void Cancel()
+  {
+    Do([this] { mProbe.reset(); });
+  }
+  std::optional<ServerHealth> Health()
+  {
+    std::optional<ServerHealth> health;
+    Do([&] { health = mHealth; });
+    return health;
+  }
+
+private:
+  template<class Function>
+  void Do(Function aFunction)
+  {
+    std::promise<void> done;
+    boost::asio::post(mIo, [&] {
+      aFunction();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  boost::asio::io_context mIo{ 1 };
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    mWork = boost::asio::make_work_guard(mIo);
+  std::thread mThread{ [this] { mIo.run(); } };
+  std::unique_ptr<proxy::ClientPool> mPool;
+  std::shared_ptr<ServerProbe> mProbe;
+  std::optional<ServerHealth> mHealth;
+};
+
+const std::string kHealthy = "HTTP/1.1 200 OK\r\nNutmegrock-Server: i-1\r\n"
+                             "Nutmegrock-Load: 0,0,4\r\n";
+
+} // namespace
+
+TEST_CASE("a health check reports the identity and slots of the server")
+{
+  RawServer server;
+  ProbeThread probe(server.Address());
+  RawSocket connection = server.Accept();
+  connection.ReadUntil("\r\n\r\n");
+  connection.Write(kHealthy + "Content-Length: 2\r\n\r\nok");
+  for (int i = 0; i < 400 && !probe.Health(); ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  CHECK(probe.Health() == ServerHealth{ "i-1", 4 });
+}
+
+// Guards against a server that answers a health check with bytes without end,
+// which would be read as long as both processes live.
+TEST_CASE("a health check whose body has no end is cancelled")
+{
+  RawServer server;
+  const ProbeThread probe(server.Address());
+  RawSocket connection = server.Accept();
+  connection.ReadUntil("\r\n\r\n");
+  connection.Write(kHealthy + "\r\n");
+  const std::string bytes(std::size_t{ 64 } * 1024 * 1024, 'x');
+  CHECK(connection.TryWrite(bytes, std::chrono::seconds(2)) < bytes.size());
+}
+
+// Guards against a connection that stays open after a health check without a
+// response was given up.
+TEST_CASE("destroying a health check closes its connection")
+{
+  RawServer server;
+  ProbeThread probe(server.Address());
+  RawSocket connection = server.Accept();
+  connection.ReadUntil("\r\n\r\n");
+  connection.Write("HTTP/1.1 200 OK\r\n");
+  probe.Cancel();
+  CHECK(connection.WaitForClose());
+}
--- a/tests/proxy/ConnectionTest.cpp
+++ b/tests/proxy/ConnectionTest.cpp
@@ -70,9 +70,11 @@
     mEnd.set_value(aError);
   }
   void OnRequestSent() override {}
+  /// The end; holds the error, or nothing if the response is complete.
+  std::future<std::optional<core::Error>> End() { return mEnd.get_future(); }
   /// Waits for the end; returns the error, or nothing if the response is
   /// complete.
-  std::optional<core::Error> Wait() { return mEnd.get_future().get(); }
+  std::optional<core::Error> Wait() { return End().get(); }
 
   ResponseHead mHead;
   std::string mBody;
@@ -292,3 +294,82 @@
   CHECK(error->mRun == core::RunCertainty::NotRun);
   thread.Run([&] { pool.reset(); });
 }
+
+// Guards against a server that sends bytes that are no response until the
+// caller closes: memory, and the time for which the connection is held, stay
+// bounded without the help of the deadline.
+TEST_CASE(
+  "response bytes without end fail the request and close the connection")
+{
+  constexpr std::size_t kManyBytes = std::size_t{ 32 } * 1024 * 1024;
+  struct Case
+  {
+    std::string mStart;
+    std::string mRepeated;
+  };
+  const Case cases[] = {
+    { "", "xxxxxxxx" },
+    { "HTTP/1.1 200 ", "xxxxxxxx" },
+    { "HTTP/1.1 200 OK\r\n", "X-A: yyyy\r\n" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", "xxxxxxxx" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+      "X-A: yyyy\r\n" },
+    { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "", ResponseText("earlier", "one") },
+    { "HTTP/1.1 200 OK\r\nNutmegrock-Request: earlier\r\n\r\n", "xxxxxxxx" },
+  };
+  for (const Case& endless : cases) {
+    CAPTURE(endless.mStart);
+    CAPTURE(endless.mRepeated);
+    IoThread thread;
+    RawServer server;
+    std::unique_ptr<ClientPool> pool;
+    thread.Run([&] {
+      pool = std::make_unique<ClientPool>(thread.Io(), HeaderNames(), Now);
+    });
+    const auto sink = std::make_shared<ResponseCollector>();
+    auto end = sink->End();
+    thread.Run([&] { pool->Send(server.Address(), Get("a"), sink); });
+    RawSocket connection = server.Accept();
+    connection.ReadUntil("\r\n\r\n");
+    std::string bytes = endless.mStart;
+    while (bytes.size() < kManyBytes) {
+      bytes += endless.mRepeated;
+    }
+    CHECK(connection.TryWrite(bytes, std::chrono::seconds(2)) < bytes.size());
+    REQUIRE(end.wait_for(std::chrono::seconds(2)) == std::future_status::ready);
+    const auto error = end.get();
+    REQUIRE(error.has_value());
+    CHECK(error->mKind == core::ErrorKind::BackendProtocol);
+    CHECK(error->mRun == core::RunCertainty::Unknown);
+    thread.Run([&] { pool.reset(); });
+  }
+}
+
+// Guards against reading without end from a server that responds before it has
+// the whole body of the request, and then continues to send.
+TEST_CASE("bytes after an early response are not read while the body is sent")
+{
+  IoThread thread;
+  RawServer server;
+  std::unique_ptr<ClientPool> pool;
+  OutgoingRequestPtr outgoing;
+  const auto sink = std::make_shared<ResponseCollector>();
+  thread.Run([&] {
+    pool = std::make_unique<ClientPool>(thread.Io(), HeaderNames(), Now);
+    ClientRequest request = Get("a");
+    request.mFraming = BodyFraming::Chunked;
+    request.mBodyComplete = false;
+    outgoing = pool->Send(server.Address(), std::move(request), sink);
+  });
+  RawSocket connection = server.Accept();
+  connection.ReadUntil("\r\n\r\n");
+  connection.Write(ResponseText("a", "early"));
+  CHECK(!sink->Wait().has_value());
+  const std::string bytes(std::size_t{ 64 } * 1024 * 1024, 'x');
+  CHECK(connection.TryWrite(bytes, std::chrono::milliseconds(300)) <
+        bytes.size());
+  thread.Run([&] { outgoing->EndBody(); });
+  CHECK(connection.WaitForClose());
+  thread.Run([&] { pool.reset(); });
+}
--- a/tests/proxy/MessageParserTest.cpp
+++ b/tests/proxy/MessageParserTest.cpp
@@ -125,3 +125,23 @@
     CHECK(ParseIn<RequestParser>(text, 3).mFailed);
   }
 }
+
+// Guards against unbounded memory: a server sends a chunk extension or trailers
+// that never end.
+TEST_CASE("framing without end is rejected before it exceeds the header limit")
+{
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string trailers = "0\r\n";
+  for (int i = 0; i < 500; ++i) {
+    trailers += "X-A: yyyy\r\n";
+  }
+  for (const std::string& framing :
+       { "4;" + std::string(5000, 'x'), std::string(5000, '0'), trailers }) {
+    for (const std::size_t piece : { 7U, 100U, 10'000U }) {
+      CAPTURE(framing.substr(0, 20));
+      CAPTURE(piece);
+      CHECK(ParseIn<ResponseParser>(head + framing, piece).mFailed);
+    }
+  }
+}
--- a/tests/transport/RawSocket.h
+++ b/tests/transport/RawSocket.h
@@ -9,8 +9,10 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
+#include <chrono>
 #include <memory>
 #include <optional>
+#include <poll.h>
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
@@ -45,6 +47,26 @@
     boost::system::error_code ignored;
     boost::asio::write(mSocket, boost::asio::buffer(aBytes), ignored);
   }
+  /// Writes until all bytes are written, the other side closes, or it takes no
+  /// bytes for aTimeout. Returns the number of bytes written.
+  std::size_t TryWrite(std::string_view aBytes,
+                       std::chrono::milliseconds aTimeout)
+  {
+    std::size_t written = 0;
+    pollfd ready{ mSocket.native_handle(), POLLOUT, 0 };
+    while (written < aBytes.size() &&
+           ::poll(&ready, 1, static_cast<int>(aTimeout.count())) == 1) {
+      const ssize_t count = ::send(mSocket.native_handle(),
+                                   aBytes.data() + written,
+                                   aBytes.size() - written,
+                                   MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (count < 0) {
+        break;
+      }
+      written += static_cast<std::size_t>(count);
+    }
+    return written;
+  }
   void WriteFrame(const gen::PeerFrame& aFrame)
   {
     std::string bytes;
