Leave requests of callers out of the learned calls of a server

Uploads, which call nothing, were refused for the load of services that other requests lead to: their learned cost named dispatch 0.449 s, depot-stock 0.423 s. Cause: while the routes of callers are unknown, their requests count as calls of the local server, and stay in its call graph for several times 12 s after they are known.

Composing a cost now skips calls on routes that are known to be external. Ruled out by the log of the cost: the value assumed for unknown costs.

The test finds 0.6 s of dispatch in the cost of an upload on the old code.

--- a/src/nutmegrock/overload/RouteCosts.cpp
+++ b/src/nutmegrock/overload/RouteCosts.cpp
@@ -152,6 +152,10 @@
       cost.mComplete = false;
       continue;
     }
+    // While a route is unknown, requests of callers are counted as calls.
+    if (below->mInternal == false) {
+      continue;
+    }
     cost.mComplete = cost.mComplete && below->mComplete;
     for (const ServiceCost& part : below->mServices) {
       Add(cost.mServices, part.mService, part.mSlotSeconds * call.mPerRun);
--- a/tests/overload/CallGraphTest.cpp
+++ b/tests/overload/CallGraphTest.cpp
@@ -97,6 +97,29 @@
   CHECK(status.SlotSecondsAt("tracker") == doctest::Approx(0.3));
 }
 
+// Load pattern: the first seconds after a start, when no node knows which
+// routes backend servers call. Guards against shedding uploads, which call
+// nothing, for the services that other requests of the same callers lead to.
+TEST_CASE("requests received before their route is known are not nested calls")
+{
+  CallGraph graph;
+  core::TimePoint now = kStart;
+  for (int i = 0; i < 60; ++i) {
+    now += milliseconds(100);
+    graph.OnRun(now, "upload");
+    graph.OnCall(now, "check");
+    graph.OnCall(now, "roster");
+  }
+  RouteCosts costs;
+  costs.Learn("roster", { { { "roster", 0.02 } }, true, true });
+  costs.Learn("check", { { { "dispatch", 0.6 } }, true, {} });
+  costs.Learn("check", { { { "dispatch", 0.6 } }, true, false });
+  const RouteCost upload = costs.Compose("upload", "assessor", 0.1, graph);
+  CHECK(upload.mComplete);
+  CHECK(upload.SlotSecondsAt("dispatch") == 0);
+  CHECK(upload.SlotSecondsAt("roster") == doctest::Approx(0.02).epsilon(0.05));
+}
+
 // Otherwise nested calls would be refused as if they were new requests.
 TEST_CASE("a route called from few services is internal")
 {
