Do not take servers that refuse calls for idle ones

While every server of the deep service refused 55% of its calls, all requests that need ten of them were admitted and failed, and when the servers accepted calls again a flood followed. Cause: a request that loses a call makes no further ones, so the load, which is measured by calls, fell to a fraction of the demand and the admitted share grew.

While a server refuses a fifth of the started calls, its node reports at least a load of 0.9, at which entry nodes keep their share. Not mended by this: trucks, which could use retries then, lack allowance (122 of 186 logged failures had one attempt and no allowance left), since each node only spends what its own requests have earned.

--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -166,6 +166,7 @@
     mServing.OnServerLoad(aHead.mLoad);
   }
   if (aHead.mNotRun) {
+    mServing.mQueue.OnRefused(mServing.mComponents.mNow());
     mServing.mComponents.mRegistry
       .CounterOf("nutmegrock_backend_refused_total",
                  { { "status", fmt::to_string(aHead.mStatus) } })
--- a/src/nutmegrock/overload/WorkQueue.cpp
+++ b/src/nutmegrock/overload/WorkQueue.cpp
@@ -55,8 +55,12 @@
     mRequestedSeconds * DecayFactor(aNow) / SecondsOf(mSettings.mSmoothing);
   const double backlog =
     mItems.empty() ? 0 : mWaitingSeconds / SecondsOf(mSettings.mDrainTime);
-  return std::max((rate + backlog) / mLimit,
-                  static_cast<double>(SlotsInUse()) / mLimit * kRunningLoad);
+  const double load =
+    std::max((rate + backlog) / mLimit,
+             static_cast<double>(SlotsInUse()) / mLimit * kRunningLoad);
+  return mEnded > 1 && mRefused > mSettings.mRefusingShare * mEnded
+           ? std::max(load, mSettings.mRefusingLoad)
+           : load;
 }
 
 core::Expected<bool>
@@ -111,9 +115,28 @@
   return changes;
 }
 
+void
+WorkQueue::CountEnded(core::TimePoint aNow, double aRefused, double aEnded)
+{
+  const double keep = mEndedAt == core::TimePoint{}
+                        ? 0
+                        : std::exp(-SecondsOf(aNow - mEndedAt) /
+                                   SecondsOf(mSettings.mRefusalTime));
+  mEndedAt = aNow;
+  mRefused = mRefused * keep + aRefused;
+  mEnded = mEnded * keep + aEnded;
+}
+
+void
+WorkQueue::OnRefused(core::TimePoint aNow)
+{
+  CountEnded(aNow, 1, 0);
+}
+
 WorkChanges
 WorkQueue::OnEnd(core::TimePoint aNow)
 {
+  CountEnded(aNow, 0, 1);
   WorkChanges changes;
   if (mRunning > 0) {
     --mRunning;
--- a/src/nutmegrock/overload/WorkQueue.h
+++ b/src/nutmegrock/overload/WorkQueue.h
@@ -27,6 +27,15 @@
   /// spread over this time. A shorter time than entry nodes need to take effect
   /// makes them shed more than the backlog.
   core::Duration mDrainTime = std::chrono::milliseconds{ 700 };
+  /// Share of the started calls that the server refuses itself, above which the
+  /// load is at least mRefusingLoad. Requests that lose a call make no further
+  /// ones, so the rate of calls says little about the demand then. That load is
+  /// just below the one at which entry nodes begin to shed: they neither admit
+  /// more nor less than before.
+  double mRefusingShare = 0.2;
+  double mRefusingLoad = 0.9;
+  /// Time constant of the moving average of that share.
+  core::Duration mRefusalTime = std::chrono::milliseconds{ 500 };
 };
 
 /// A call to the backend server.
@@ -68,6 +77,9 @@
   /// Adds a call: returns true if it starts now, false if it waits. Fails with
   /// QueueFull, or with QueueTimeout if it cannot finish before its deadline.
   core::Expected<bool> Offer(core::TimePoint aNow, const WorkItem& aItem);
+  /// The server has refused a started call itself. OnEnd() has to be called,
+  /// too.
+  void OnRefused(core::TimePoint aNow);
   /// A started call has ended.
   WorkChanges OnEnd(core::TimePoint aNow);
   /// Removes a waiting call. Unknown ids are ignored.
@@ -101,6 +113,7 @@
   void Decay(core::TimePoint aNow);
   double DecayFactor(core::TimePoint aNow) const;
   void StartNext(core::TimePoint aNow, WorkChanges& aChanges);
+  void CountEnded(core::TimePoint aNow, double aRefused, double aEnded);
 
   const WorkQueueSettings mSettings;
   std::uint32_t mLimit = 0;
@@ -111,6 +124,11 @@
   /// Requested slot seconds, decaying with mSmoothing.
   double mRequestedSeconds = 0;
   core::TimePoint mDecayedAt;
+  /// Started calls that the server has refused, and all that have ended,
+  /// decaying with mRefusalTime.
+  double mRefused = 0;
+  double mEnded = 0;
+  core::TimePoint mEndedAt;
   /// Slot seconds requested by the waiting calls.
   double mWaitingSeconds = 0;
 };
--- a/tests/overload/ChainModel.cpp
+++ b/tests/overload/ChainModel.cpp
@@ -134,6 +134,19 @@
                                                 1.7 * aMean)(mRandom);
 }
 
+void
+ChainModel::RunAtDispatch(std::uint64_t aId, double aMean)
+{
+  if (std::bernoulli_distribution(mRefusedShare)(mRandom)) {
+    After(0.001, [this, aId] {
+      mDispatch.mQueue.OnRefused(mNow);
+      End(aId, false);
+    });
+    return;
+  }
+  After(WorkTime(aMean), [this, aId] { End(aId, true); });
+}
+
 void
 ChainModel::Arrive(Kind aKind)
 {
@@ -199,17 +212,9 @@
         aDeadline,
         [this, aDeadline](auto aId) {
           After(WorkTime(0.33), [this, aId, aDeadline] {
-            const auto left = std::make_shared<int>(2);
-            const auto failed = std::make_shared<bool>(false);
-            for (int i = 0; i < 2; ++i) {
-              CallRoute(
-                "index", aDeadline, [this, aId, left, failed](bool aSuccess) {
-                  *failed = *failed || !aSuccess;
-                  if (--*left == 0) {
-                    End(aId, !*failed);
-                  }
-                });
-            }
+            CallTogether(2, "index", aDeadline, [this, aId](bool aSuccess) {
+              End(aId, aSuccess);
+            });
           });
         },
         std::move(aDone));
@@ -231,9 +236,7 @@
         "truck",
         objective,
         aDeadline,
-        [this](auto aId) {
-          After(WorkTime(kTruckSeconds), [this, aId] { End(aId, true); });
-        },
+        [this](auto aId) { RunAtDispatch(aId, kTruckSeconds); },
         std::move(aDone));
       break;
   }
@@ -258,6 +261,24 @@
   });
 }
 
+void
+ChainModel::CallTogether(int aCount,
+                         const std::string& aRoute,
+                         core::TimePoint aDeadline,
+                         const Done& aDone)
+{
+  const auto left = std::make_shared<int>(aCount);
+  const auto failed = std::make_shared<bool>(false);
+  for (int i = 0; i < aCount; ++i) {
+    CallRoute(aRoute, aDeadline, [left, failed, aDone](bool aSuccess) {
+      *failed = *failed || !aSuccess;
+      if (--*left == 0) {
+        aDone(!*failed);
+      }
+    });
+  }
+}
+
 void
 ChainModel::CallRoute(const std::string& aRoute,
                       core::TimePoint aDeadline,
@@ -302,9 +323,7 @@
       aRoute,
       0.3,
       limit(700),
-      [this](auto aId) {
-        After(WorkTime(kRosterSeconds), [this, aId] { End(aId, true); });
-      },
+      [this](auto aId) { RunAtDispatch(aId, kRosterSeconds); },
       aDone);
   }
 }
--- a/tests/overload/ChainModel.h
+++ b/tests/overload/ChainModel.h
@@ -48,6 +48,8 @@
   /// Runs for the time with this factor on the usual demand, which is
   /// about 1.35 times the capacity of "dispatch".
   void Run(core::Duration aTime, double aFactor);
+  /// From now on "dispatch" refuses this share of the calls by itself.
+  void SetRefusedShare(double aShare) { mRefusedShare = aShare; }
   const Outcome& OutcomeOf(Kind aKind) const
   {
     return mOutcomes.at(static_cast<std::size_t>(aKind));
@@ -90,6 +92,8 @@
   void At(core::TimePoint aAt, std::function<void()> aAction);
   void After(double aSeconds, std::function<void()> aAction);
   double WorkTime(double aMean);
+  /// Runs a call at "dispatch".
+  void RunAtDispatch(std::uint64_t aId, double aMean);
   void Arrive(Kind aKind);
   void Enter(Kind aKind, core::TimePoint aGivesUpAt, bool aRefusedBefore);
   void Start(Kind aKind, core::TimePoint aDeadline, Done aDone);
@@ -98,6 +102,11 @@
                   const std::string& aRoute,
                   core::TimePoint aDeadline,
                   const Done& aDone);
+  /// Calls the route aCount times at once.
+  void CallTogether(int aCount,
+                    const std::string& aRoute,
+                    core::TimePoint aDeadline,
+                    const Done& aDone);
   void CallRoute(const std::string& aRoute,
                  core::TimePoint aDeadline,
                  const Done& aDone);
@@ -119,6 +128,7 @@
   const core::TimePoint mStart = mNow;
   core::TimePoint mEnd = mNow;
   double mFactor = 0;
+  double mRefusedShare = 0;
   std::priority_queue<Event> mEvents;
   std::uint64_t mEventCount = 0;
   std::uint64_t mNextId = 1;
--- a/tests/overload/ChainTest.cpp
+++ b/tests/overload/ChainTest.cpp
@@ -48,3 +48,30 @@
   CHECK(trucks > 0.95);
   CHECK(uploads > 0.95);
 }
+
+// Load pattern: in a burst, every server of the deepest service refuses half of
+// its calls for some seconds. Requests that lose a call make no further ones.
+// Guards against an admitted share that grows on the missing load, so that a
+// flood follows when the servers accept calls again.
+TEST_CASE("no flood follows when servers accept calls again")
+{
+  constexpr unsigned kSeeds = 8;
+  double served = 0;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    ChainModel model(seed);
+    model.Run(milliseconds(300), 1);
+    model.Run(seconds(12), 1.8);
+    model.SetRefusedShare(0.55);
+    model.Run(seconds(8), 1.8);
+    model.SetRefusedShare(0);
+    const ChainModel::Outcome before =
+      model.OutcomeOf(ChainModel::Kind::Reservation);
+    model.Run(seconds(6), 1);
+    const ChainModel::Outcome& after =
+      model.OutcomeOf(ChainModel::Kind::Reservation);
+    served += static_cast<double>(after.mServed - before.mServed) /
+              (after.mAsked - before.mAsked) / kSeeds;
+  }
+  // All but those of the last second, which are still running.
+  CHECK(served > 5.0 / 6);
+}
