End the fit of the call graph when it has converged

Trying each route for each column of calls with a fixed 300 rounds took 17 ms in the event loop of a node with 16 routes, every 0.4 s (4.4% of a core), and 2.6 ms with eight routes and six kinds of calls. The rounds end now when no coefficient changes by more than 0.001: 1.2 ms (0.30%) and 0.17 ms (0.04%), measured with a loop of 100 intervals around CallGraph. Found by reading the change; the tests of the estimates are the same.

--- a/src/nutmegrock/overload/CallGraph.cpp
+++ b/src/nutmegrock/overload/CallGraph.cpp
@@ -7,9 +7,10 @@
 
 namespace {
 
-/// Iterations of coordinate descent; with few coefficients it converges well
-/// before.
+/// Maximum iterations of coordinate descent, and the change of a coefficient
+/// below which it ends; a single coefficient needs two.
 constexpr int kIterations = 300;
+constexpr double kTolerance = 1e-3;
 /// Added to the diagonal to avoid a division by zero for a route without runs.
 constexpr double kRidge = 1e-3;
 /// Minimum relative decrease of the squared residuals for another route to be
@@ -106,13 +107,17 @@
                std::vector<double>& aPerRun) const
 {
   aPerRun.assign(mRuns.size(), 0);
-  for (int round = 0; round < kIterations; ++round) {
+  double change = 1;
+  for (int round = 0; round < kIterations && change > kTolerance; ++round) {
+    change = 0;
     for (const std::size_t i : aSelected) {
       double rest = mRunCall[i][aCall];
       for (const std::size_t j : aSelected) {
         rest -= j == i ? 0 : mRunRun[i][j] * aPerRun[j];
       }
-      aPerRun[i] = std::max(0.0, rest / (mRunRun[i][i] + kRidge));
+      const double next = std::max(0.0, rest / (mRunRun[i][i] + kRidge));
+      change = std::max(change, std::abs(next - aPerRun[i]));
+      aPerRun[i] = next;
     }
   }
   double residual = mCallCall[aCall];
--- a/src/nutmegrock/overload/ShedLevel.h
+++ b/src/nutmegrock/overload/ShedLevel.h
@@ -17,8 +17,7 @@
   double mMaxLoad = 2.5;
   /// Age of a load report when it is used.
   core::Duration mReportDelay = std::chrono::milliseconds{ 100 };
-  /// Time constant of the moving average that backend servers report as their
-  /// load.
+  /// Time constant of the moving average that serving nodes report as the load.
   core::Duration mServerSmoothing = std::chrono::milliseconds{ 200 };
   /// Time constant of the moving average of the reported load.
   core::Duration mSmoothing = std::chrono::milliseconds{ 400 };
