Share the thread of an io_context between tests and drop unused state

ServerProbeTest had written again what ConnectionTest had: an io_context on a thread of its own, with a function that runs there and is waited for. Both use tests/transport/IoThread.h now. ChainModel loses a member that was local to Run(), a deadline that nobody read, and a wrong figure in a comment (usual demand is 1.4 times the capacity, computed from its rates).

--- a/tests/gateway/ServerProbeTest.cpp
+++ b/tests/gateway/ServerProbeTest.cpp
@@ -1,14 +1,14 @@
 #include "gateway/ServerProbe.h"
 
+#include "tests/transport/IoThread.h"
 #include "tests/transport/RawSocket.h"
 
-#include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
-#include <future>
 #include <thread>
 
 using namespace nutmegrock;
 using namespace nutmegrock::gateway;
+using nutmegrock::tests::IoThread;
 using nutmegrock::tests::RawServer;
 using nutmegrock::tests::RawSocket;
 
@@ -20,9 +20,9 @@
 public:
   explicit ProbeThread(const core::Address& aServer)
   {
-    Do([&] {
+    mThread.Run([&] {
       mPool = std::make_unique<proxy::ClientPool>(
-        mIo, proxy::HeaderNames(), [] { return core::Clock::now(); });
+        mThread.Io(), proxy::HeaderNames(), [] { return core::Clock::now(); });
       mProbe = ServerProbe::Send(
         *mPool, aServer, "/health", [this](const ServerHealth& aHealth) {
           mHealth = aHealth;
@@ -33,40 +33,24 @@
   ProbeThread& operator=(const ProbeThread&) = delete;
   ~ProbeThread()
   {
-    Do([this] {
+    mThread.Run([this] {
       mProbe.reset();
       mPool.reset();
     });
-    mIo.stop();
-    mThread.join();
   }
   void Cancel()
   {
-    Do([this] { mProbe.reset(); });
+    mThread.Run([this] { mProbe.reset(); });
   }
   std::optional<ServerHealth> Health()
   {
     std::optional<ServerHealth> health;
-    Do([&] { health = mHealth; });
+    mThread.Run([&] { health = mHealth; });
     return health;
   }
 
 private:
-  template<class Function>
-  void Do(Function aFunction)
-  {
-    std::promise<void> done;
-    boost::asio::post(mIo, [&] {
-      aFunction();
-      done.set_value();
-    });
-    done.get_future().wait();
-  }
-
-  boost::asio::io_context mIo{ 1 };
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-    mWork = boost::asio::make_work_guard(mIo);
-  std::thread mThread{ [this] { mIo.run(); } };
+  IoThread mThread;
   std::unique_ptr<proxy::ClientPool> mPool;
   std::shared_ptr<ServerProbe> mProbe;
   std::optional<ServerHealth> mHealth;
--- a/tests/overload/ChainModel.cpp
+++ b/tests/overload/ChainModel.cpp
@@ -77,14 +77,14 @@
       Arrive(kind);
     }
   }
-  mEnd = mNow + aTime;
-  while (!mEvents.empty() && mEvents.top().mAt < mEnd) {
+  const core::TimePoint end = mNow + aTime;
+  while (!mEvents.empty() && mEvents.top().mAt < end) {
     const Event event = mEvents.top();
     mEvents.pop();
     mNow = event.mAt;
     event.mAction();
   }
-  mNow = mEnd;
+  mNow = end;
 }
 
 double
@@ -340,7 +340,6 @@
   Call call;
   call.mService = &aService;
   call.mRoute = aRoute;
-  call.mDeadline = aDeadline;
   call.mRun = [run = std::move(aRun), id] { run(id); };
   call.mDone = std::move(aDone);
   mCalls.emplace(id, std::move(call));
--- a/tests/overload/ChainModel.h
+++ b/tests/overload/ChainModel.h
@@ -46,7 +46,7 @@
   explicit ChainModel(unsigned aSeed);
 
   /// Runs for the time with this factor on the usual demand, which is
-  /// about 1.35 times the capacity of "dispatch".
+  /// about 1.4 times the capacity of "dispatch".
   void Run(core::Duration aTime, double aFactor);
   /// From now on "dispatch" refuses this share of the calls by itself.
   void SetRefusedShare(double aShare) { mRefusedShare = aShare; }
@@ -72,7 +72,6 @@
   {
     Service* mService = nullptr;
     std::string mRoute;
-    core::TimePoint mDeadline;
     core::TimePoint mStartedAt;
     bool mRunning = false;
     std::function<void()> mRun;
@@ -126,7 +125,6 @@
   std::mt19937_64 mRandom;
   core::TimePoint mNow{ std::chrono::hours(1) };
   const core::TimePoint mStart = mNow;
-  core::TimePoint mEnd = mNow;
   double mFactor = 0;
   double mRefusedShare = 0;
   std::priority_queue<Event> mEvents;
--- a/tests/proxy/ConnectionTest.cpp
+++ b/tests/proxy/ConnectionTest.cpp
@@ -2,15 +2,16 @@
 #include "proxy/ClientPool.h"
 #include "proxy/HttpListener.h"
 #include "proxy/MessageText.h"
+#include "tests/transport/IoThread.h"
 #include "tests/transport/RawSocket.h"
 
-#include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 #include <future>
 #include <thread>
 
 using namespace nutmegrock;
 using namespace nutmegrock::proxy;
+using nutmegrock::tests::IoThread;
 using nutmegrock::tests::RawServer;
 using nutmegrock::tests::RawSocket;
 
@@ -22,42 +23,6 @@
   return core::Clock::now();
 }
 
-/// An io_context that runs on a thread of its own.
-class IoThread
-{
-public:
-  IoThread()
-    : mWork(boost::asio::make_work_guard(mIo))
-    , mThread([this] { mIo.run(); })
-  {
-  }
-  IoThread(const IoThread&) = delete;
-  IoThread& operator=(const IoThread&) = delete;
-  ~IoThread()
-  {
-    mIo.stop();
-    mThread.join();
-  }
-  boost::asio::io_context& Io() { return mIo; }
-  /// Runs a function on the thread and waits until it returns.
-  template<class Function>
-  void Run(Function aFunction)
-  {
-    std::promise<void> done;
-    boost::asio::post(mIo, [&] {
-      aFunction();
-      done.set_value();
-    });
-    done.get_future().wait();
-  }
-
-private:
-  boost::asio::io_context mIo;
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-    mWork;
-  std::thread mThread;
-};
-
 /// Collects a response.
 class ResponseCollector final : public ResponseSink
 {
