Identify an ended call by its whole latency when ejecting servers

What callers saw: servers without a fault were left out in bursts.

Cause: a call in flight is found by its start, now minus latency, and published routes passed the latency without the time in the queue. A call that had waited was taken for a later one; its own start stayed and made later calls look overdue.

Evidence: the new test, with the latency that callers passed before, ejects a server 100 ms after its calls began, and passes with the queue time given apart. It needs cancelled calls beside waiting ones, so it is a part of the ejections of the incident at most. Class: two meanings in one parameter.

--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -331,8 +331,9 @@
     now,
     mChoice.mIncarnation,
     healthy && mServerLeaving ? routing::AttemptOutcome::Unavailable : aOutcome,
-    std::max(core::Duration(0), now - mAttemptStartedAt - mAttemptQueueTime),
-    mHasFeedback ? &mFeedback : nullptr);
+    now - mAttemptStartedAt,
+    mHasFeedback ? &mFeedback : nullptr,
+    mAttemptQueueTime);
 }
 
 void
--- a/src/nutmegrock/routing/Ejection.cpp
+++ b/src/nutmegrock/routing/Ejection.cpp
@@ -65,7 +65,8 @@
 Ejection::OnEnd(core::TimePoint aNow,
                 std::size_t aServer,
                 AttemptOutcome aOutcome,
-                core::Duration aLatency)
+                core::Duration aLatency,
+                core::Duration aQueueTime)
 {
   Health& health = mServers.at(aServer);
   if (!health.mStarts.empty()) {
@@ -77,6 +78,8 @@
     }
     health.mStarts.erase(start);
   }
+  const core::Duration run_time =
+    std::max(core::Duration(0), aLatency - aQueueTime);
   Decay(aNow, health);
   const bool failed =
     aOutcome == AttemptOutcome::Failed || aOutcome == AttemptOutcome::TimedOut;
@@ -95,7 +98,7 @@
     health.mErrorsInRow = 0;
   }
   if (aOutcome == AttemptOutcome::Ok) {
-    const double seconds = Seconds(aLatency).count();
+    const double seconds = Seconds(run_time).count();
     const double step = 1 + kMedianStep;
     health.mMedian = health.mMedian <= 0        ? seconds
                      : seconds > health.mMedian ? health.mMedian * step
@@ -109,8 +112,8 @@
     if (health.mProbing) {
       const bool slow =
         mMedian > 0 &&
-        Seconds(aLatency).count() > mSettings.mLatencyFactor * mMedian &&
-        aLatency > mSettings.mLatencyFloor;
+        Seconds(run_time).count() > mSettings.mLatencyFactor * mMedian &&
+        run_time > mSettings.mLatencyFloor;
       OnProbeEnd(aNow, health, !failed && !slow);
     }
     return;
--- a/src/nutmegrock/routing/Ejection.h
+++ b/src/nutmegrock/routing/Ejection.h
@@ -90,10 +90,14 @@
   void SetServers(std::span<const core::Incarnation> aServers);
 
   void OnStart(core::TimePoint aNow, std::size_t aServer);
+  /// A call ended. aLatency is the time since OnStart(); aQueueTime is the part
+  /// of it in which the call waited for a slot, which is not held against the
+  /// server.
   void OnEnd(core::TimePoint aNow,
              std::size_t aServer,
              AttemptOutcome aOutcome,
-             core::Duration aLatency);
+             core::Duration aLatency,
+             core::Duration aQueueTime = core::Duration(0));
 
   /// Returns true if the server is ejected. Also ejects a server whose calls in
   /// flight are overdue.
--- a/src/nutmegrock/routing/Router.cpp
+++ b/src/nutmegrock/routing/Router.cpp
@@ -137,10 +137,12 @@
               core::Incarnation aIncarnation,
               AttemptOutcome aOutcome,
               core::Duration aLatency,
-              const core::CallFeedback* aFeedback)
+              const core::CallFeedback* aFeedback,
+              core::Duration aQueueTime)
 {
   Visit(aIncarnation, [&](ServiceRouter& aService) {
-    aService.OnEnd(aNow, aIncarnation, aOutcome, aLatency, aFeedback);
+    aService.OnEnd(
+      aNow, aIncarnation, aOutcome, aLatency, aFeedback, aQueueTime);
   });
 }
 
--- a/src/nutmegrock/routing/Router.h
+++ b/src/nutmegrock/routing/Router.h
@@ -61,12 +61,14 @@
   /// An attempt was sent to the server.
   void OnStart(core::TimePoint aNow, core::Incarnation aIncarnation);
   /// An attempt ended; to be called once for each OnStart(). aLatency is the
-  /// time since OnStart(). aFeedback may be null if there was no response.
+  /// time since OnStart(), aQueueTime the part of it in which the attempt
+  /// waited for a slot. aFeedback may be null if there was no response.
   void OnEnd(core::TimePoint aNow,
              core::Incarnation aIncarnation,
              AttemptOutcome aOutcome,
              core::Duration aLatency,
-             const core::CallFeedback* aFeedback);
+             const core::CallFeedback* aFeedback,
+             core::Duration aQueueTime = core::Duration(0));
 
   /// Number of servers of the service that Choose() may return, without
   /// aExcluded.
--- a/src/nutmegrock/routing/ServiceRouter.cpp
+++ b/src/nutmegrock/routing/ServiceRouter.cpp
@@ -352,13 +352,14 @@
                      core::Incarnation aIncarnation,
                      AttemptOutcome aOutcome,
                      core::Duration aLatency,
-                     const core::CallFeedback* aFeedback)
+                     const core::CallFeedback* aFeedback,
+                     core::Duration aQueueTime)
 {
   const auto found = mIndexOf.find(aIncarnation.mBits);
   if (found == mIndexOf.end()) {
     return;
   }
-  mEjection.OnEnd(aNow, found->second, aOutcome, aLatency);
+  mEjection.OnEnd(aNow, found->second, aOutcome, aLatency, aQueueTime);
   RefreshEntry(found->second);
   Entry& entry = mEntries.at(found->second);
   if (aOutcome == AttemptOutcome::Unavailable) {
--- a/src/nutmegrock/routing/ServiceRouter.h
+++ b/src/nutmegrock/routing/ServiceRouter.h
@@ -37,7 +37,8 @@
              core::Incarnation aIncarnation,
              AttemptOutcome aOutcome,
              core::Duration aLatency,
-             const core::CallFeedback* aFeedback);
+             const core::CallFeedback* aFeedback,
+             core::Duration aQueueTime = core::Duration(0));
   std::uint32_t Available(core::TimePoint aNow,
                           std::span<const core::Incarnation> aExcluded) const;
   const std::vector<Candidate>& Candidates() const { return mCandidates; }
--- a/tests/routing/EjectionTest.cpp
+++ b/tests/routing/EjectionTest.cpp
@@ -115,6 +115,30 @@
             static_cast<std::size_t>(EjectionReason::Overdue)) == 1);
   }
 
+  // Guards against calls that have ended being kept as calls in flight: with
+  // the queue time left out of the latency, a call that had waited was taken
+  // for a later one, and a server was ejected for calls that it had answered.
+  TEST_CASE("calls that waited for a slot are not overdue after their end")
+  {
+    Ejection ejection = Make(4);
+    const core::TimePoint start =
+      Run(ejection, 4, 50, [](int) { return AttemptOutcome::Ok; });
+    ejection.OnStart(start, 0);
+    ejection.OnStart(start, 0);
+    ejection.OnStart(start + 990ms, 0);
+    ejection.OnStart(start + 990ms, 0);
+    for (int i = 0; i < 2; ++i) {
+      ejection.OnEnd(start + 1000ms, 0, AttemptOutcome::Ok, 1000ms, 990ms);
+    }
+    ejection.OnStart(start + 1500ms, 0);
+    ejection.OnStart(start + 1500ms, 0);
+    for (int i = 0; i < 2; ++i) {
+      ejection.OnEnd(start + 1505ms, 0, AttemptOutcome::Cancelled, 515ms);
+    }
+    CHECK_FALSE(ejection.IsEjected(start + 1600ms, 0));
+    CHECK(ejection.IsEjected(start + 2100ms, 0));
+  }
+
   // If all servers fail alike, the cause lies elsewhere, and ejecting servers
   // would only remove capacity.
   TEST_CASE("errors common to all servers eject at most one")
