Judge overdue calls and probes by the time that their route usually takes

Requests went to other zones and to fewer servers.

Cause: the expected time of a call was eight medians over all calls of a service. The service also answers requests of routes that take 2 ms, and before a burst a node has seen little else, so a check of 0.9 s was overdue after the minimum of 0.5 s. A probe with such a check was slow by the same median, so the server did not return. Class: one statistic over kinds of work that differ.

Ruled out: the servers (all 32 are affected, without a fault), the nodes (all 66).

Evidence: both new tests fail with the median as the expected time (not overdue after 3 s; a second probe is due). The entry node passes the run time of the route that serving nodes report anyway; without one a call may take the time it has left.

--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -174,7 +174,7 @@
   mHasFeedback = false;
   mServerLeaving = false;
   mTried.push_back(choice->mIncarnation);
-  mEntry.mRouter.OnStart(now, choice->mIncarnation);
+  mEntry.mRouter.OnStart(now, choice->mIncarnation, TypicalTime(now));
   PeerCall call;
   call.mTarget = choice->mIncarnation;
   call.mService = mService;
@@ -197,6 +197,19 @@
   }
 }
 
+// Routes of one service take different times. A call of a route whose time is
+// not known yet may take all the time that is left.
+core::Duration
+EntryCall::TypicalTime(core::TimePoint aNow) const
+{
+  const overload::RouteCost* cost =
+    mEntry.mComponents.mCosts.Find(mRoute->mName);
+  const double seconds = cost == nullptr ? 0 : cost->SlotSecondsAt(mService);
+  return seconds > 0 ? std::chrono::duration_cast<core::Duration>(
+                         std::chrono::duration<double>(seconds))
+                     : mDeadline - aNow;
+}
+
 // The sink may be called before Start() returns, and the next attempt may have
 // started by then.
 void
--- a/src/nutmegrock/gateway/EntryCall.h
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -72,6 +72,8 @@
   void SetDeadline();
   bool Admit();
   void SendAttempt();
+  /// Time that a call of the route usually takes at the service.
+  core::Duration TypicalTime(core::TimePoint aNow) const;
   void SendToSelf(const PeerCall& aCall);
   void SendToPeer(const PeerCall& aCall);
   /// Reports how the current attempt ended.
--- a/src/nutmegrock/routing/Ejection.cpp
+++ b/src/nutmegrock/routing/Ejection.cpp
@@ -51,11 +51,16 @@
 }
 
 void
-Ejection::OnStart(core::TimePoint aNow, std::size_t aServer)
+Ejection::OnStart(core::TimePoint aNow,
+                  std::size_t aServer,
+                  std::optional<core::Duration> aTypicalTime)
 {
   Health& health = mServers.at(aServer);
-  health.mStarts.insert(
-    std::upper_bound(health.mStarts.begin(), health.mStarts.end(), aNow), aNow);
+  const auto later =
+    std::find_if(health.mCalls.rbegin(),
+                 health.mCalls.rend(),
+                 [&](const Call& aCall) { return aCall.mStart <= aNow; });
+  health.mCalls.insert(later.base(), { aNow, aTypicalTime.value_or(Median()) });
   if (health.mEjected && aNow >= health.mProbeAt) {
     health.mProbing = true;
   }
@@ -69,15 +74,7 @@
                 core::Duration aQueueTime)
 {
   Health& health = mServers.at(aServer);
-  if (!health.mStarts.empty()) {
-    // The start time closest to that indicated by the latency.
-    auto start = std::lower_bound(
-      health.mStarts.begin(), health.mStarts.end(), aNow - aLatency);
-    if (start == health.mStarts.end()) {
-      --start;
-    }
-    health.mStarts.erase(start);
-  }
+  const core::Duration typical = RemoveCall(health, aNow - aLatency);
   const core::Duration run_time =
     std::max(core::Duration(0), aLatency - aQueueTime);
   Decay(aNow, health);
@@ -111,8 +108,8 @@
   if (health.mEjected) {
     if (health.mProbing) {
       const bool slow =
-        mMedian > 0 &&
-        Seconds(run_time).count() > mSettings.mLatencyFactor * mMedian &&
+        typical > core::Duration(0) &&
+        Seconds(run_time) > mSettings.mLatencyFactor * Seconds(typical) &&
         run_time > mSettings.mLatencyFloor;
       OnProbeEnd(aNow, health, !failed && !slow);
     }
@@ -156,7 +153,7 @@
 std::uint32_t
 Ejection::InFlight(std::size_t aServer) const
 {
-  return static_cast<std::uint32_t>(mServers.at(aServer).mStarts.size());
+  return static_cast<std::uint32_t>(mServers.at(aServer).mCalls.size());
 }
 
 double
@@ -242,20 +239,48 @@
   aHealth.mDecayedAt = aNow;
 }
 
+core::Duration
+Ejection::RemoveCall(Health& aHealth, core::TimePoint aStart) const
+{
+  auto& calls = aHealth.mCalls;
+  if (calls.empty()) {
+    return Median();
+  }
+  auto call = std::lower_bound(calls.begin(),
+                               calls.end(),
+                               aStart,
+                               [](const Call& aCall, core::TimePoint aTime) {
+                                 return aCall.mStart < aTime;
+                               });
+  if (call == calls.end()) {
+    --call;
+  }
+  const core::Duration typical = call->mTypicalTime;
+  calls.erase(call);
+  return typical;
+}
+
 bool
 Ejection::IsOverdue(core::TimePoint aNow, const Health& aHealth) const
 {
-  if (aHealth.mStarts.size() < mSettings.mOverdueCalls ||
-      mSettings.mOverdueCalls == 0) {
+  if (aHealth.mCalls.size() < mSettings.mOverdueCalls ||
+      mSettings.mOverdueCalls == 0 ||
+      aHealth.mLastResponse >= aNow - mSettings.mOverdueFloor) {
     return false;
   }
-  const core::Duration expected =
-    std::max(mSettings.mOverdueFloor,
-             std::chrono::duration_cast<core::Duration>(
-               Seconds{ mSettings.mOverdueFactor * mMedian }));
-  const core::TimePoint latest = aNow - expected;
-  return aHealth.mStarts.at(mSettings.mOverdueCalls - 1) < latest &&
-         aHealth.mLastResponse < latest;
+  std::uint32_t overdue = 0;
+  for (const Call& call : aHealth.mCalls) {
+    const core::Duration expected =
+      std::max(mSettings.mOverdueFloor,
+               std::chrono::duration_cast<core::Duration>(
+                 mSettings.mOverdueFactor * Seconds(call.mTypicalTime)));
+    const core::TimePoint latest = aNow - expected;
+    if (call.mStart < latest && aHealth.mLastResponse < latest &&
+        ++overdue >= mSettings.mOverdueCalls) {
+      return true;
+    }
+  }
+  return false;
 }
 
 bool
--- a/src/nutmegrock/routing/Ejection.h
+++ b/src/nutmegrock/routing/Ejection.h
@@ -31,8 +31,8 @@
   double mLatencyFactor = 3;
   /// Minimum latency of a latency outlier.
   core::Duration mLatencyFloor = std::chrono::milliseconds{ 10 };
-  /// Expected time of a call as a multiple of the service's median; calls in
-  /// flight for longer are overdue.
+  /// Expected time of a call as a multiple of its typical time; calls in flight
+  /// for longer are overdue.
   double mOverdueFactor = 8;
   /// Minimum expected time of a call.
   core::Duration mOverdueFloor = std::chrono::milliseconds{ 500 };
@@ -89,7 +89,12 @@
   /// Replaces the servers; keeps the state of those that stay.
   void SetServers(std::span<const core::Incarnation> aServers);
 
-  void OnStart(core::TimePoint aNow, std::size_t aServer);
+  /// A call was sent. aTypicalTime is the time that such a call usually takes
+  /// at a server of the service; without it the median of all calls is used,
+  /// which is only right if calls of the service are alike.
+  void OnStart(core::TimePoint aNow,
+               std::size_t aServer,
+               std::optional<core::Duration> aTypicalTime = std::nullopt);
   /// A call ended. aLatency is the time since OnStart(); aQueueTime is the part
   /// of it in which the call waited for a slot, which is not held against the
   /// server.
@@ -127,11 +132,17 @@
   core::Duration Median() const;
 
 private:
+  /// A call in flight.
+  struct Call
+  {
+    core::TimePoint mStart;
+    core::Duration mTypicalTime{ 0 };
+  };
   struct Health
   {
     core::Incarnation mIncarnation;
-    /// Start times of the calls in flight, oldest first.
-    std::vector<core::TimePoint> mStarts;
+    /// Calls in flight, oldest first.
+    std::vector<Call> mCalls;
     core::TimePoint mLastResponse;
     std::uint32_t mErrorsInRow = 0;
     /// Attempts and failures, decaying with EjectionSettings::mDecayTime.
@@ -159,6 +170,9 @@
   bool FailsMoreThanOthers(const Health& aHealth) const;
   bool IsLatencyOutlier(const Health& aHealth) const;
   void UpdateMedian();
+  /// Removes the call in flight whose start is closest to aStart. Returns its
+  /// typical time; the median if no call is in flight.
+  core::Duration RemoveCall(Health& aHealth, core::TimePoint aStart) const;
 
   EjectionSettings mSettings;
   EjectionHook mOnEjection;
--- a/src/nutmegrock/routing/Router.cpp
+++ b/src/nutmegrock/routing/Router.cpp
@@ -126,10 +126,13 @@
 }
 
 void
-Router::OnStart(core::TimePoint aNow, core::Incarnation aIncarnation)
+Router::OnStart(core::TimePoint aNow,
+                core::Incarnation aIncarnation,
+                std::optional<core::Duration> aTypicalTime)
 {
-  Visit(aIncarnation,
-        [&](ServiceRouter& aService) { aService.OnStart(aNow, aIncarnation); });
+  Visit(aIncarnation, [&](ServiceRouter& aService) {
+    aService.OnStart(aNow, aIncarnation, aTypicalTime);
+  });
 }
 
 void
--- a/src/nutmegrock/routing/Router.h
+++ b/src/nutmegrock/routing/Router.h
@@ -58,8 +58,10 @@
                                 std::string_view aZone,
                                 std::span<const core::Incarnation> aExcluded);
 
-  /// An attempt was sent to the server.
-  void OnStart(core::TimePoint aNow, core::Incarnation aIncarnation);
+  /// An attempt was sent to the server. aTypicalTime as in Ejection::OnStart().
+  void OnStart(core::TimePoint aNow,
+               core::Incarnation aIncarnation,
+               std::optional<core::Duration> aTypicalTime = std::nullopt);
   /// An attempt ended; to be called once for each OnStart(). aLatency is the
   /// time since OnStart(), aQueueTime the part of it in which the attempt
   /// waited for a slot. aFeedback may be null if there was no response.
--- a/src/nutmegrock/routing/ServiceRouter.cpp
+++ b/src/nutmegrock/routing/ServiceRouter.cpp
@@ -339,11 +339,13 @@
 }
 
 void
-ServiceRouter::OnStart(core::TimePoint aNow, core::Incarnation aIncarnation)
+ServiceRouter::OnStart(core::TimePoint aNow,
+                       core::Incarnation aIncarnation,
+                       std::optional<core::Duration> aTypicalTime)
 {
   const auto found = mIndexOf.find(aIncarnation.mBits);
   if (found != mIndexOf.end()) {
-    mEjection.OnStart(aNow, found->second);
+    mEjection.OnStart(aNow, found->second, aTypicalTime);
   }
 }
 
--- a/src/nutmegrock/routing/ServiceRouter.h
+++ b/src/nutmegrock/routing/ServiceRouter.h
@@ -32,7 +32,9 @@
                                std::uint64_t aRequestHash,
                                std::string_view aZone,
                                std::span<const core::Incarnation> aExcluded);
-  void OnStart(core::TimePoint aNow, core::Incarnation aIncarnation);
+  void OnStart(core::TimePoint aNow,
+               core::Incarnation aIncarnation,
+               std::optional<core::Duration> aTypicalTime);
   void OnEnd(core::TimePoint aNow,
              core::Incarnation aIncarnation,
              AttemptOutcome aOutcome,
--- a/tests/routing/EjectionTest.cpp
+++ b/tests/routing/EjectionTest.cpp
@@ -139,6 +139,43 @@
     CHECK(ejection.IsEjected(start + 2100ms, 0));
   }
 
+  // Guards against taking calls of a long route for overdue. A service also
+  // runs a short route, and the median over both was the expected time of all
+  // calls, so a burst of long calls ejected servers without a fault on every
+  // node.
+  TEST_CASE("calls of a long route are not overdue by the time of a short one")
+  {
+    Ejection ejection = Make(4);
+    const core::TimePoint now = Run(
+      ejection, 4, 50, [](int) { return AttemptOutcome::Ok; }, 2ms);
+    for (int i = 0; i < 3; ++i) {
+      ejection.OnStart(now, 0, 900ms);
+    }
+    CHECK_FALSE(ejection.IsEjected(now + 3s, 0));
+    CHECK(ejection.IsEjected(now + 7'300ms, 0));
+  }
+
+  // The same when an ejected server is probed with a call of the long route.
+  TEST_CASE("probes with calls of a long route let a server return")
+  {
+    Ejection ejection = Make(4);
+    core::TimePoint now = Run(
+      ejection, 4, 50, [](int) { return AttemptOutcome::Ok; }, 2ms);
+    for (int i = 0; i < 5; ++i) {
+      ejection.OnStart(now, 0, 900ms);
+      ejection.OnEnd(now, 0, AttemptOutcome::Failed, 0ms);
+    }
+    REQUIRE(ejection.IsEjected(now, 0));
+    now += 600ms;
+    for (int i = 0; i < 2; ++i) {
+      REQUIRE(ejection.IsProbeDue(now, 0));
+      ejection.OnStart(now, 0, 900ms);
+      now += 950ms;
+      ejection.OnEnd(now, 0, AttemptOutcome::Ok, 950ms);
+    }
+    CHECK_FALSE(ejection.IsEjected(now, 0));
+  }
+
   // If all servers fail alike, the cause lies elsewhere, and ejecting servers
   // would only remove capacity.
   TEST_CASE("errors common to all servers eject at most one")
