Probe ejected servers by their number, not one at a time per service

What callers saw: servers that were left out once stayed so for ten seconds and more on nodes of the large deployment; requests crossed zones meanwhile.

Cause: one in 25 requests of a service could probe, whatever the number of ejected servers. A node of 66 sends 5 to 40 requests a second to depot-stock; ten servers with two probes each need 500 requests. Class: a bound per service where the work grows with the servers.

The share of probes stays at one in 25 requests for each server and one in five in total.

--- a/src/nutmegrock/routing/RouterSettings.h
+++ b/src/nutmegrock/routing/RouterSettings.h
@@ -25,8 +25,11 @@
   /// Change of the share that leaves the zone, per 20 ms and per unit of excess
   /// load.
   double mSpillGain = 0.05;
-  /// One in this many requests of a service may probe an ejected server.
+  /// One in this many requests of a service may probe each ejected server.
   std::uint32_t mRequestsPerProbe = 25;
+  /// Minimum number of requests of a service between two probes, however many
+  /// servers are ejected.
+  std::uint32_t mMinRequestsBetweenProbes = 5;
   /// Age at which a reported load expires.
   core::Duration mReportLifetime = std::chrono::seconds{ 1 };
   /// Time for which a server that refused a call because it is leaving is
--- a/src/nutmegrock/routing/ServiceRouter.cpp
+++ b/src/nutmegrock/routing/ServiceRouter.cpp
@@ -293,8 +293,13 @@
 ServiceRouter::ChooseProbe(core::TimePoint aNow,
                            std::span<const core::Incarnation> aExcluded)
 {
-  if (mEjection.Ejected() == 0 ||
-      ++mRequestsSinceProbe < mSettings.mRequestsPerProbe) {
+  const std::uint32_t ejected = mEjection.Ejected();
+  if (ejected == 0) {
+    return std::nullopt;
+  }
+  ++mRequestsSinceProbe;
+  if (mRequestsSinceProbe < mSettings.mMinRequestsBetweenProbes ||
+      mRequestsSinceProbe * ejected < mSettings.mRequestsPerProbe) {
     return std::nullopt;
   }
   for (std::size_t i = 0; i < mCandidates.size(); ++i) {
--- a/tests/routing/RouterTest.cpp
+++ b/tests/routing/RouterTest.cpp
@@ -214,6 +214,37 @@
     CHECK(router->Choose(now, "till", 1, "a", {}).has_value());
   }
 
+  // Guards against ejected servers that do not return to a node of a large
+  // fleet, which has few requests of its own: with one probe in 25 requests of
+  // the service, ten servers without a fault were left out for over ten
+  // seconds.
+  TEST_CASE("many ejected servers return soon at a node with few requests")
+  {
+    const auto router = *Router::Create({});
+    std::vector<Candidate> servers;
+    for (std::uint64_t id = 1; id <= 32; ++id) {
+      servers.push_back(Server(id));
+    }
+    router->Update(kNow, "till", servers);
+    core::TimePoint now = kNow;
+    for (std::uint64_t id = 11; id <= 32; ++id) {
+      Attempt(*router, id, AttemptOutcome::Ok);
+    }
+    for (std::uint64_t id = 1; id <= 10; ++id) {
+      for (int i = 0; i < 5; ++i) {
+        Attempt(*router, id, AttemptOutcome::Failed);
+      }
+    }
+    REQUIRE(router->Ejections().mEjected == 10);
+    for (std::uint64_t request = 1; request <= 200; ++request) {
+      now += 25ms;
+      const auto choice = router->Choose(now, "till", HashOf(request), "a", {});
+      REQUIRE(choice.has_value());
+      Attempt(*router, choice->mIncarnation.mBits, AttemptOutcome::Ok, now);
+    }
+    CHECK(router->Ejections().mEjected == 0);
+  }
+
   TEST_CASE("an ejected server is used when nothing else is left")
   {
     const auto router = *Router::Create({});
