Count a run half at its start and half at its end when attributing calls

Cause: the time in progress follows the calls only while runs keep their length. In an overload of the service below runs become longer and make no more calls, so the steady time of uploads fits the calls better.

--- a/src/nutmegrock/overload/CallGraph.cpp
+++ b/src/nutmegrock/overload/CallGraph.cpp
@@ -22,6 +22,8 @@
 /// Intervals taken off the degrees of freedom: calls of adjacent intervals
 /// depend on each other.
 constexpr double kDependentIntervals = 3;
+/// Weight of the start and of the end of a run, together one run.
+constexpr double kEdgeWeight = 0.5;
 /// Smaller estimates are noise and are ignored.
 constexpr double kMinRatio = 0.15;
 
@@ -53,29 +55,15 @@
 {
   Advance(aNow);
   Column& column = mRuns[IndexOf(mRuns, aRoute)];
-  AddRunTime(aNow, column);
   column.mCount += 1;
-  column.mRunning += 1;
+  column.mActivity += kEdgeWeight;
 }
 
 void
 CallGraph::OnRunEnd(core::TimePoint aNow, std::string_view aRoute)
 {
   Advance(aNow);
-  Column& column = mRuns[IndexOf(mRuns, aRoute)];
-  AddRunTime(aNow, column);
-  column.mRunning = std::max(0.0, column.mRunning - 1);
-}
-
-void
-CallGraph::AddRunTime(core::TimePoint aNow, Column& aColumn)
-{
-  if (aColumn.mUpdatedAt != core::TimePoint{}) {
-    aColumn.mRunSeconds +=
-      aColumn.mRunning *
-      std::chrono::duration<double>(aNow - aColumn.mUpdatedAt).count();
-  }
-  aColumn.mUpdatedAt = aNow;
+  mRuns[IndexOf(mRuns, aRoute)].mActivity += kEdgeWeight;
 }
 
 void
@@ -94,17 +82,14 @@
   if (aNow < mIntervalEnd) {
     return;
   }
-  CloseInterval(aNow);
+  CloseInterval();
   Solve();
   mIntervalEnd = aNow + mSettings.mInterval;
 }
 
 void
-CallGraph::CloseInterval(core::TimePoint aNow)
+CallGraph::CloseInterval()
 {
-  for (Column& run : mRuns) {
-    AddRunTime(aNow, run);
-  }
   const double keep =
     std::exp(-static_cast<double>(mSettings.mInterval.count()) /
              static_cast<double>(mSettings.mDecayTime.count()));
@@ -118,11 +103,11 @@
   for (std::size_t i = 0; i < mRuns.size(); ++i) {
     for (std::size_t j = 0; j < mRuns.size(); ++j) {
       mRunRun[i][j] =
-        mRunRun[i][j] * keep + mRuns[i].mRunSeconds * mRuns[j].mRunSeconds;
+        mRunRun[i][j] * keep + mRuns[i].mActivity * mRuns[j].mActivity;
     }
     for (std::size_t j = 0; j < mCalls.size(); ++j) {
       mRunCall[i][j] =
-        mRunCall[i][j] * keep + mRuns[i].mRunSeconds * mCalls[j].mCount;
+        mRunCall[i][j] * keep + mRuns[i].mActivity * mCalls[j].mCount;
     }
   }
   mCallCall.resize(mCalls.size());
@@ -133,9 +118,8 @@
     for (Column& column : *columns) {
       column.mTotal = column.mTotal * keep + column.mCount;
       column.mCount = 0;
-      column.mTotalRunSeconds =
-        column.mTotalRunSeconds * keep + column.mRunSeconds;
-      column.mRunSeconds = 0;
+      column.mTotalActivity = column.mTotalActivity * keep + column.mActivity;
+      column.mActivity = 0;
     }
   }
 }
@@ -191,7 +175,7 @@
   };
   const auto most = std::max_element(
     mRuns.begin(), mRuns.end(), [](const Column& aLeft, const Column& aRight) {
-      return aLeft.mTotalRunSeconds < aRight.mTotalRunSeconds;
+      return aLeft.mTotalActivity < aRight.mTotalActivity;
     });
   if (most == mRuns.end()) {
     return {};
@@ -240,14 +224,13 @@
     Fit(call, selected, rates);
     double explained = 0;
     for (std::size_t i = 0; i < mRuns.size(); ++i) {
-      explained += rates[i] * mRuns[i].mTotalRunSeconds;
+      explained += rates[i] * mRuns[i].mTotalActivity;
     }
     const double scale = explained > 0 ? mCalls[call].mTotal / explained : 0;
     for (std::size_t i = 0; i < mRuns.size(); ++i) {
       const Column& run = mRuns[i];
       mPerRun[i][call] =
-        run.mTotal > 0 ? rates[i] * scale * run.mTotalRunSeconds / run.mTotal
-                       : 0;
+        run.mTotal > 0 ? rates[i] * scale * run.mTotalActivity / run.mTotal : 0;
     }
   }
 }
--- a/src/nutmegrock/overload/CallGraph.h
+++ b/src/nutmegrock/overload/CallGraph.h
@@ -34,13 +34,13 @@
 
 /// Estimates how many calls on which routes each run of a route makes at the
 /// local backend server. Calls carry no identifier of the run that makes them,
-/// so the calls in an interval are fitted by the time for which runs of each
-/// route were in progress in it, by non-negative least squares. A call comes
-/// while its run is in progress, but often intervals after its start. In an
-/// overload all routes have more runs in progress, and calls would be spread
-/// over all of them; therefore a route gets a part of the calls only if that
-/// explains clearly more of their variation. The estimates are scaled to the
-/// total number of calls. Not synchronized.
+/// so the calls in an interval are fitted by the runs of each route in it, by
+/// non-negative least squares. A run counts one half at its start and one half
+/// at its end, since its calls come in between, often intervals after the
+/// start. In an overload the counts of all routes are alike, and calls would be
+/// spread over all of them; therefore a route gets a part of the calls only if
+/// that explains clearly more of their variation. The estimates are scaled to
+/// the total number of calls. Not synchronized.
 class CallGraph
 {
 public:
@@ -70,17 +70,14 @@
     /// Runs or calls that started, in this interval and decayed.
     double mCount = 0;
     double mTotal = 0;
-    /// Runs in progress, and the time that runs were in progress, in seconds,
-    /// until mUpdatedAt.
-    double mRunning = 0;
-    double mRunSeconds = 0;
-    double mTotalRunSeconds = 0;
-    core::TimePoint mUpdatedAt;
+    /// Runs, of which one half counts at the start and one at the end, in this
+    /// interval and decayed.
+    double mActivity = 0;
+    double mTotalActivity = 0;
   };
 
   void Advance(core::TimePoint aNow);
-  static void AddRunTime(core::TimePoint aNow, Column& aColumn);
-  void CloseInterval(core::TimePoint aNow);
+  void CloseInterval();
   void Solve();
   /// Returns true if a fit by aRoutes routes with the residual aOther is
   /// significantly better than one with aResidual.
@@ -89,8 +86,8 @@
                      std::size_t aRoutes) const;
   /// Columns of the runs that the calls of a column are attributed to.
   std::vector<std::size_t> SelectRuns(std::size_t aCall) const;
-  /// Fits the calls of one column by the run time of the selected columns, as
-  /// calls per second of run time; returns the sum of squared residuals.
+  /// Fits the calls of one column by the activity of the selected columns, as
+  /// calls per run; returns the sum of squared residuals.
   double Fit(std::size_t aCall,
              const std::vector<std::size_t>& aSelected,
              std::vector<double>& aRates) const;
@@ -103,7 +100,7 @@
   std::vector<Column> mCalls;
   /// Number of intervals, decaying as the sums below.
   double mIntervals = 0;
-  /// Sums of products of run times, and of run times and call counts.
+  /// Sums of products of activities, and of activities and call counts.
   std::vector<std::vector<double>> mRunRun;
   std::vector<std::vector<double>> mRunCall;
   /// Sums of squares of call counts.
