Keep to the rate of calls that a backend server names in its answers

Cause: nothing read the limit. Class: a report of a server without a reader.

Ruled out: limits kept at the entry nodes. 15 to 66 of them would have to share a rate through the store or gossip, and those that join or restart would not know it. All calls of a server pass its serving node, which therefore keeps the limit exactly, calls of servers and repeats included.

Change: WorkQueue starts calls at no more than the rate, with a quarter of a second saved up; refuses calls that would wait over 0.5 s, which go to another server; reports demand over the rate as its load, so that entry nodes shed by priority; and publishes the slots that the rate can use, so that requests spread by what the servers take. An answer that was overtaken does not end a limit.

The tests in WorkQueueTest and PathTest could not be written against the code before, which has no such input.

--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <cmath>
 #include <csignal>
 #include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
@@ -427,6 +428,25 @@
   mMembership->NotifyVersion(aRoutes->Version());
 }
 
+// The usable slots follow the calls of the moment, so that only clear changes
+// are published.
+std::uint32_t
+GatewayRuntime::Components::PublishableSlots() const
+{
+  const auto& latest = mServing->Server().Latest();
+  if (!latest) {
+    return 0;
+  }
+  constexpr double kMinChange = 0.3;
+  const std::uint32_t usable = mServing->Queue().UsableSlots(latest->mSlots);
+  const double change = std::abs(static_cast<double>(usable) - mPublishedSlots);
+  const bool limited = mServing->Queue().RateLimit().has_value();
+  return limited && mPublishedSlots > 0 && mPublishedSlots <= latest->mSlots &&
+             change < kMinChange * mPublishedSlots
+           ? mPublishedSlots
+           : usable;
+}
+
 void
 GatewayRuntime::Components::PublishState()
 {
@@ -446,7 +466,7 @@
         break;
     }
   }
-  const std::uint32_t slots = server.Latest() ? server.Latest()->mSlots : 0;
+  const std::uint32_t slots = PublishableSlots();
   if (state == mPublished && slots == mPublishedSlots) {
     return;
   }
@@ -476,13 +496,11 @@
     if (service.mName == mSettings.mService && !service.mHealthPath.empty()) {
       mProbedAt = aNow;
       ++mProbeCount;
-      mProbe =
-        ServerProbe::Send(*mPool,
-                          mSettings.mBackendServer,
-                          service.mHealthPath,
-                          [this](const ServerHealth& aHealth) {
-                            mServing->OnHealthy(aHealth.mId, aHealth.mSlots);
-                          });
+      mProbe = ServerProbe::Send(
+        *mPool,
+        mSettings.mBackendServer,
+        service.mHealthPath,
+        [this](const ServerHealth& aHealth) { mServing->OnHealthy(aHealth); });
     }
   }
 }
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -62,6 +62,8 @@
   void UpdateGauges();
 
   void PublishState();
+  /// Slots of the local backend server that other nodes may use.
+  std::uint32_t PublishableSlots() const;
   void ProbeServer(core::TimePoint aNow);
   void OnEjection(core::Incarnation aServer,
                   std::optional<routing::EjectionReason> aReason);
--- a/src/nutmegrock/gateway/ServerProbe.h
+++ b/src/nutmegrock/gateway/ServerProbe.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace nutmegrock::gateway {
@@ -17,6 +18,8 @@
 {
   std::string mId;
   std::uint32_t mSlots = 0;
+  /// Requests per second that it takes, if it limits them.
+  std::optional<double> mRateLimit = std::nullopt;
 
   bool operator==(const ServerHealth&) const = default;
 };
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -4,6 +4,7 @@
 #include "gateway/TextFields.h"
 
 #include <algorithm>
+#include <cmath>
 #include <spdlog/fmt/fmt.h>
 #include <utility>
 #include <vector>
@@ -130,8 +131,17 @@
 core::Expected<bool>
 Serving::OnHeartbeat(const announce::Announcement& aAnnouncement)
 {
+  const std::optional<announce::Announcement> before = mServer.Latest();
   auto changed = mServer.OnHeartbeat(mComponents.mNow(), aAnnouncement);
   if (changed) {
+    // A health check does not tell when the server started.
+    const bool other_run =
+      before && (before->mId != aAnnouncement.mId ||
+                 (before->mStartedMs != 0 &&
+                  before->mStartedMs != aAnnouncement.mStartedMs));
+    if (other_run) {
+      mQueue.ClearRateLimit();
+    }
     mQueue.SetSlots(aAnnouncement.mSlots);
   }
   return changed;
@@ -144,15 +154,41 @@
 }
 
 bool
-Serving::OnHealthy(const std::string& aId, std::uint32_t aSlots)
+Serving::OnHealthy(const ServerHealth& aHealth)
 {
-  const bool changed = mServer.OnHealthy(mComponents.mNow(), aId, aSlots);
+  const bool changed =
+    mServer.OnHealthy(mComponents.mNow(), aHealth.mId, aHealth.mSlots);
   if (changed) {
-    mQueue.SetSlots(aSlots);
+    mQueue.SetSlots(aHealth.mSlots);
+    OnServerState(
+      aHealth.mId, mServer.Latest()->mStartedMs, aHealth.mRateLimit);
   }
   return changed;
 }
 
+void
+Serving::OnServerState(const std::string& aId,
+                       std::int64_t aStartedMs,
+                       std::optional<double> aRateLimit)
+{
+  const core::TimePoint now = mComponents.mNow();
+  const auto& latest = mServer.Latest();
+  if (!latest || latest->mId != aId || latest->mStartedMs != aStartedMs) {
+    return;
+  }
+  const std::optional<double> before = mQueue.RateLimit();
+  mQueue.OnRateLimit(now, aRateLimit);
+  const std::optional<double> limit = mQueue.RateLimit();
+  constexpr double kMinLoggedChange = 0.1;
+  if (limit.has_value() != before.has_value() ||
+      (limit && std::abs(*limit - *before) > kMinLoggedChange * *before)) {
+    mComponents.mLog.LogState(
+      fmt::format("event=server_rate_limit server={} per_second={}",
+                  aId,
+                  limit ? fmt::format("{:.1f}", *limit) : "none"));
+  }
+}
+
 bool
 Serving::IsLeaving() const
 {
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -6,6 +6,7 @@
 #include "gateway/DecisionLog.h"
 #include "gateway/PeerCall.h"
 #include "gateway/PeerNote.h"
+#include "gateway/ServerProbe.h"
 #include "metrics/Registry.h"
 #include "overload/CallGraph.h"
 #include "overload/CallerShares.h"
@@ -79,7 +80,7 @@
   core::Expected<bool> OnHeartbeat(const announce::Announcement& aAnnouncement);
   bool OnLeave(const std::string& aId, std::int64_t aStartedMs);
   /// A health check of the backend server succeeded; see LocalServer.
-  bool OnHealthy(const std::string& aId, std::uint32_t aSlots);
+  bool OnHealthy(const ServerHealth& aHealth);
   /// Refuses new work from now on, because this node stops.
   void StartStopping() { mStopping = true; }
   const announce::LocalServer& Server() const { return mServer; }
@@ -109,6 +110,11 @@
   void Apply(const overload::WorkChanges& aChanges);
   /// The server has reported its load with a response.
   void OnServerLoad(std::string_view aLoad);
+  /// A response of the run of the server with that id and start reports whether
+  /// it limits its rate. Ignored for a run that has been replaced.
+  void OnServerState(const std::string& aId,
+                     std::int64_t aStartedMs,
+                     std::optional<double> aRateLimit);
   /// Number of calls that the server has ended without a response, according to
   /// its load.
   std::uint32_t CountLostCalls(core::TimePoint aNow);
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -55,6 +55,8 @@
   const core::TimePoint now = mServing.mComponents.mNow();
   mState = State::Running;
   mStarted = now;
+  mServerId = mServing.mServer.Latest()->mId;
+  mServerStartedMs = mServing.mServer.Latest()->mStartedMs;
   mServing.mComponents.mGraph.OnRun(now, mCall.mRoute);
   constexpr double kThousandth = 0.001;
   mServing.mComponents.mRetryShares.OnRun(now,
@@ -166,6 +168,7 @@
   if (!aHead.mLoad.empty()) {
     mServing.OnServerLoad(aHead.mLoad);
   }
+  mServing.OnServerState(mServerId, mServerStartedMs, aHead.mRateLimit);
   if (aHead.mNotRun) {
     mServing.mQueue.OnRefused(mServing.mComponents.mNow());
     mServing.mComponents.mRegistry
--- a/src/nutmegrock/gateway/ServingCall.h
+++ b/src/nutmegrock/gateway/ServingCall.h
@@ -73,6 +73,9 @@
   const core::TimePoint mDue;
   const core::TimePoint mDeadline;
   core::TimePoint mStarted;
+  /// Run of the server that the request was sent to.
+  std::string mServerId;
+  std::int64_t mServerStartedMs = 0;
   /// Body received while the call was waiting.
   std::string mBody;
   bool mBodyEnded = false;
--- a/src/nutmegrock/overload/WorkQueue.cpp
+++ b/src/nutmegrock/overload/WorkQueue.cpp
@@ -40,7 +40,9 @@
 void
 WorkQueue::Decay(core::TimePoint aNow)
 {
-  mRequestedSeconds *= mDecayedAt == core::TimePoint{} ? 0 : DecayFactor(aNow);
+  const double keep = mDecayedAt == core::TimePoint{} ? 0 : DecayFactor(aNow);
+  mRequestedSeconds *= keep;
+  mRequestedCalls *= keep;
   mDecayedAt = aNow;
 }
 
@@ -55,9 +57,15 @@
     mRequestedSeconds * DecayFactor(aNow) / SecondsOf(mSettings.mSmoothing);
   const double backlog =
     mItems.empty() ? 0 : mWaitingSeconds / SecondsOf(mSettings.mDrainTime);
-  const double load =
+  double load =
     std::max((rate + backlog) / mLimit,
              static_cast<double>(SlotsInUse()) / mLimit * kRunningLoad);
+  if (mRateLimit) {
+    const double calls =
+      mRequestedCalls * DecayFactor(aNow) / SecondsOf(mSettings.mSmoothing) +
+      static_cast<double>(mItems.size()) / SecondsOf(mSettings.mDrainTime);
+    load = std::max(load, calls / *mRateLimit);
+  }
   return mEnded > 1 && mRefused > mSettings.mRefusingShare * mEnded
            ? std::max(load, mSettings.mRefusingLoad)
            : load;
@@ -68,16 +76,23 @@
 {
   Decay(aNow);
   mRequestedSeconds += SecondsOf(aItem.mTypicalTime);
+  mRequestedCalls += 1;
+  AddTokens(aNow);
   if (aNow + aItem.mTypicalTime / 2 > aItem.mDeadline) {
     return core::Fail(core::ErrorKind::QueueTimeout,
                       "too little time is left for the call");
   }
-  if (SlotsInUse() < mLimit && mItems.empty()) {
-    ++mRunning;
+  if (SlotsInUse() < mLimit && mItems.empty() && HasToken()) {
+    CountStart();
     return true;
   }
-  if (static_cast<double>(mItems.size()) >=
-      mSettings.mMaxWaitingRatio * mLimit) {
+  double max_waiting = mSettings.mMaxWaitingRatio * mLimit;
+  if (mRateLimit) {
+    max_waiting =
+      std::min(max_waiting,
+               std::max(1.0, *mRateLimit * SecondsOf(mSettings.mMaxRateWait)));
+  }
+  if (static_cast<double>(mItems.size()) >= max_waiting) {
     return core::Fail(core::ErrorKind::QueueFull, "the queue is full");
   }
   const auto place = mOrder.emplace(aItem.mDue, aItem.mId);
@@ -89,7 +104,8 @@
 void
 WorkQueue::StartNext(core::TimePoint aNow, WorkChanges& aChanges)
 {
-  while (SlotsInUse() < mLimit && !mOrder.empty()) {
+  AddTokens(aNow);
+  while (SlotsInUse() < mLimit && HasToken() && !mOrder.empty()) {
     const std::uint64_t id = mOrder.begin()->second;
     const auto entry = mItems.find(id);
     const WorkItem& item = entry->second.mItem;
@@ -97,7 +113,7 @@
       aChanges.mExpired.push_back(id);
     } else {
       aChanges.mToStart.push_back(id);
-      ++mRunning;
+      CountStart();
     }
     mWaitingSeconds -= SecondsOf(item.mTypicalTime);
     mOrder.erase(mOrder.begin());
@@ -105,6 +121,55 @@
   }
 }
 
+void
+WorkQueue::AddTokens(core::TimePoint aNow)
+{
+  if (mRateLimit) {
+    const double burst =
+      std::max(1.0, *mRateLimit * SecondsOf(mSettings.mRateBurst));
+    mTokens =
+      std::min(burst, mTokens + *mRateLimit * SecondsOf(aNow - mTokensAt));
+  }
+  mTokensAt = aNow;
+}
+
+void
+WorkQueue::CountStart()
+{
+  ++mRunning;
+  mTokens -= mRateLimit ? 1 : 0;
+}
+
+void
+WorkQueue::OnRateLimit(core::TimePoint aNow, std::optional<double> aPerSecond)
+{
+  if (!aPerSecond) {
+    if (mRateLimit && aNow - mRateLimitNamedAt >= mSettings.mRateLimitHold) {
+      mRateLimit.reset();
+    }
+    return;
+  }
+  AddTokens(aNow);
+  if (!mRateLimit) {
+    mTokens = 0;
+  }
+  mRateLimit = std::max(mSettings.mMinRate, *aPerSecond);
+  mRateLimitNamedAt = aNow;
+}
+
+std::uint32_t
+WorkQueue::UsableSlots(std::uint32_t aSlots) const
+{
+  if (!mRateLimit || mRequestedCalls <= 0) {
+    return aSlots;
+  }
+  const double slots = *mRateLimit * mRequestedSeconds / mRequestedCalls;
+  return std::clamp(
+    static_cast<std::uint32_t>(std::min<double>(aSlots, std::ceil(slots))),
+    std::min(1U, aSlots),
+    aSlots);
+}
+
 WorkChanges
 WorkQueue::SetLost(core::TimePoint aNow, std::uint32_t aLost)
 {
--- a/src/nutmegrock/overload/WorkQueue.h
+++ b/src/nutmegrock/overload/WorkQueue.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -36,6 +37,17 @@
   double mRefusingLoad = 0.9;
   /// Time constant of the moving average of that share.
   core::Duration mRefusalTime = std::chrono::milliseconds{ 500 };
+  /// Time of starts that may be saved up while the server limits its rate.
+  core::Duration mRateBurst = std::chrono::milliseconds{ 250 };
+  /// Calls that would wait longer for a limited rate are refused, so that they
+  /// can go to another server.
+  core::Duration mMaxRateWait = std::chrono::milliseconds{ 500 };
+  /// An answer without a limit ends it only if none has named it for this long:
+  /// answers overtake each other.
+  core::Duration mRateLimitHold = std::chrono::milliseconds{ 500 };
+  /// Minimum rate in calls per second. A server that takes no calls could not
+  /// report the end of its limit.
+  double mMinRate = 0.5;
 };
 
 /// A call to the backend server.
@@ -82,6 +94,15 @@
   void OnRefused(core::TimePoint aNow);
   /// A started call has ended.
   WorkChanges OnEnd(core::TimePoint aNow);
+  /// An answer of the server named the rate in calls per second that it takes,
+  /// or none. Calls above it wait.
+  void OnRateLimit(core::TimePoint aNow, std::optional<double> aPerSecond);
+  /// Another run of the server has begun, which has named no limit yet.
+  void ClearRateLimit() { mRateLimit.reset(); }
+  std::optional<double> RateLimit() const { return mRateLimit; }
+  /// Slots that the server can use at its limited rate, given the recent calls;
+  /// aSlots without a limit.
+  std::uint32_t UsableSlots(std::uint32_t aSlots) const;
   /// Removes a waiting call. Unknown ids are ignored.
   void Remove(std::uint64_t aId);
   /// Removes calls that cannot finish before their deadline. To be called every
@@ -94,7 +115,8 @@
   /// Demand as a share of the server's capacity: the slot time that calls
   /// request per second, averaged, plus the backlog, divided by the limit.
   /// Unlike the queue length it is proportional to the rate of calls admitted
-  /// upstream.
+  /// upstream. While the server limits its rate, the demand as a share of that
+  /// rate, if it is higher.
   double Load(core::TimePoint aNow) const;
 
 private:
@@ -114,6 +136,10 @@
   double DecayFactor(core::TimePoint aNow) const;
   void StartNext(core::TimePoint aNow, WorkChanges& aChanges);
   void CountEnded(core::TimePoint aNow, double aRefused, double aEnded);
+  /// Adds the starts that the limited rate allows since the last call.
+  void AddTokens(core::TimePoint aNow);
+  bool HasToken() const { return !mRateLimit || mTokens >= 1; }
+  void CountStart();
 
   const WorkQueueSettings mSettings;
   std::uint32_t mLimit = 0;
@@ -123,7 +149,15 @@
   std::unordered_map<std::uint64_t, Entry> mItems;
   /// Requested slot seconds, decaying with mSmoothing.
   double mRequestedSeconds = 0;
+  /// Requested calls, decaying in the same way.
+  double mRequestedCalls = 0;
   core::TimePoint mDecayedAt;
+  /// Rate in calls per second that the server takes, if it limits it.
+  std::optional<double> mRateLimit;
+  core::TimePoint mRateLimitNamedAt;
+  /// Calls that may start at the limited rate.
+  double mTokens = 0;
+  core::TimePoint mTokensAt;
   /// Started calls that the server has refused, and all that have ended,
   /// decaying with mRefusalTime.
   double mRefused = 0;
--- a/src/nutmegrock/proxy/HeaderNames.h
+++ b/src/nutmegrock/proxy/HeaderNames.h
@@ -25,6 +25,8 @@
   std::string mServerId = "Nutmegrock-Server";
   /// In responses: running requests, waiting requests and slots.
   std::string mLoad = "Nutmegrock-Load";
+  /// In responses: requests per second that the backend server takes.
+  std::string mRateLimit = "Nutmegrock-Rate-Limit";
 };
 
 /// Between nodes, in requests: call metadata for the serving node. Never
--- a/src/nutmegrock/proxy/MessageHead.h
+++ b/src/nutmegrock/proxy/MessageHead.h
@@ -61,6 +61,9 @@
   /// Id of the backend server and its load, as received.
   std::string mServerId;
   std::string mLoad;
+  /// Requests per second that the backend server takes, if it limits them; at
+  /// least 0.
+  std::optional<double> mRateLimit;
 
   bool IsSuccess() const { return mStatus >= 200 && mStatus < 300; }
 };
--- a/src/nutmegrock/proxy/MessageParser.cpp
+++ b/src/nutmegrock/proxy/MessageParser.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace nutmegrock::proxy {
@@ -60,6 +61,20 @@
   return std::chrono::seconds(seconds);
 }
 
+/// Returns a rate of at least 0; nullopt if it is no number.
+std::optional<double>
+ParseRate(Text aValue)
+{
+  double value = 0;
+  const char* end = aValue.data() + aValue.size();
+  const auto [stop, error] = std::from_chars(aValue.data(), end, value);
+  if (error != std::errc() || stop != end || !std::isfinite(value) ||
+      value < 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 /// Returns true if the field concerns one connection only.
 bool
 IsHopByHop(http::field aField)
@@ -178,6 +193,8 @@
       mHead.mServerId = ToString(aValue);
     } else if (EqualsIgnoreCase(aName, mNames.mLoad)) {
       mHead.mLoad = ToString(aValue);
+    } else if (EqualsIgnoreCase(aName, mNames.mRateLimit)) {
+      mHead.mRateLimit = ParseRate(aValue);
     }
     return false;
   }
--- a/tests/gateway/PathTest.cpp
+++ b/tests/gateway/PathTest.cpp
@@ -314,6 +314,33 @@
   CHECK(client.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
 }
 
+// Guards against calls beyond the rate that a server names in its answers.
+TEST_CASE("the rate that a server names in its answers limits its calls")
+{
+  Node node;
+  const auto answer = [&](const std::string& aLimit) {
+    RawSocket client = node.Connect();
+    client.Write(Node::Request("read"));
+    RawSocket server = node.Server().Accept();
+    server.ReadUntil("\r\n\r\n");
+    server.Write("HTTP/1.1 200 OK\r\nNutmegrock-Request: id-1\r\n"
+                 "Nutmegrock-Seal: s\r\nConnection: close\r\n" +
+                 aLimit + "Content-Length: 2\r\n\r\nok");
+    client.ReadUntil("ok");
+    std::optional<double> limit;
+    node.Do([&] { limit = node.ServingHalf().Queue().RateLimit(); });
+    return limit;
+  };
+  CHECK_FALSE(answer("").has_value());
+  for (const char* invalid : { "-1", "many", "", "nan", "1 2" }) {
+    CAPTURE(invalid);
+    CHECK_FALSE(
+      answer("Nutmegrock-Rate-Limit: " + std::string(invalid) + "\r\n")
+        .has_value());
+  }
+  CHECK(answer("Nutmegrock-Rate-Limit: 37.2\r\n") == 37.2);
+}
+
 TEST_CASE("requests without a route or request ID are refused")
 {
   Node node;
--- a/tests/overload/WorkQueueTest.cpp
+++ b/tests/overload/WorkQueueTest.cpp
@@ -1,6 +1,9 @@
 #include "overload/WorkQueue.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <map>
+#include <optional>
 #include <vector>
 
 using namespace nutmegrock;
@@ -147,3 +150,103 @@
   }
   CHECK(queue.OnEnd(kStart).mToStart == std::vector<std::uint64_t>{ 9 });
 }
+
+namespace {
+
+/// Offers a call every 5 ms at a server of 200 slots, each of which runs for
+/// 400 ms, and counts the starts.
+struct LimitedServer
+{
+  WorkQueue mQueue;
+  core::TimePoint mNow = kStart;
+  std::uint64_t mNextId = 1;
+  std::vector<core::TimePoint> mStarts;
+  std::multimap<core::TimePoint, int> mEnds;
+
+  LimitedServer() { mQueue.SetSlots(200); }
+
+  void Run(milliseconds aTime)
+  {
+    constexpr milliseconds kStep(5);
+    for (milliseconds at(0); at < aTime; at += kStep) {
+      mNow += kStep;
+      while (!mEnds.empty() && mEnds.begin()->first <= mNow) {
+        mEnds.erase(mEnds.begin());
+        Start(mQueue.OnEnd(mNow).mToStart.size());
+      }
+      Start(mQueue.Tick(mNow).mToStart.size());
+      const auto offered = mQueue.Offer(mNow,
+                                        { mNextId++,
+                                          mNow + milliseconds(1000),
+                                          mNow + milliseconds(1500),
+                                          milliseconds(400) });
+      Start(offered && *offered ? 1 : 0);
+    }
+  }
+  void Start(std::size_t aCalls)
+  {
+    for (std::size_t i = 0; i < aCalls; ++i) {
+      mStarts.push_back(mNow);
+      mEnds.emplace(mNow + milliseconds(400), 0);
+    }
+  }
+  /// Most starts in any span of that length.
+  std::size_t MostIn(milliseconds aSpan) const
+  {
+    std::size_t most = 0;
+    for (auto first = mStarts.begin(); first != mStarts.end(); ++first) {
+      const auto end = std::upper_bound(first, mStarts.end(), *first + aSpan);
+      most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+    return most;
+  }
+};
+
+} // namespace
+
+// Load pattern: a server with 200 slots names a rate of 40 calls per second and
+// gets 200. Guards against more calls than the server takes, and against a
+// server that gets far fewer.
+TEST_CASE("a server gets the rate of calls that it names and no more")
+{
+  LimitedServer server;
+  server.mQueue.OnRateLimit(server.mNow, 40);
+  server.Run(milliseconds(12'000));
+  CHECK(server.MostIn(milliseconds(4000)) <= 4 * 40 * 1.5 + 5);
+  CHECK(server.mStarts.size() >= 12 * 40 * 0.95);
+  CHECK(server.mQueue.Load(server.mNow) > 3);
+  // 40 calls per second of 0.4 s use 16 slots.
+  CHECK(server.mQueue.UsableSlots(200) == 16);
+}
+
+// Guards against a flood by all waiting calls when an answer that was sent
+// before the limit arrives late.
+TEST_CASE("an answer that was overtaken does not end the limit")
+{
+  LimitedServer server;
+  for (int i = 0; i < 40; ++i) {
+    server.mQueue.OnRateLimit(server.mNow, 40);
+    server.mQueue.OnRateLimit(server.mNow, std::nullopt);
+    server.Run(milliseconds(100));
+  }
+  CHECK(server.MostIn(milliseconds(4000)) <= 4 * 40 * 1.5 + 5);
+  server.mQueue.OnRateLimit(server.mNow, std::nullopt);
+  server.Run(milliseconds(500));
+  server.mQueue.OnRateLimit(server.mNow, std::nullopt);
+  CHECK_FALSE(server.mQueue.RateLimit().has_value());
+  CHECK(server.mQueue.UsableSlots(200) == 200);
+  const std::size_t before = server.mStarts.size();
+  server.Run(milliseconds(2000));
+  CHECK(server.mStarts.size() - before > 300);
+}
+
+// Otherwise a server that named a rate of zero would never get a call whose
+// answer ends the limit.
+TEST_CASE("a server that takes no calls still gets one now and then")
+{
+  LimitedServer server;
+  server.mQueue.OnRateLimit(server.mNow, 0);
+  server.Run(milliseconds(8000));
+  CHECK(server.mStarts.size() >= 2);
+  CHECK(server.MostIn(milliseconds(4000)) <= 5);
+}
