Take a server that says in its answers that it leaves as leaving

A server whose leave is known from its answers only, because its heartbeat is late or went to no node, got new work until the leave arrived.

Cause: nothing read the header. Class: a report of a server without a reader.

Change: the answer counts as a leave of the run of the server that the request was sent to, with the time allowed for new work counted from the first such answer. A late answer of a run that has been replaced does not concern the new one.

Evidence: the new test sends a request 0.85 s after such an answer; without the change it is sent to the server.

--- a/src/nutmegrock/gateway/ServerProbe.cpp
+++ b/src/nutmegrock/gateway/ServerProbe.cpp
@@ -57,7 +57,7 @@
   const auto slots = load.size() == 3 ? ParseNumber<std::uint32_t>(load[2])
                                       : std::optional<std::uint32_t>();
   if (aHead.IsSuccess() && !aHead.mServerId.empty() && slots) {
-    mHandler({ aHead.mServerId, *slots, aHead.mRateLimit });
+    mHandler({ aHead.mServerId, *slots, aHead.mRateLimit, aHead.mLeaving });
   }
 }
 
--- a/src/nutmegrock/gateway/ServerProbe.h
+++ b/src/nutmegrock/gateway/ServerProbe.h
@@ -20,6 +20,7 @@
   std::uint32_t mSlots = 0;
   /// Requests per second that it takes, if it limits them.
   std::optional<double> mRateLimit = std::nullopt;
+  bool mLeaving = false;
 
   bool operator==(const ServerHealth&) const = default;
 };
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -160,8 +160,10 @@
     mServer.OnHealthy(mComponents.mNow(), aHealth.mId, aHealth.mSlots);
   if (changed) {
     mQueue.SetSlots(aHealth.mSlots);
-    OnServerState(
-      aHealth.mId, mServer.Latest()->mStartedMs, aHealth.mRateLimit);
+    OnServerState(aHealth.mId,
+                  mServer.Latest()->mStartedMs,
+                  aHealth.mRateLimit,
+                  aHealth.mLeaving);
   }
   return changed;
 }
@@ -169,9 +171,14 @@
 void
 Serving::OnServerState(const std::string& aId,
                        std::int64_t aStartedMs,
-                       std::optional<double> aRateLimit)
+                       std::optional<double> aRateLimit,
+                       bool aLeaving)
 {
   const core::TimePoint now = mComponents.mNow();
+  if (aLeaving && OnLeave(aId, aStartedMs)) {
+    mComponents.mLog.LogState(
+      fmt::format("event=server_leaving server={} cause=response", aId));
+  }
   const auto& latest = mServer.Latest();
   if (!latest || latest->mId != aId || latest->mStartedMs != aStartedMs) {
     return;
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -111,10 +111,11 @@
   /// The server has reported its load with a response.
   void OnServerLoad(std::string_view aLoad);
   /// A response of the run of the server with that id and start reports whether
-  /// it limits its rate. Ignored for a run that has been replaced.
+  /// it limits its rate or leaves. Ignored for a run that has been replaced.
   void OnServerState(const std::string& aId,
                      std::int64_t aStartedMs,
-                     std::optional<double> aRateLimit);
+                     std::optional<double> aRateLimit,
+                     bool aLeaving);
   /// Number of calls that the server has ended without a response, according to
   /// its load.
   std::uint32_t CountLostCalls(core::TimePoint aNow);
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -168,7 +168,8 @@
   if (!aHead.mLoad.empty()) {
     mServing.OnServerLoad(aHead.mLoad);
   }
-  mServing.OnServerState(mServerId, mServerStartedMs, aHead.mRateLimit);
+  mServing.OnServerState(
+    mServerId, mServerStartedMs, aHead.mRateLimit, aHead.mLeaving);
   if (aHead.mNotRun) {
     mServing.mQueue.OnRefused(mServing.mComponents.mNow());
     mServing.mComponents.mRegistry
--- a/src/nutmegrock/proxy/HeaderNames.h
+++ b/src/nutmegrock/proxy/HeaderNames.h
@@ -27,6 +27,8 @@
   std::string mLoad = "Nutmegrock-Load";
   /// In responses: requests per second that the backend server takes.
   std::string mRateLimit = "Nutmegrock-Rate-Limit";
+  /// In responses, with the value 1: the backend server is leaving.
+  std::string mLeaving = "Nutmegrock-Leaving";
 };
 
 /// Between nodes, in requests: call metadata for the serving node. Never
--- a/src/nutmegrock/proxy/MessageHead.h
+++ b/src/nutmegrock/proxy/MessageHead.h
@@ -64,6 +64,8 @@
   /// Requests per second that the backend server takes, if it limits them; at
   /// least 0.
   std::optional<double> mRateLimit;
+  /// The backend server is leaving.
+  bool mLeaving = false;
 
   bool IsSuccess() const { return mStatus >= 200 && mStatus < 300; }
 };
--- a/src/nutmegrock/proxy/MessageParser.cpp
+++ b/src/nutmegrock/proxy/MessageParser.cpp
@@ -195,6 +195,8 @@
       mHead.mLoad = ToString(aValue);
     } else if (EqualsIgnoreCase(aName, mNames.mRateLimit)) {
       mHead.mRateLimit = ParseRate(aValue);
+    } else if (EqualsIgnoreCase(aName, mNames.mLeaving)) {
+      mHead.mLeaving = ToString(aValue) == "1";
     }
     return false;
   }
--- a/tests/gateway/PathTest.cpp
+++ b/tests/gateway/PathTest.cpp
@@ -314,6 +314,26 @@
   CHECK(client.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
 }
 
+// Guards against work at a server that has announced its leave only in its
+// answers, and that gets no heartbeat through.
+TEST_CASE("a server that leaves by its answers gets no new work")
+{
+  Node node;
+  RawSocket client = node.Connect();
+  client.Write(Node::Request("read"));
+  RawSocket server = node.Server().Accept();
+  server.ReadUntil("\r\n\r\n");
+  server.Write("HTTP/1.1 200 OK\r\nNutmegrock-Request: id-1\r\n"
+               "Nutmegrock-Seal: s\r\nNutmegrock-Leaving: 1\r\n"
+               "Content-Length: 2\r\n\r\nok");
+  const std::string response = client.ReadUntil("ok");
+  CHECK(response.find("Nutmegrock-Leaving: 1\r\n") != std::string::npos);
+  std::this_thread::sleep_for(milliseconds(850));
+  RawSocket second = node.Connect();
+  second.Write(Node::Request("read"));
+  CHECK(second.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
+}
+
 // Guards against calls beyond the rate that a server names in its answers.
 TEST_CASE("the rate that a server names in its answers limits its calls")
 {
