Raise the target load above that of a fully used server

Cause: a server whose slots are all in use reports a load of at least 0.9, and the target was 0.92. A short backlog made full use count as overload, so the share went on falling after the burst. Class: a target within the noise of the measure at full use. The model of a chain shows it without faults and with exact costs.

Change: target 0.96.

--- a/src/nutmegrock/overload/ShedLevel.h
+++ b/src/nutmegrock/overload/ShedLevel.h
@@ -10,8 +10,10 @@
 
 struct ShedLevelSettings
 {
-  /// Target load, as a share of the capacity of a service.
-  double mTarget = 0.92;
+  /// Target load, as a share of the capacity of a service. It has to be clearly
+  /// above the load of a server that is just fully used, or full use counts as
+  /// overload.
+  double mTarget = 0.96;
   /// Loads are clipped to this value, so that a short burst does not lead to
   /// refusing everything.
   double mMaxLoad = 2.5;
--- a/src/nutmegrock/overload/WorkQueue.h
+++ b/src/nutmegrock/overload/WorkQueue.h
@@ -31,10 +31,10 @@
   /// Share of the started calls that the server refuses itself, above which the
   /// load is at least mRefusingLoad. Requests that lose a call make no further
   /// ones, so the rate of calls says little about the demand then. That load is
-  /// just below the one at which entry nodes begin to shed: they neither admit
-  /// more nor less than before.
+  /// just above the target of entry nodes: they admit slowly less, so that no
+  /// flood follows when the server accepts calls again.
   double mRefusingShare = 0.2;
-  double mRefusingLoad = 0.9;
+  double mRefusingLoad = 1.0;
   /// Time constant of the moving average of that share.
   core::Duration mRefusalTime = std::chrono::milliseconds{ 500 };
   /// Time of starts that may be saved up while the server limits its rate.
