--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -43,6 +43,9 @@
 constexpr milliseconds kProbeTimeout{ 2'000 };
 /// Threads for the store client; at most three calls run concurrently.
 constexpr std::size_t kStoreThreads = 4;
+/// Minimum relative change of the slots that a limited rate can use that is
+/// published; they follow the calls of the moment.
+constexpr double kMinSlotChange = 0.3;
 
 std::int64_t
 WallClockMs()
@@ -428,8 +431,6 @@
   mMembership->NotifyVersion(aRoutes->Version());
 }
 
-// The usable slots follow the calls of the moment, so that only clear changes
-// are published.
 std::uint32_t
 GatewayRuntime::Components::PublishableSlots() const
 {
@@ -437,12 +438,11 @@
   if (!latest) {
     return 0;
   }
-  constexpr double kMinChange = 0.3;
   const std::uint32_t usable = mServing->Queue().UsableSlots(latest->mSlots);
   const double change = std::abs(static_cast<double>(usable) - mPublishedSlots);
   const bool limited = mServing->Queue().RateLimit().has_value();
   return limited && mPublishedSlots > 0 && mPublishedSlots <= latest->mSlots &&
-             change < kMinChange * mPublishedSlots
+             change < kMinSlotChange * mPublishedSlots
            ? mPublishedSlots
            : usable;
 }
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -32,6 +32,8 @@
 /// After this time a reported server load no longer describes its current
 /// slots.
 constexpr std::chrono::milliseconds kServerLoadLifetime{ 200 };
+/// Minimum relative change of a server's rate limit that is logged.
+constexpr double kMinLoggedRateChange = 0.1;
 
 } // namespace
 
@@ -186,9 +188,8 @@
   const std::optional<double> before = mQueue.RateLimit();
   mQueue.OnRateLimit(now, aRateLimit);
   const std::optional<double> limit = mQueue.RateLimit();
-  constexpr double kMinLoggedChange = 0.1;
   if (limit.has_value() != before.has_value() ||
-      (limit && std::abs(*limit - *before) > kMinLoggedChange * *before)) {
+      (limit && std::abs(*limit - *before) > kMinLoggedRateChange * *before)) {
     mComponents.mLog.LogState(
       fmt::format("event=server_rate_limit server={} per_second={}",
                   aId,
--- a/src/nutmegrock/overload/CallGraph.cpp
+++ b/src/nutmegrock/overload/CallGraph.cpp
@@ -127,27 +127,27 @@
 double
 CallGraph::Fit(std::size_t aCall,
                const std::vector<std::size_t>& aSelected,
-               std::vector<double>& aRates) const
+               std::vector<double>& aPerRun) const
 {
-  aRates.assign(mRuns.size(), 0);
+  aPerRun.assign(mRuns.size(), 0);
   double change = 1;
   for (int round = 0; round < kIterations && change > kTolerance; ++round) {
     change = 0;
     for (const std::size_t i : aSelected) {
       double rest = mRunCall[i][aCall];
       for (const std::size_t j : aSelected) {
-        rest -= j == i ? 0 : mRunRun[i][j] * aRates[j];
+        rest -= j == i ? 0 : mRunRun[i][j] * aPerRun[j];
       }
       const double next = std::max(0.0, rest / (mRunRun[i][i] + kRidge));
-      change = std::max(change, std::abs(next - aRates[i]));
-      aRates[i] = next;
+      change = std::max(change, std::abs(next - aPerRun[i]));
+      aPerRun[i] = next;
     }
   }
   double residual = mCallCall[aCall];
   for (const std::size_t i : aSelected) {
-    residual -= 2 * aRates[i] * mRunCall[i][aCall];
+    residual -= 2 * aPerRun[i] * mRunCall[i][aCall];
     for (const std::size_t j : aSelected) {
-      residual += aRates[i] * aRates[j] * mRunRun[i][j];
+      residual += aPerRun[i] * aPerRun[j] * mRunRun[i][j];
     }
   }
   return std::max(0.0, residual);
@@ -169,9 +169,9 @@
 std::vector<std::size_t>
 CallGraph::SelectRuns(std::size_t aCall) const
 {
-  std::vector<double> rates;
+  std::vector<double> per_run;
   const auto residual_of = [&](const std::vector<std::size_t>& aSelected) {
-    return Fit(aCall, aSelected, rates);
+    return Fit(aCall, aSelected, per_run);
   };
   const auto most = std::max_element(
     mRuns.begin(), mRuns.end(), [](const Column& aLeft, const Column& aRight) {
@@ -218,19 +218,20 @@
 CallGraph::Solve()
 {
   mPerRun.assign(mRuns.size(), std::vector<double>(mCalls.size(), 0.0));
-  std::vector<double> rates;
+  std::vector<double> per_run;
   for (std::size_t call = 0; call < mCalls.size(); ++call) {
     const std::vector<std::size_t> selected = SelectRuns(call);
-    Fit(call, selected, rates);
+    Fit(call, selected, per_run);
     double explained = 0;
     for (std::size_t i = 0; i < mRuns.size(); ++i) {
-      explained += rates[i] * mRuns[i].mTotalActivity;
+      explained += per_run[i] * mRuns[i].mTotalActivity;
     }
     const double scale = explained > 0 ? mCalls[call].mTotal / explained : 0;
     for (std::size_t i = 0; i < mRuns.size(); ++i) {
       const Column& run = mRuns[i];
       mPerRun[i][call] =
-        run.mTotal > 0 ? rates[i] * scale * run.mTotalActivity / run.mTotal : 0;
+        run.mTotal > 0 ? per_run[i] * scale * run.mTotalActivity / run.mTotal
+                       : 0;
     }
   }
 }
--- a/src/nutmegrock/overload/CallGraph.h
+++ b/src/nutmegrock/overload/CallGraph.h
@@ -90,7 +90,7 @@
   /// calls per run; returns the sum of squared residuals.
   double Fit(std::size_t aCall,
              const std::vector<std::size_t>& aSelected,
-             std::vector<double>& aRates) const;
+             std::vector<double>& aPerRun) const;
   static std::size_t IndexOf(std::vector<Column>& aColumns,
                              std::string_view aRoute);
 
--- a/src/nutmegrock/routing/ServiceRouter.h
+++ b/src/nutmegrock/routing/ServiceRouter.h
@@ -40,7 +40,7 @@
              AttemptOutcome aOutcome,
              core::Duration aLatency,
              const core::CallFeedback* aFeedback,
-             core::Duration aQueueTime = core::Duration(0));
+             core::Duration aQueueTime);
   std::uint32_t Available(core::TimePoint aNow,
                           std::span<const core::Incarnation> aExcluded) const;
   const std::vector<Candidate>& Candidates() const { return mCandidates; }
--- a/tests/gateway/PathTest.cpp
+++ b/tests/gateway/PathTest.cpp
@@ -314,19 +314,31 @@
   CHECK(client.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
 }
 
+namespace {
+
+/// Sends a request through the node and lets the server answer it with these
+/// further header lines, on a connection that closes. Returns the response.
+std::string
+AnswerWith(Node& aNode, const std::string& aHeaderLines)
+{
+  RawSocket client = aNode.Connect();
+  client.Write(Node::Request("read"));
+  RawSocket server = aNode.Server().Accept();
+  server.ReadUntil("\r\n\r\n");
+  server.Write("HTTP/1.1 200 OK\r\nNutmegrock-Request: id-1\r\n"
+               "Nutmegrock-Seal: s\r\nConnection: close\r\n" +
+               aHeaderLines + "Content-Length: 2\r\n\r\nok");
+  return client.ReadUntil("ok");
+}
+
+} // namespace
+
 // Guards against work at a server that has announced its leave only in its
 // answers, and that gets no heartbeat through.
 TEST_CASE("a server that leaves by its answers gets no new work")
 {
   Node node;
-  RawSocket client = node.Connect();
-  client.Write(Node::Request("read"));
-  RawSocket server = node.Server().Accept();
-  server.ReadUntil("\r\n\r\n");
-  server.Write("HTTP/1.1 200 OK\r\nNutmegrock-Request: id-1\r\n"
-               "Nutmegrock-Seal: s\r\nNutmegrock-Leaving: 1\r\n"
-               "Content-Length: 2\r\n\r\nok");
-  const std::string response = client.ReadUntil("ok");
+  const std::string response = AnswerWith(node, "Nutmegrock-Leaving: 1\r\n");
   CHECK(response.find("Nutmegrock-Leaving: 1\r\n") != std::string::npos);
   std::this_thread::sleep_for(milliseconds(850));
   RawSocket second = node.Connect();
@@ -334,19 +346,13 @@
   CHECK(second.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
 }
 
-// Guards against calls beyond the rate that a server names in its answers.
-TEST_CASE("the rate that a server names in its answers limits its calls")
+// Guards against a rate that a server names in its answers and nothing reads.
+// WorkQueueTest covers how it limits the calls.
+TEST_CASE("the rate that a server names in its answers reaches its queue")
 {
   Node node;
   const auto answer = [&](const std::string& aLimit) {
-    RawSocket client = node.Connect();
-    client.Write(Node::Request("read"));
-    RawSocket server = node.Server().Accept();
-    server.ReadUntil("\r\n\r\n");
-    server.Write("HTTP/1.1 200 OK\r\nNutmegrock-Request: id-1\r\n"
-                 "Nutmegrock-Seal: s\r\nConnection: close\r\n" +
-                 aLimit + "Content-Length: 2\r\n\r\nok");
-    client.ReadUntil("ok");
+    AnswerWith(node, aLimit);
     std::optional<double> limit;
     node.Do([&] { limit = node.ServingHalf().Queue().RateLimit(); });
     return limit;
--- a/tests/overload/WorkQueueTest.cpp
+++ b/tests/overload/WorkQueueTest.cpp
@@ -1,8 +1,8 @@
 #include "overload/WorkQueue.h"
 
 #include <algorithm>
+#include <deque>
 #include <doctest/doctest.h>
-#include <map>
 #include <optional>
 #include <vector>
 
@@ -161,7 +161,7 @@
   core::TimePoint mNow = kStart;
   std::uint64_t mNextId = 1;
   std::vector<core::TimePoint> mStarts;
-  std::multimap<core::TimePoint, int> mEnds;
+  std::deque<core::TimePoint> mEnds;
 
   LimitedServer() { mQueue.SetSlots(200); }
 
@@ -170,8 +170,8 @@
     constexpr milliseconds kStep(5);
     for (milliseconds at(0); at < aTime; at += kStep) {
       mNow += kStep;
-      while (!mEnds.empty() && mEnds.begin()->first <= mNow) {
-        mEnds.erase(mEnds.begin());
+      while (!mEnds.empty() && mEnds.front() <= mNow) {
+        mEnds.pop_front();
         Start(mQueue.OnEnd(mNow).mToStart.size());
       }
       Start(mQueue.Tick(mNow).mToStart.size());
@@ -187,7 +187,7 @@
   {
     for (std::size_t i = 0; i < aCalls; ++i) {
       mStarts.push_back(mNow);
-      mEnds.emplace(mNow + milliseconds(400), 0);
+      mEnds.push_back(mNow + milliseconds(400));
     }
   }
   /// Most starts in any span of that length.
