Count a connection until its call is no longer in flight

Cause: ServerConnection::Close() removed the connection from its listener first, then cancelled the call, and released the call in a later step of the strand (or after the pending read of the body). In between, a user of CallListener sees no connection and one call, which no handler holds. The test was right. The drain of a node waits for InFlight() only, so it waited a moment longer and never ended too early. What changed: Release() ends the exchange, and only then removes the connection. It runs where the exchange was ended before, and at once if there is none. A connection that times out while it drains the caller reaches it too; OnBody() skipped that. Why it works: all steps run on the strand of the connection, and the count of calls is lowered before that of connections. Two tests are added.

--- a/src/nutmegrock/transport/http/CallListener.h
+++ b/src/nutmegrock/transport/http/CallListener.h
@@ -39,7 +39,9 @@
   const core::Address& LocalAddress() const;
   /// Calls passed to the handler whose response is not yet written or dropped.
   std::size_t InFlight() const;
-  /// Open connections.
+  /// Open connections, and closed ones that have not yet released their call.
+  /// If zero, a call is in flight only while its handler holds its
+  /// ResponseHandler.
   std::size_t Connections() const;
   /// Number of connections refused with too_many_connections.
   std::uint64_t Refused() const;
--- a/src/nutmegrock/transport/http/ListenerState.h
+++ b/src/nutmegrock/transport/http/ListenerState.h
@@ -49,7 +49,8 @@
   std::size_t InFlight() const { return mInFlight; }
   std::size_t Connections() const;
   std::uint64_t Refused() const { return mRefused; }
-  /// Called by a connection when it has closed.
+  /// Called by a connection when it has closed and no longer holds the token of
+  /// its call.
   void Remove(const ServerConnection* aConnection);
 
 private:
--- a/src/nutmegrock/transport/http/ServerConnection.cpp
+++ b/src/nutmegrock/transport/http/ServerConnection.cpp
@@ -98,24 +98,31 @@
     Code ignored;
     self->mSocket.close(ignored);
     self->mTimer->Stop();
-    self->mListener->Remove(self.get());
     if (!self->mExchange) {
+      self->Release();
       return;
     }
     if (const auto writer = self->mExchange->mWriter.lock()) {
       writer->Abort();
     }
     self->mExchange->mCancellation->Cancel();
+    // If a read is in flight, OnBody() calls Release().
     if (!self->mExchange->mReading) {
       self->EndBody(core::MakeError(core::ErrorKind::BodyIncomplete,
                                     "the caller's connection is closed"));
       // Posted, since the code that called Close() may still use the exchange.
-      net::post(self->mSocket.get_executor(),
-                [self] { self->mExchange.reset(); });
+      net::post(self->mSocket.get_executor(), [self] { self->Release(); });
     }
   });
 }
 
+void
+ServerConnection::Release()
+{
+  mExchange.reset();
+  mListener->Remove(this);
+}
+
 void
 ServerConnection::OnTick()
 {
@@ -269,7 +276,7 @@
 {
   ServerExchange& exchange = *mExchange;
   exchange.mReading = false;
-  if (mDraining) {
+  if (mDraining && !mClosed) {
     Drain();
     return;
   }
@@ -309,7 +316,7 @@
                                 : core::ErrorKind::BodyIncomplete,
                           "cannot read the body: " + aCode.message()));
   if (mClosed) {
-    mExchange.reset();
+    Release();
   } else if (!large) {
     Close();
   }
--- a/src/nutmegrock/transport/http/ServerConnection.h
+++ b/src/nutmegrock/transport/http/ServerConnection.h
@@ -34,6 +34,9 @@
 
 private:
   using Code = boost::system::error_code;
+  /// Ends the exchange of a closed connection, then removes the connection from
+  /// the listener, so that a connection is counted while its call is.
+  void Release();
   void ReadHead();
   void OnHead(Code aCode);
   /// Sends an error response and closes.
--- a/tests/transport/ListenerFaultTest.cpp
+++ b/tests/transport/ListenerFaultTest.cpp
@@ -3,6 +3,7 @@
 #include "transport/http/ErrorResponse.h"
 
 #include <atomic>
+#include <future>
 
 using namespace nutmegrock;
 using namespace nutmegrock::tests;
@@ -175,6 +176,70 @@
     }
   }
 
+  // Whoever waits until no connection is open must find no call in flight.
+  TEST_CASE("a connection is counted until its call is no longer in flight")
+  {
+    using Counts = std::pair<std::size_t, std::size_t>;
+    std::promise<const http::CallListener*> created;
+    const auto pending = created.get_future().share();
+    Awaited<Counts> at_cancel;
+    Loop loop;
+    http::CallListenerSettings settings;
+    settings.mHeaderTimeout = std::chrono::milliseconds(200);
+    const auto listener = Listen(
+      loop,
+      [&](const Call& aCall, const ResponseHandler&) {
+        aCall.mCancellation->OnCancel([&] {
+          at_cancel.Set(
+            { pending.get()->Connections(), pending.get()->InFlight() });
+        });
+      },
+      settings);
+    created.set_value(listener.get());
+    struct Case
+    {
+      std::string mCall;
+      bool mCallerCloses;
+    };
+    for (const Case& ending : {
+           Case{ "GET /a HTTP/1.1\r\n\r\n", true },
+           Case{ "PUT /a HTTP/1.1\r\nContent-Length: 9\r\n\r\nab", true },
+           // Closed by the timeout, while a read of the body is pending.
+           Case{ "PUT /a HTTP/1.1\r\nContent-Length: 9\r\n\r\nab", false },
+         }) {
+      CAPTURE(ending.mCall);
+      CAPTURE(ending.mCallerCloses);
+      RawSocket caller(listener->LocalAddress());
+      caller.Write(ending.mCall);
+      if (ending.mCallerCloses) {
+        caller.Close();
+      }
+      const auto counts = at_cancel.Get();
+      REQUIRE(counts.has_value());
+      CHECK(counts->first == 1);
+      CHECK(counts->second == 1);
+      CHECK(WaitUntil([&] { return listener->Connections() == 0; }));
+      CHECK(listener->InFlight() == 0);
+    }
+  }
+
+  TEST_CASE("a connection that its caller keeps open is not counted after its "
+            "last response")
+  {
+    Loop loop;
+    const auto listener =
+      Listen(loop, [](const Call&, const ResponseHandler& aResponse) {
+        aResponse(core::Fail(core::ErrorKind::QueueFull, "full"));
+      });
+    RawSocket caller(listener->LocalAddress());
+    // No byte of the body follows, so a read is pending when the listener
+    // closes the connection.
+    caller.Write("PUT /a HTTP/1.1\r\nContent-Length: 100000\r\n\r\n");
+    CHECK(Contains(caller.ReadToEnd(), "Connection: close"));
+    CHECK(WaitUntil([&] { return listener->Connections() == 0; }));
+    CHECK(listener->InFlight() == 0);
+  }
+
   // A truncated response must never appear complete to the caller.
   TEST_CASE("a response body that fails or has the wrong size is truncated")
   {
