--- a/src/nutmegrock/core/Level.h
+++ b/src/nutmegrock/core/Level.h
@@ -36,6 +36,9 @@
   std::uint32_t mLoadPermille = 0;
   /// Unused part of the retry budget granted with the call.
   std::uint32_t mBudgetReturned = 0;
+  /// As mLoadPermille, for the most crowded part of the calls, which only some
+  /// of them wait for; not sent between nodes with profiles.
+  std::uint32_t mOccupancyPermille = 0;
 
   bool operator==(const CallFeedback&) const = default;
 };
--- a/src/nutmegrock/gateway/Entry.cpp
+++ b/src/nutmegrock/gateway/Entry.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// A caller whose deadline is at least this share of the route's maximum has
-/// not been refused before.
-constexpr double kFullDeadlineShare = 0.97;
 /// Maximum number of routes for which statistics are kept.
 constexpr std::size_t kMaxRoutes = 1024;
 /// Weight of one response in the moving average of failures.
@@ -20,6 +17,14 @@
 /// Up to this failure rate, error responses are retried.
 constexpr double kMaxRareFailureRate = 0.06;
 
+// Not 0. Nodes that share a number share a window.
+std::uint32_t
+CallingNodeOf(core::Incarnation aNode)
+{
+  constexpr std::uint64_t kNumbers = 0xffff'ffff;
+  return static_cast<std::uint32_t>(aNode.mBits % kNumbers) + 1;
+}
+
 } // namespace
 
 Entry::Entry(EntrySettings aSettings,
@@ -30,6 +35,7 @@
              overload::EntryAdmission& aAdmission,
              retry::RetryAllowance& aAllowance)
   : mSettings(std::move(aSettings))
+  , mCallingNode(CallingNodeOf(mSettings.mSelf))
   , mComponents(aComponents)
   , mServing(aServing)
   , mRoutes(aRoutes)
@@ -53,19 +59,6 @@
   return call;
 }
 
-bool
-Entry::WasRefusedBefore(const std::string& aRoute,
-                        std::chrono::milliseconds aDeadline)
-{
-  if (mMaxDeadline.size() > kMaxRoutes) {
-    mMaxDeadline.clear();
-  }
-  auto& max_deadline = mMaxDeadline[aRoute];
-  max_deadline = std::max(max_deadline, aDeadline);
-  return static_cast<double>(aDeadline.count()) <
-         kFullDeadlineShare * static_cast<double>(max_deadline.count());
-}
-
 void
 Entry::Tick()
 {
--- a/src/nutmegrock/gateway/Entry.h
+++ b/src/nutmegrock/gateway/Entry.h
@@ -63,10 +63,6 @@
 private:
   friend class EntryCall;
 
-  /// Returns true if a caller has probably been refused before: its deadline is
-  /// shorter than the longest one seen on the route.
-  bool WasRefusedBefore(const std::string& aRoute,
-                        std::chrono::milliseconds aDeadline);
   void Remove(EntryCall* aCall);
   /// Counts a response of a backend server.
   void CountResponse(const std::string& aRoute, unsigned aStatus);
@@ -77,6 +73,8 @@
   bool IsFailureRare(const std::string& aRoute) const;
 
   const EntrySettings mSettings;
+  /// See PeerCall::mCallingNode.
+  const std::uint32_t mCallingNode;
   SharedComponents& mComponents;
   Serving& mServing;
   routes::ActiveRoutes& mRoutes;
@@ -88,7 +86,6 @@
   overload::ZonePlacement mPlacement;
   bool mRefusing = false;
   std::unordered_set<std::shared_ptr<EntryCall>> mCalls;
-  std::map<std::string, std::chrono::milliseconds> mMaxDeadline;
   /// Response counters by route and status, cached.
   std::map<std::pair<std::string, unsigned>, metrics::Counter*>
     mResponseCounters;
--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -4,6 +4,7 @@
 #include "proxy/RequestText.h"
 
 #include <algorithm>
+#include <cmath>
 #include <spdlog/fmt/fmt.h>
 #include <utility>
 
@@ -21,6 +22,9 @@
 /// Error responses are retried only within this initial share of the time
 /// limit.
 constexpr double kReplaceableShare = 0.4;
+/// Part of the rank that a request shares with all its calls, for calls whose
+/// request is not known.
+constexpr double kUnknownRank = 0.9;
 /// Retry-After value for refusals without a more specific one.
 constexpr milliseconds kDefaultRetryAfter{ 250 };
 
@@ -64,19 +68,17 @@
   // An unknown route may be a nested call of an admitted request, which must
   // not be refused.
   mNested = cost == nullptr || cost->mInternal.value_or(true);
+  mInternal = cost != nullptr && cost->mInternal.value_or(false);
   SetDeadline();
   mHash = core::HashOf(mExchange->Head().mRequestId);
+  mZone = mEntry.mPlacement.Place(
+    mArrived, mRoute->mName, mHash, mEntry.mSettings.mZone);
   if (!Admit()) {
     return;
   }
   mService = mEntry.mSplitPicker.Pick(*mRoute);
-  mZone = mEntry.mPlacement.Place(
-    mArrived, mRoute->mName, mHash, mEntry.mSettings.mZone);
-  mRetryShare = mNested ? mEntry.mComponents.mRetryShares.Share() : 0;
-  mEntry.mAllowance.OnRequest(mArrived, mService, mRetryShare);
-  if (mNested) {
-    mEntry.mComponents.mGraph.OnCall(mArrived, mRoute->mName);
-  }
+  FindChain();
+  mEntry.mAllowance.OnRequest(mArrived, mService, mChain.mRetryShare);
   SendAttempt();
 }
 
@@ -111,8 +113,6 @@
   const milliseconds wait =
     std::min(requested.value_or(mRoute->mTimeout), mRoute->mTimeout);
   mDeadline = mArrived + wait;
-  mRefusedBefore =
-    requested && !mNested && mEntry.WasRefusedBefore(mRoute->mName, *requested);
 }
 
 bool
@@ -123,35 +123,82 @@
   }
   overload::EntryRequest request;
   request.mRoute = mRoute->mName;
+  request.mZone = mZone;
   request.mPriority = mRoute->mPriority;
   request.mLatencyObjective = mRoute->mLatencyObjective;
   request.mHash = mHash;
-  request.mRefusedBefore = mRefusedBefore;
-  const auto decision = mEntry.mAdmission.Decide(mArrived, request);
+  const auto decision = mEntry.mAdmission.Decide(request);
+  mChain.mRank = decision.mRank;
   if (decision.mAdmitted) {
     return true;
   }
-  const std::string_view cost = decision.mCostAssumed ? "assumed" : "learned";
   mEntry.mComponents.mRegistry
     .CounterOf("nutmegrock_shed_total",
-               { { "route", mRoute->mName },
-                 { "service", decision.mService },
-                 { "cost", std::string(cost) } })
+               { { "route", mRoute->mName }, { "service", decision.mService } })
     .Add();
   core::Error error = core::MakeError(
     core::ErrorKind::LevelTooLow,
-    fmt::format("service {} is overloaded: load {:.2f}, share admitted {:.2f}, "
-                "{} cost {:.3f} s",
+    fmt::format("service {} is overloaded: rank {:.3f}, cutoff {:.3f}",
                 decision.mService,
-                decision.mLoad,
-                decision.mShare,
-                cost,
-                decision.mSlotSeconds));
+                decision.mRank,
+                decision.mCutoff));
   error.mRetryAfter = decision.mRetryAfter;
   Fail(error);
   return false;
 }
 
+// Calls of a route that is not known to be nested may be requests of callers,
+// so only the route decides on their rank.
+void
+EntryCall::FindChain()
+{
+  mChain.mFinishBy = mDeadline;
+  if (!mNested) {
+    mDemandRank = mChain.mRank;
+    return;
+  }
+  mChain.mRank = overload::RankOf(mRoute->mPriority, 0) + kUnknownRank;
+  mChain.mRetryShare = mEntry.mComponents.mRetryShares.Share();
+  mDemandRank = mChain.mRank;
+  const auto timeout = mExchange->Head().mTimeout;
+  if (!mInternal || !timeout) {
+    return;
+  }
+  mParent = mEntry.mComponents.mRuns.OnCall(mArrived, mRoute->mName, *timeout);
+  if (!mParent) {
+    return;
+  }
+  mDemandRank = mParent->mChain.mRank;
+  mChain.mRetryShare = mParent->mChain.mRetryShare;
+  if (mParent->mIdentified) {
+    mChain = mParent->mChain;
+    mChain.mFinishBy = std::min(mChain.mFinishBy, mDeadline);
+  }
+}
+
+PeerCall
+EntryCall::PeerCallFor(core::TimePoint aNow) const
+{
+  constexpr double kPermille = 1000;
+  const auto permille = [](double aValue) {
+    return static_cast<std::uint32_t>(std::lround(kPermille * aValue));
+  };
+  PeerCall call;
+  call.mTarget = mChoice.mIncarnation;
+  call.mService = mService;
+  call.mCallerService = mEntry.mSettings.mService;
+  call.mRoute = mRoute->mName;
+  call.mTimeRemaining = ToMilliseconds(mDeadline - aNow);
+  call.mRetryPermille = permille(mServersReached > 0 ? 1 : mChain.mRetryShare);
+  call.mCostRequested =
+    mEntry.mComponents.mCosts.ShouldRequest(aNow, mRoute->mName);
+  call.mRankPermille = permille(mChain.mRank);
+  call.mDemandRankPermille = permille(mDemandRank);
+  call.mFinishWithin = ToMilliseconds(mChain.mFinishBy - aNow);
+  call.mCallingNode = mInternal ? mEntry.mCallingNode : 0;
+  return call;
+}
+
 void
 EntryCall::SendAttempt()
 {
@@ -175,19 +222,7 @@
   mServerLeaving = false;
   mTried.push_back(choice->mIncarnation);
   mEntry.mRouter.OnStart(now, choice->mIncarnation, TypicalTime(now));
-  PeerCall call;
-  call.mTarget = choice->mIncarnation;
-  call.mService = mService;
-  call.mCallerService = mEntry.mSettings.mService;
-  call.mRoute = mRoute->mName;
-  call.mObjectiveRemaining =
-    ToMilliseconds(mArrived + mRoute->mLatencyObjective - now);
-  call.mTimeRemaining = ToMilliseconds(mDeadline - now);
-  constexpr double kPermille = 1000;
-  call.mRetryPermille = static_cast<std::uint32_t>(
-    kPermille * (mServersReached > 0 ? 1 : mRetryShare));
-  call.mCostRequested =
-    mEntry.mComponents.mCosts.ShouldRequest(now, mRoute->mName);
+  const PeerCall call = PeerCallFor(now);
   mSink = std::make_shared<AttemptSink>(*this);
   ++mAttemptNumber;
   if (choice->mIncarnation == mEntry.mSettings.mSelf) {
@@ -355,12 +390,38 @@
   constexpr double kPermille = 1000;
   const core::TimePoint now = mEntry.mComponents.mNow();
   mHasFeedback = true;
-  mFeedback.mLoadPermille =
-    static_cast<std::uint32_t>(std::min(aNote.mLoad, 1e3) * kPermille);
+  const auto permille = [](double aShare) {
+    return static_cast<std::uint32_t>(std::min(aShare, 1e3) * kPermille);
+  };
+  mFeedback.mLoadPermille = permille(aNote.mLoad);
+  mFeedback.mOccupancyPermille = permille(aNote.mOccupancy);
   mServerLeaving = aNote.mLeaving;
   mAttemptQueueTime = aNote.mQueueTime;
-  mEntry.mComponents.mLoads.OnServerLoad(
-    now, mService, mChoice.mZone, mChoice.mIncarnation, aNote.mLoad);
+  mEntry.mComponents.mLoads.OnServerLoad(now,
+                                         { mService,
+                                           mChoice.mZone,
+                                           mChoice.mIncarnation,
+                                           aNote.mLoad,
+                                           aNote.mCutoff });
+  for (const DownstreamCutoff& downstream : aNote.mDownstream) {
+    mEntry.mComponents.mLoads.OnServerLoad(
+      now,
+      { overload::NameOfCalls(mService, downstream.mService),
+        mChoice.mZone,
+        mChoice.mIncarnation,
+        0,
+        downstream.mCutoff,
+        downstream.mRate });
+  }
+  if (mNested) {
+    mEntry.mComponents.mDownstream.OnResponse(
+      now,
+      { mService,
+        mChoice.mIncarnation,
+        aNote.mWindow,
+        now - mAttemptStartedAt - aNote.mQueueTime,
+        aNote.mRunTime });
+  }
   for (const overload::LoadReport& report : aNote.mLoads) {
     mEntry.mComponents.mLoads.OnReport(now, report);
   }
@@ -576,6 +637,16 @@
   SendAttempt();
 }
 
+std::chrono::milliseconds
+EntryCall::DefaultRetryAfter(core::ErrorKind aKind) const
+{
+  const bool overloaded = aKind == core::ErrorKind::QueueFull ||
+                          aKind == core::ErrorKind::QueueTimeout;
+  return overloaded && mRoute != nullptr && !mNested
+           ? overload::RetryDelay(mRoute->mLatencyObjective, mHash)
+           : kDefaultRetryAfter;
+}
+
 void
 EntryCall::Fail(const core::Error& aError)
 {
@@ -606,8 +677,10 @@
                                mExchange->Head().mRequestId);
   }
   if (status == 503) {
-    lines += RetryAfterLine(error.mRetryAfter.count() > 0 ? error.mRetryAfter
-                                                          : kDefaultRetryAfter);
+    if (error.mRetryAfter.count() <= 0) {
+      error.mRetryAfter = DefaultRetryAfter(error.mKind);
+    }
+    lines += RetryAfterLine(error.mRetryAfter);
   }
   mEntry.mComponents.mRegistry
     .CounterOf("nutmegrock_entry_refused_total",
@@ -647,7 +720,7 @@
     "event=request id={} from={} route={} service={} routes_version={} "
     "status={} reason=\"{}\" attempts={} zone={} last_server={} "
     "last_load_permille={} "
-    "elapsed_ms={} time_ms={} returned={} retries_left={:.0f}",
+    "elapsed_ms={} time_ms={} rank={:.3f} retries_left={:.0f}",
     mExchange->Head().mRequestId,
     CallerKind(),
     mRoute == nullptr ? "-" : mRoute->mName,
@@ -663,7 +736,7 @@
     mDeadline == core::TimePoint::max()
       ? 0
       : ToMilliseconds(mDeadline - mArrived).count(),
-    mRefusedBefore,
+    mChain.mRank,
     mService.empty() ? 0.0 : mEntry.mAllowance.Remaining(now, mService)));
 }
 
@@ -674,6 +747,10 @@
     return;
   }
   mDone = true;
+  if (mParent && mParent->mIdentified) {
+    mEntry.mComponents.mRuns.OnCallEnd(mEntry.mComponents.mNow(),
+                                       mParent->mRun);
+  }
   mReplay.clear();
   mBuffered.clear();
   mEntry.Remove(this);
--- a/src/nutmegrock/gateway/EntryCall.h
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,10 +69,12 @@
   void OnResponseFailed(const core::Error& aError);
   void OnRequestSent();
   bool FindRoute();
-  /// Sets mDeadline and mRefusedBefore.
   void SetDeadline();
   bool Admit();
+  /// Finds the run that made a nested call, and sets mChain and mDemandRank.
+  void FindChain();
   void SendAttempt();
+  PeerCall PeerCallFor(core::TimePoint aNow) const;
   /// Time that a call of the route usually takes at the service.
   core::Duration TypicalTime(core::TimePoint aNow) const;
   void SendToSelf(const PeerCall& aCall);
@@ -85,6 +88,8 @@
   /// retry.
   bool ShouldReplace(const proxy::ResponseHead& aHead);
   void Fail(const core::Error& aError);
+  /// Retry-After value for a refusal that names none.
+  std::chrono::milliseconds DefaultRetryAfter(core::ErrorKind aKind) const;
   /// Closes the caller's connection in the middle of the response, so that the
   /// response cannot be taken for complete.
   void AbortResponse(const core::Error& aError);
@@ -106,10 +111,15 @@
   std::uint64_t mHash = 0;
   /// The route is called by backend servers, or that is not known.
   bool mNested = false;
-  /// Estimated from the caller's timeout; see Entry::WasRefusedBefore().
-  bool mRefusedBefore = false;
-  /// Probability that the run which made this call was a retry.
-  double mRetryShare = 0;
+  /// The route is known to be called by backend servers.
+  bool mInternal = false;
+  /// The request that this call belongs to; the call itself if a caller sent
+  /// it.
+  overload::RequestChain mChain;
+  /// See WorkItem::mDemandRank.
+  double mDemandRank = 0;
+  /// The run of the local backend server that made this call, if known.
+  std::optional<overload::CallParent> mParent;
   core::TimePoint mArrived;
   core::TimePoint mDeadline;
 
--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -93,6 +93,7 @@
   , mTimer(mIo)
   , mSignals(mIo, SIGTERM, SIGINT, SIGHUP)
   , mLog({}, [](std::string_view aLine) { spdlog::info("{}", aLine); })
+  , mRuns(mGraph)
   , mAdmission(mCosts, mLoads)
   , mSheddingLog([this](std::string_view aLine) { mLog.LogState(aLine); })
   , mAllowance(AllowanceFor(mSettings.mBounds))
@@ -157,6 +158,8 @@
     now,
     *mPool,
     mGraph,
+    mRuns,
+    mDownstream,
     mCallerShares,
     mRetryShares,
     mCosts,
@@ -164,6 +167,7 @@
     mRegistry,
     mLog,
     [this] { return mRoutes.Version(); },
+    [this](const std::string& aRoute) { return ServiceOf(aRoute); },
     [this] { return mServices; },
     [this](const core::Address& aFrom, std::uint64_t aVersion) {
       mRouteSync->OnVersionSeen(aFrom, aVersion);
@@ -428,9 +432,32 @@
 {
   mCallerListener->SetLimits(aRoutes->Limits());
   mEntry->OnRoutesChanged();
+  std::uint32_t last_priority = 0;
+  for (const routes::Route& route : aRoutes->Routes()) {
+    last_priority = std::max(last_priority, route.mPriority);
+  }
+  mLoads.SetOpenRank(
+    std::min(overload::kOpenRank, static_cast<double>(last_priority) + 1));
   mMembership->NotifyVersion(aRoutes->Version());
 }
 
+std::string
+GatewayRuntime::Components::ServiceOf(const std::string& aRoute) const
+{
+  const routes::RouteSetPtr routes = mRoutes.Current();
+  const routes::Route* route = routes ? routes->FindByName(aRoute) : nullptr;
+  if (route == nullptr) {
+    return {};
+  }
+  return std::max_element(route->mTargets.begin(),
+                          route->mTargets.end(),
+                          [](const routes::RouteTarget& aLeft,
+                             const routes::RouteTarget& aRight) {
+                            return aLeft.mWeight < aRight.mWeight;
+                          })
+    ->mService;
+}
+
 std::uint32_t
 GatewayRuntime::Components::PublishableSlots() const
 {
@@ -524,7 +551,7 @@
   mEntry->Tick();
   mServing->Tick();
   mAdmission.Tick(now);
-  mSheddingLog.Tick(now, mAdmission.Levels(), mCosts);
+  mSheddingLog.Tick(now, mAdmission.CutoffsInForce(), mCosts);
   mPool->Tick();
   ProbeServer(now);
   PublishState();
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -69,6 +69,7 @@
                   std::optional<routing::EjectionReason> aReason);
   void OnView(const membership::MemberViewPtr& aView);
   void OnRoutes(const routes::RouteSetPtr& aRoutes);
+  std::string ServiceOf(const std::string& aRoute) const;
   void OnSavedCosts(const NamedCosts& aCosts);
   void SaveCosts(core::TimePoint aNow);
   void ScheduleTick();
@@ -91,6 +92,8 @@
   DecisionLog mLog;
   routes::ActiveRoutes mRoutes;
   overload::CallGraph mGraph;
+  overload::RunTracker mRuns;
+  overload::DownstreamLimits mDownstream;
   overload::CallerShares mCallerShares;
   retry::RetryShare mRetryShares;
   overload::RouteCosts mCosts;
--- a/src/nutmegrock/gateway/GatewayControl.cpp
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -147,11 +147,19 @@
                 mServing->Queue().Waiting(),
                 mServing->Queue().Limit(),
                 mServing->Queue().Load(now));
-  for (const auto& [service, level] : mAdmission.Levels()) {
-    text += fmt::format("service {} load {:.3f} share admitted {:.3f}\n",
+  for (const std::string& service : mServing->Queue().Downstream()) {
+    const auto limit = mServing->Queue().DownstreamLimit(service);
+    text += fmt::format("runs that call {} running {} limit {} cutoff {:.3f}\n",
                         service,
-                        level.Load(),
-                        level.Share());
+                        mServing->Queue().DownstreamRunning(service),
+                        limit ? fmt::to_string(*limit) : "none",
+                        mServing->Queue().DownstreamCutoff(service));
+  }
+  for (const auto& [service, cutoff] : mAdmission.CutoffsInForce()) {
+    text += fmt::format("service {} load {:.3f} cutoff {:.3f}\n",
+                        service,
+                        mLoads.Load(now, service).value_or(0),
+                        cutoff);
   }
   for (const auto& [route, cost] : mCosts.All()) {
     text += fmt::format("route {} complete {}", route, cost.mComplete);
--- a/src/nutmegrock/gateway/PeerCall.cpp
+++ b/src/nutmegrock/gateway/PeerCall.cpp
@@ -9,21 +9,24 @@
 std::string
 Encode(const PeerCall& aCall)
 {
-  return fmt::format("{:x};{};{};{};{};{};{};{}",
+  return fmt::format("{:x};{};{};{};{};{};{};{};{};{};{:x}",
                      aCall.mTarget.mBits,
                      aCall.mService,
                      aCall.mCallerService,
                      aCall.mRoute,
-                     aCall.mObjectiveRemaining.count(),
                      aCall.mTimeRemaining.count(),
                      aCall.mRetryPermille,
-                     aCall.mCostRequested ? 1 : 0);
+                     aCall.mCostRequested ? 1 : 0,
+                     aCall.mRankPermille,
+                     aCall.mDemandRankPermille,
+                     aCall.mFinishWithin.count(),
+                     aCall.mCallingNode);
 }
 
 core::Expected<PeerCall>
 DecodePeerCall(std::string_view aText)
 {
-  constexpr std::size_t kFieldCount = 8;
+  constexpr std::size_t kFieldCount = 11;
   const auto fields = SplitText(aText, ';');
   const auto fail = [] {
     return core::Fail(core::ErrorKind::ProtocolError,
@@ -33,11 +36,14 @@
     return fail();
   }
   const auto target = ParseNumber<std::uint64_t>(fields[0], 16);
-  const auto objective = ParseNumber<std::int64_t>(fields[4]);
-  const auto remaining = ParseNumber<std::int64_t>(fields[5]);
-  const auto retryPermille = ParseNumber<std::uint32_t>(fields[6]);
-  if (!target || !objective || !remaining || !retryPermille ||
-      fields[1].empty()) {
+  const auto remaining = ParseNumber<std::int64_t>(fields[4]);
+  const auto retry = ParseNumber<std::uint32_t>(fields[5]);
+  const auto rank = ParseNumber<std::uint32_t>(fields[7]);
+  const auto demand_rank = ParseNumber<std::uint32_t>(fields[8]);
+  const auto finish = ParseNumber<std::int64_t>(fields[9]);
+  const auto calling_node = ParseNumber<std::uint32_t>(fields[10], 16);
+  if (!target || !remaining || !retry || !rank || !demand_rank || !finish ||
+      !calling_node || fields[1].empty()) {
     return fail();
   }
   PeerCall call;
@@ -45,10 +51,13 @@
   call.mService = fields[1];
   call.mCallerService = fields[2];
   call.mRoute = fields[3];
-  call.mObjectiveRemaining = std::chrono::milliseconds(*objective);
   call.mTimeRemaining = std::chrono::milliseconds(*remaining);
-  call.mRetryPermille = *retryPermille;
-  call.mCostRequested = fields[7] == "1";
+  call.mRetryPermille = *retry;
+  call.mCostRequested = fields[6] == "1";
+  call.mRankPermille = *rank;
+  call.mDemandRankPermille = *demand_rank;
+  call.mFinishWithin = std::chrono::milliseconds(*finish);
+  call.mCallingNode = *calling_node;
   return call;
 }
 
--- a/src/nutmegrock/gateway/PeerCall.h
+++ b/src/nutmegrock/gateway/PeerCall.h
@@ -21,9 +21,6 @@
   /// Service of the entry node's local backend server.
   std::string mCallerService;
   std::string mRoute;
-  /// Time remaining until a response loses part of its benefit; may be
-  /// negative.
-  std::chrono::milliseconds mObjectiveRemaining{ 0 };
   /// Time remaining until the caller stops waiting for the response.
   std::chrono::milliseconds mTimeRemaining{ 0 };
   /// Probability that this is a retry or a call of one, in thousandths.
@@ -31,6 +28,16 @@
   /// The entry node does not know the route's cost and requests it with the
   /// response.
   bool mCostRequested = false;
+  /// Rank of the request that the call belongs to, and the one by which it
+  /// counts as demand, in thousandths; see WorkItem.
+  std::uint32_t mRankPermille = 0;
+  std::uint32_t mDemandRankPermille = 0;
+  /// Time within which the call has to end for that request to complete in
+  /// time; may be negative.
+  std::chrono::milliseconds mFinishWithin{ 0 };
+  /// Identifies the node whose backend server made the call among the callers
+  /// of a service; 0 for a request of a caller.
+  std::uint32_t mCallingNode = 0;
 
   bool operator==(const PeerCall&) const = default;
 };
--- a/src/nutmegrock/gateway/PeerNote.cpp
+++ b/src/nutmegrock/gateway/PeerNote.cpp
@@ -34,19 +34,38 @@
   for (const std::string_view part : SplitText(aValue, ',')) {
     const auto fields = SplitText(part, ':');
     const auto load =
-      fields.size() == 4 ? FromThousandths(fields[2]) : std::nullopt;
-    const auto age = load ? ParseNumber<std::int64_t>(fields[3]) : std::nullopt;
+      fields.size() == 5 ? FromThousandths(fields[2]) : std::nullopt;
+    const auto cutoff = load ? FromThousandths(fields[3]) : std::nullopt;
+    const auto age =
+      cutoff ? ParseNumber<std::int64_t>(fields[4]) : std::nullopt;
     if (!age || *age < 0) {
       return false;
     }
     aNote.mLoads.push_back({ std::string(fields[0]),
                              std::string(fields[1]),
                              *load,
+                             *cutoff,
                              std::chrono::milliseconds(*age) });
   }
   return true;
 }
 
+bool
+ReadDownstream(std::string_view aValue, PeerNote& aNote)
+{
+  for (const std::string_view part : SplitText(aValue, ',')) {
+    const auto fields = SplitText(part, ':');
+    const auto cutoff =
+      fields.size() == 3 ? FromThousandths(fields[1]) : std::nullopt;
+    const auto rate = cutoff ? FromThousandths(fields[2]) : std::nullopt;
+    if (!rate) {
+      return false;
+    }
+    aNote.mDownstream.push_back({ std::string(fields[0]), *cutoff, *rate });
+  }
+  return true;
+}
+
 bool
 ReadError(std::string_view aValue, PeerNote& aNote)
 {
@@ -67,6 +86,22 @@
   return true;
 }
 
+bool
+ReadThousandths(std::string_view aValue, double& aTarget)
+{
+  const auto value = FromThousandths(aValue);
+  aTarget = value.value_or(aTarget);
+  return value.has_value();
+}
+
+bool
+ReadMilliseconds(std::string_view aValue, std::chrono::milliseconds& aTarget)
+{
+  const auto value = ParseNumber<std::uint32_t>(aValue);
+  aTarget = std::chrono::milliseconds(value.value_or(0));
+  return value.has_value();
+}
+
 bool
 ReadField(std::string_view aField, PeerNote& aNote)
 {
@@ -75,16 +110,21 @@
   }
   const std::string_view value = aField.substr(2);
   switch (aField[0]) {
-    case 'l': {
-      const auto load = FromThousandths(value);
-      aNote.mLoad = load.value_or(0);
-      return load.has_value();
-    }
-    case 'q': {
-      const auto queue_time = ParseNumber<std::uint32_t>(value);
-      aNote.mQueueTime = std::chrono::milliseconds(queue_time.value_or(0));
-      return queue_time.has_value();
+    case 'l':
+      return ReadThousandths(value, aNote.mLoad);
+    case 'o':
+      return ReadThousandths(value, aNote.mOccupancy);
+    case 'r':
+      return ReadThousandths(value, aNote.mCutoff);
+    case 'w': {
+      const auto window = ParseNumber<std::uint32_t>(value);
+      aNote.mWindow = window.value_or(0);
+      return window.has_value();
     }
+    case 'q':
+      return ReadMilliseconds(value, aNote.mQueueTime);
+    case 't':
+      return ReadMilliseconds(value, aNote.mRunTime);
     case 's':
       aNote.mLeaving = value == "1";
       return true;
@@ -95,6 +135,8 @@
     }
     case 'c':
       return ReadCost(value, aNote);
+    case 'd':
+      return ReadDownstream(value, aNote);
     case 'p':
       return ReadLoads(value, aNote);
     case 'e':
@@ -112,13 +154,33 @@
   std::string text;
   auto out = std::back_inserter(text);
   fmt::format_to(out,
-                 "l={};s={};v={}",
+                 "l={};o={};s={};v={}",
                  ToThousandths(aNote.mLoad),
+                 ToThousandths(aNote.mOccupancy),
                  aNote.mLeaving ? 1 : 0,
                  aNote.mRouteVersion);
+  if (aNote.mCutoff < overload::kOpenRank) {
+    fmt::format_to(out, ";r={}", ToThousandths(aNote.mCutoff));
+  }
+  if (aNote.mWindow > 0) {
+    fmt::format_to(out, ";w={}", aNote.mWindow);
+  }
+  const char* part = ";d=";
+  for (const DownstreamCutoff& downstream : aNote.mDownstream) {
+    fmt::format_to(out,
+                   "{}{}:{}:{}",
+                   part,
+                   downstream.mService,
+                   ToThousandths(downstream.mCutoff),
+                   ToThousandths(downstream.mRate));
+    part = ",";
+  }
   if (aNote.mQueueTime.count() > 0) {
     fmt::format_to(out, ";q={}", aNote.mQueueTime.count());
   }
+  if (aNote.mRunTime.count() > 0) {
+    fmt::format_to(out, ";t={}", aNote.mRunTime.count());
+  }
   if (aNote.mCost) {
     text += ";c=" + EncodeCost(*aNote.mCost);
   }
@@ -126,11 +188,12 @@
   for (const overload::LoadReport& report : aNote.mLoads) {
     fmt::format_to(
       out,
-      "{}{}:{}:{}:{}",
+      "{}{}:{}:{}:{}:{}",
       separator,
       report.mService,
       report.mZone,
       ToThousandths(report.mLoad),
+      ToThousandths(report.mCutoff),
       std::chrono::duration_cast<std::chrono::milliseconds>(report.mAge)
         .count());
     separator = ",";
--- a/src/nutmegrock/gateway/PeerNote.h
+++ b/src/nutmegrock/gateway/PeerNote.h
@@ -13,14 +13,36 @@
 
 namespace nutmegrock::gateway {
 
+/// Calls of the serving node's server to another service, whose number it
+/// limits.
+struct DownstreamCutoff
+{
+  std::string mService;
+  /// Rank up to which runs that make such calls are served.
+  double mCutoff = overload::kOpenRank;
+  /// Such runs per second.
+  double mRate = 0;
+
+  bool operator==(const DownstreamCutoff&) const = default;
+};
+
 /// What a serving node reports to the entry node with a response.
 struct PeerNote
 {
-  /// Running and waiting calls of its server as a share of the concurrency
-  /// limit.
+  /// Demand as a share of the capacity of its server; see WorkQueue::Load().
   double mLoad = 0;
+  /// Running and waiting calls; see WorkQueue::Occupancy().
+  double mOccupancy = 0;
+  /// Rank up to which its server serves calls.
+  double mCutoff = overload::kOpenRank;
+  /// Calls that each node of another service may have in progress at its
+  /// server; see CallerWindows.
+  std::uint32_t mWindow = 0;
+  std::vector<DownstreamCutoff> mDownstream;
   /// Time that the request waited for a slot of the server.
   std::chrono::milliseconds mQueueTime{ 0 };
+  /// Time from then to the head of the server's response.
+  std::chrono::milliseconds mRunTime{ 0 };
   /// The server accepts no new work.
   bool mLeaving = false;
   /// Version of the routes in force at the serving node.
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -19,12 +19,15 @@
 /// carry only the load.
 constexpr std::chrono::milliseconds kCostInterval{ 200 };
 /// Loads of other services are sent with one response per interval. With the
-/// maximum number of loads below, at some 25 bytes each, that is 7 KB/s a node
+/// maximum number of loads below, at some 35 bytes each, that is 9 KB/s a node
 /// of the 10 KB/s allowed for control traffic.
-constexpr std::chrono::milliseconds kLoadsInterval{ 30 };
+constexpr std::chrono::milliseconds kLoadsInterval{ 45 };
 /// Loads below this require no action by any node and are not forwarded.
 constexpr double kMinForwardedLoad = 0.5;
-constexpr std::size_t kMaxForwardedLoads = 8;
+constexpr std::size_t kMaxForwardedLoads = 12;
+constexpr std::chrono::milliseconds kDownstreamInterval{ 100 };
+/// Calls per second to a service below its cutoff is reported from.
+constexpr double kMinDownstreamRate = 0.5;
 /// A run that takes longer than this multiple of its typical time, and than the
 /// minimum below, may have ended without a response.
 constexpr int kLostRunFactor = 4;
@@ -79,12 +82,16 @@
   const auto call = std::make_shared<ServingCall>(
     *this, mNextId++, aCall, aHead, std::move(aSink));
   mCalls.emplace(call->Id(), call);
+  if (aCall.mCallingNode != 0) {
+    mWindows.OnStart(aCall.mCallingNode);
+  }
   mComponents.mCallers.OnCall(
     mComponents.mNow(), aCall.mRoute, aCall.mCallerService);
   auto admitted = Check(aCall);
   if (admitted) {
     const core::Duration typical = std::chrono::duration_cast<core::Duration>(
       std::chrono::duration<double>(StatsOf(aCall.mRoute).mRunSeconds));
+    call->SetDownstream(DownstreamOf(aCall.mRoute));
     admitted = mQueue.Offer(mComponents.mNow(), call->ItemFor(typical));
   }
   if (!admitted) {
@@ -124,7 +131,7 @@
       call->Run();
       continue;
     }
-    Apply(mQueue.OnEnd(mComponents.mNow()));
+    Apply(mQueue.OnEnd(mComponents.mNow(), call->Downstream()));
     call->Refuse(core::MakeError(core::ErrorKind::Draining,
                                  "the backend server takes no new work"));
   }
@@ -208,7 +215,11 @@
 Serving::Tick()
 {
   const core::TimePoint now = mComponents.mNow();
+  if (mQueue.Limit() > 0) {
+    mWindows.Update(mQueue.Limit(), mDirectRuns);
+  }
   Apply(mQueue.Tick(now));
+  LimitRuns(now);
   Apply(mQueue.SetLost(now, CountLostCalls(now)));
   std::vector<std::shared_ptr<ServingCall>> expired;
   for (const auto& entry : mCalls) {
@@ -283,10 +294,60 @@
       : stats.mRunSeconds + kRunTimeWeight * (seconds - stats.mRunSeconds);
 }
 
+void
+Serving::CountWastedCalls(const std::string& aRoute, double aCalls)
+{
+  if (aCalls > 0) {
+    mComponents.mRegistry
+      .CounterOf("nutmegrock_wasted_calls_total", { { "route", aRoute } })
+      .Add(static_cast<std::uint64_t>(aCalls));
+  }
+}
+
+const std::string&
+Serving::DownstreamOf(const std::string& aRoute)
+{
+  RouteStats& stats = StatsOf(aRoute);
+  const core::TimePoint now = mComponents.mNow();
+  if (now - stats.mDownstreamAt < kDownstreamInterval) {
+    return stats.mDownstream;
+  }
+  stats.mDownstreamAt = now;
+  stats.mDownstream.clear();
+  double most = 0;
+  for (const overload::CallRatio& calls : mComponents.mGraph.CallsOf(aRoute)) {
+    if (calls.mPerRun > most) {
+      most = calls.mPerRun;
+      stats.mDownstream = mComponents.mServiceOf(calls.mRoute);
+    }
+  }
+  return stats.mDownstream;
+}
+
+void
+Serving::LimitRuns(core::TimePoint aNow)
+{
+  for (const std::string& service : mQueue.Downstream()) {
+    const auto limit = mComponents.mDownstream.LimitOf(aNow, service);
+    // A service that does not respond at all must not take all slots.
+    if (limit || mQueue.DownstreamRunning(service) == 0) {
+      Apply(mQueue.SetDownstreamLimit(aNow, service, limit));
+    }
+  }
+}
+
 void
 Serving::Remove(std::uint64_t aId)
 {
-  mCalls.erase(aId);
+  const auto found = mCalls.find(aId);
+  if (found == mCalls.end()) {
+    return;
+  }
+  const std::uint32_t calling_node = found->second->CallingNode();
+  if (calling_node != 0) {
+    mWindows.OnEnd(calling_node);
+  }
+  mCalls.erase(found);
 }
 
 PeerNote
@@ -295,13 +356,24 @@
   const core::TimePoint now = mComponents.mNow();
   PeerNote note;
   note.mLoad = mQueue.Load(now);
+  note.mOccupancy = mQueue.Occupancy();
+  note.mCutoff = mQueue.Cutoff();
+  note.mWindow = mWindows.Window();
+  for (const std::string& service : mQueue.Downstream()) {
+    const double rate = mQueue.DownstreamRate(service);
+    if (rate >= kMinDownstreamRate) {
+      note.mDownstream.push_back(
+        { service, mQueue.DownstreamCutoff(service), rate });
+    }
+  }
   note.mLeaving = IsLeaving();
   note.mRouteVersion = mComponents.mRouteVersion();
   mComponents.mLoads.OnServerLoad(now,
-                                  mSettings.mServer.mService,
-                                  mSettings.mZone,
-                                  mSettings.mSelf,
-                                  note.mLoad);
+                                  { mSettings.mServer.mService,
+                                    mSettings.mZone,
+                                    mSettings.mSelf,
+                                    note.mLoad,
+                                    note.mCutoff });
   RouteStats& stats = StatsOf(aRoute);
   if (aWithCost || now - stats.mCostSentAt >= kCostInterval) {
     stats.mCostSentAt = now;
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -10,7 +10,10 @@
 #include "metrics/Registry.h"
 #include "overload/CallGraph.h"
 #include "overload/CallerShares.h"
+#include "overload/CallerWindows.h"
+#include "overload/DownstreamLimits.h"
 #include "overload/RouteCosts.h"
+#include "overload/RunTracker.h"
 #include "overload/ServiceLoads.h"
 #include "overload/WorkQueue.h"
 #include "proxy/ClientPool.h"
@@ -44,6 +47,8 @@
   std::function<core::TimePoint()> mNow;
   proxy::ClientPool& mPool;
   overload::CallGraph& mGraph;
+  overload::RunTracker& mRuns;
+  overload::DownstreamLimits& mDownstream;
   overload::CallerShares& mCallers;
   retry::RetryShare& mRetryShares;
   overload::RouteCosts& mCosts;
@@ -52,6 +57,9 @@
   DecisionLog& mLog;
   /// Version of the routes in force.
   std::function<std::uint64_t()> mRouteVersion;
+  /// Service of a route in force; empty if unknown. Of several the one with the
+  /// highest weight.
+  std::function<std::string(const std::string& aRoute)> mServiceOf;
   /// Number of services that have a node.
   std::function<std::size_t()> mServices;
   /// Reports that another node, at this peer address, has a version of the
@@ -104,6 +112,8 @@
   {
     double mRunSeconds = 0;
     core::TimePoint mCostSentAt;
+    std::string mDownstream;
+    core::TimePoint mDownstreamAt;
   };
 
   core::Expected<bool> Check(const PeerCall& aCall) const;
@@ -123,6 +133,13 @@
                   core::Duration aTime,
                   bool aSucceeded);
   RouteStats& StatsOf(const std::string& aRoute);
+  /// Service that runs of the route call; empty if none, or not known yet. Of
+  /// several the one that is called most. Updated every 100 ms.
+  const std::string& DownstreamOf(const std::string& aRoute);
+  /// A run failed after it had made calls.
+  void CountWastedCalls(const std::string& aRoute, double aCalls);
+  /// Updates the limits of runs that call other services.
+  void LimitRuns(core::TimePoint aNow);
   void Remove(std::uint64_t aId);
 
   const ServingSettings mSettings;
@@ -131,6 +148,9 @@
   overload::WorkQueue mQueue;
   std::unordered_map<std::uint64_t, std::shared_ptr<ServingCall>> mCalls;
   std::map<std::string, RouteStats> mRouteStats;
+  overload::CallerWindows mWindows;
+  /// Running requests of callers.
+  std::uint32_t mDirectRuns = 0;
   std::uint64_t mNextId = 1;
   core::TimePoint mLoadsSentAt;
   /// Number of running and waiting calls that the server last reported.
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -8,6 +8,12 @@
 
 namespace nutmegrock::gateway {
 
+namespace {
+
+constexpr double kThousandth = 0.001;
+
+} // namespace
+
 ServingCall::ServingCall(Serving& aServing,
                          std::uint64_t aId,
                          PeerCall aCall,
@@ -19,15 +25,22 @@
   , mHead(std::move(aHead))
   , mSink(std::move(aSink))
   , mArrived(aServing.mComponents.mNow())
-  , mDue(mArrived + mCall.mObjectiveRemaining)
   , mDeadline(mArrived + mCall.mTimeRemaining)
+  , mChain{ mCall.mRankPermille * kThousandth,
+            mArrived + mCall.mFinishWithin,
+            mCall.mRetryPermille * kThousandth }
 {
 }
 
 overload::WorkItem
 ServingCall::ItemFor(core::Duration aTypicalTime) const
 {
-  return { mId, mDue, mDeadline, aTypicalTime };
+  return { mId,
+           mChain.mRank,
+           mCall.mDemandRankPermille * kThousandth,
+           std::min(mDeadline, mChain.mFinishBy),
+           aTypicalTime,
+           mDownstream };
 }
 
 proxy::ClientRequest
@@ -57,10 +70,9 @@
   mStarted = now;
   mServerId = mServing.mServer.Latest()->mId;
   mServerStartedMs = mServing.mServer.Latest()->mStartedMs;
-  mServing.mComponents.mGraph.OnRun(now, mCall.mRoute);
-  constexpr double kThousandth = 0.001;
-  mServing.mComponents.mRetryShares.OnRun(now,
-                                          mCall.mRetryPermille * kThousandth);
+  mServing.mDirectRuns += mCall.mCallingNode == 0 ? 1 : 0;
+  mServing.mComponents.mRuns.OnRun(now, mId, mCall.mRoute, mDeadline, mChain);
+  mServing.mComponents.mRetryShares.OnRun(now, mChain.mRetryShare);
   proxy::ClientRequest request = RequestFor(now);
   request.mBody = std::exchange(mBody, {});
   request.mBodyComplete = mBodyEnded;
@@ -126,9 +138,14 @@
     mServing.mQueue.Remove(mId);
     return;
   }
-  mServing.mComponents.mGraph.OnRunEnd(now, mCall.mRoute);
+  mServing.mDirectRuns -= mCall.mCallingNode == 0 ? 1 : 0;
+  const double calls =
+    mServing.mComponents.mRuns.OnRunEnd(now, mId, aSucceeded);
+  if (!aSucceeded) {
+    mServing.CountWastedCalls(mCall.mRoute, calls);
+  }
   mServing.OnRunEnded(mCall.mRoute, now - mStarted, aSucceeded);
-  mServing.Apply(mServing.mQueue.OnEnd(now));
+  mServing.Apply(mServing.mQueue.OnEnd(now, mDownstream));
 }
 
 void
@@ -195,8 +212,11 @@
   mGoodStatus = aHead.mStatus < 500;
   proxy::ResponseHead head = aHead;
   PeerNote note = mServing.NoteFor(mCall.mRoute, mCall.mCostRequested);
-  note.mQueueTime =
-    std::chrono::duration_cast<std::chrono::milliseconds>(mStarted - mArrived);
+  const auto milliseconds_of = [](core::Duration aTime) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
+  };
+  note.mQueueTime = milliseconds_of(mStarted - mArrived);
+  note.mRunTime = milliseconds_of(mServing.mComponents.mNow() - mStarted);
   head.mPeerNote = Encode(note);
   sink->OnResponseHead(head);
 }
--- a/src/nutmegrock/gateway/ServingCall.h
+++ b/src/nutmegrock/gateway/ServingCall.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace nutmegrock::gateway {
 
@@ -28,6 +29,14 @@
   core::TimePoint Deadline() const { return mDeadline; }
   bool IsRunning() const { return mState == State::Running; }
   const std::string& Route() const { return mCall.mRoute; }
+  /// See PeerCall.
+  std::uint32_t CallingNode() const { return mCall.mCallingNode; }
+  /// Service that the run will call; empty if none.
+  const std::string& Downstream() const { return mDownstream; }
+  void SetDownstream(std::string aService)
+  {
+    mDownstream = std::move(aService);
+  }
   /// Time since the request was sent to the backend server.
   core::Duration RunTime(core::TimePoint aNow) const { return aNow - mStarted; }
   /// Sends the request to the backend server.
@@ -70,8 +79,9 @@
   proxy::OutgoingRequestPtr mBackend;
   State mState = State::Waiting;
   const core::TimePoint mArrived;
-  const core::TimePoint mDue;
   const core::TimePoint mDeadline;
+  const overload::RequestChain mChain;
+  std::string mDownstream;
   core::TimePoint mStarted;
   /// Run of the server that the request was sent to.
   std::string mServerId;
--- a/src/nutmegrock/gateway/SheddingLog.cpp
+++ b/src/nutmegrock/gateway/SheddingLog.cpp
@@ -22,10 +22,10 @@
 
 void
 SheddingLog::Tick(core::TimePoint aNow,
-                  const Levels& aLevels,
+                  const Cutoffs& aCutoffs,
                   const overload::RouteCosts& aCosts)
 {
-  LogLevels(aNow, aLevels);
+  LogCutoffs(aNow, aCutoffs);
   if (aNow - mCostsCheckedAt >= kMinInterval) {
     mCostsCheckedAt = aNow;
     LogCosts(aNow, aCosts);
@@ -33,35 +33,23 @@
 }
 
 void
-SheddingLog::LogLevels(core::TimePoint aNow, const Levels& aLevels)
+SheddingLog::LogCutoffs(core::TimePoint aNow, const Cutoffs& aCutoffs)
 {
-  for (const auto& [service, level] : aLevels) {
-    if (level.Share() >= 1) {
-      continue;
-    }
+  for (const auto& [service, cutoff] : aCutoffs) {
     const auto [logged, begins] = mShedding.try_emplace(service, aNow);
     if (!begins && aNow - logged->second < kMinInterval) {
       continue;
     }
     logged->second = aNow;
-    mWriter(fmt::format("event=shedding service={} load={:.2f} share={:.2f}",
-                        service,
-                        level.Load(),
-                        level.Share()));
+    mWriter(
+      fmt::format("event=shedding service={} cutoff={:.2f}", service, cutoff));
   }
   for (auto it = mShedding.begin(); it != mShedding.end();) {
-    const auto level = aLevels.find(it->first);
-    const bool known = level != aLevels.end();
-    if (aNow - it->second < kMinInterval ||
-        (known && level->second.Share() < 1)) {
+    if (aNow - it->second < kMinInterval || aCutoffs.contains(it->first)) {
       ++it;
       continue;
     }
-    mWriter(known ? fmt::format("event=shedding_over service={} load={:.2f}",
-                                it->first,
-                                level->second.Load())
-                  : fmt::format("event=shedding_over service={} load=unknown",
-                                it->first));
+    mWriter(fmt::format("event=shedding_over service={}", it->first));
     it = mShedding.erase(it);
   }
 }
--- a/src/nutmegrock/gateway/SheddingLog.h
+++ b/src/nutmegrock/gateway/SheddingLog.h
@@ -19,13 +19,13 @@
 public:
   /// Receives a line without line end.
   using Writer = std::function<void(std::string_view)>;
-  using Levels = std::map<std::string, overload::ShedLevel, std::less<>>;
+  using Cutoffs = overload::EntryAdmission::Cutoffs;
 
   explicit SheddingLog(Writer aWriter);
 
-  /// To be called after each update of the levels.
+  /// To be called after each update of the cutoffs.
   void Tick(core::TimePoint aNow,
-            const Levels& aLevels,
+            const Cutoffs& aCutoffs,
             const overload::RouteCosts& aCosts);
 
 private:
@@ -35,7 +35,7 @@
     overload::RouteCost mCost;
   };
 
-  void LogLevels(core::TimePoint aNow, const Levels& aLevels);
+  void LogCutoffs(core::TimePoint aNow, const Cutoffs& aCutoffs);
   void LogCosts(core::TimePoint aNow, const overload::RouteCosts& aCosts);
 
   const Writer mWriter;
--- a/src/nutmegrock/overload/EntryAdmission.cpp
+++ b/src/nutmegrock/overload/EntryAdmission.cpp
@@ -6,17 +6,11 @@
 
 namespace {
 
-/// Assumed cost at an overloaded service, in slot seconds, of a route whose
-/// calls are not known yet. Until they are, only the priority decides.
-constexpr double kUnknownCost = 0.05;
-/// Minimum load of a tracked service; below it shedding is far off.
-constexpr double kMinLoad = 0.3;
-/// Maximum number of load reports to consider, heaviest services first: several
-/// services in the 25 availability zones of the design.
+/// Ranks above the cutoff that are admitted, in priorities.
+constexpr double kMargin = 0.1;
+/// Maximum number of load reports to consider, most loaded services first:
+/// several services in the 25 availability zones of the design.
 constexpr std::size_t kMaxTrackedLoads = 256;
-/// Factor on the draw of a caller that was refused before, so that it is
-/// admitted before a new one of the same kind.
-constexpr double kRefusedBeforeFactor = 0.5;
 /// Retry delay of a refused caller, as a share of the latency objective, so
 /// that the response to the retry can still have its full benefit. Jitter keeps
 /// callers that were refused together from retrying together.
@@ -24,25 +18,17 @@
 constexpr double kDelayJitter = 0.3;
 constexpr std::chrono::milliseconds kMinRetryDelay{ 50 };
 
-double
-ToUnitInterval(std::uint64_t aHash)
-{
-  constexpr double kScale = 1.0 / 9007199254740992.0; // 2^53
-  return static_cast<double>(aHash >> 11U) * kScale;
-}
+} // namespace
 
 std::chrono::milliseconds
-RetryDelay(const EntryRequest& aRequest, double aUnit)
+RetryDelay(std::chrono::milliseconds aLatencyObjective, std::uint64_t aHash)
 {
-  const double objective =
-    static_cast<double>(aRequest.mLatencyObjective.count());
+  const double objective = static_cast<double>(aLatencyObjective.count());
   const std::chrono::milliseconds delay(static_cast<std::int64_t>(
-    objective * (kMinDelayShare + kDelayJitter * aUnit)));
+    objective * (kMinDelayShare + kDelayJitter * RankOf(0, aHash))));
   return std::max(kMinRetryDelay, delay);
 }
 
-} // namespace
-
 EntryAdmission::EntryAdmission(const RouteCosts& aCosts,
                                const ServiceLoads& aLoads)
   : mCosts(aCosts)
@@ -50,68 +36,55 @@
 {
 }
 
-ShedLevel&
-EntryAdmission::LevelOf(std::string_view aService)
-{
-  auto found = mLevels.find(aService);
-  if (found == mLevels.end()) {
-    found = mLevels.emplace(aService, ShedLevel{}).first;
-  }
-  return found->second;
-}
-
 void
 EntryAdmission::Tick(core::TimePoint aNow)
 {
-  for (const LoadReport& report :
-       mLoads.Reports(aNow, kMinLoad, kMaxTrackedLoads)) {
-    LevelOf(report.mService);
-  }
-  for (auto it = mLevels.begin(); it != mLevels.end();) {
-    const auto load = mLoads.Load(aNow, it->first);
-    if (!load) {
-      // Without a fresh load of the service nothing is shed for it.
-      it = mLevels.erase(it);
-      continue;
+  mCutoffs.clear();
+  mZoneCutoffs.clear();
+  for (const LoadReport& report : mLoads.Reports(aNow, 0, kMaxTrackedLoads)) {
+    const double cutoff = mLoads.Cutoff(aNow, report.mService);
+    if (cutoff < kOpenRank) {
+      mCutoffs.emplace(report.mService, cutoff);
+      mZoneCutoffs[report.mService].emplace(report.mZone, report.mCutoff);
     }
-    it->second.Update(aNow, *load);
-    ++it;
   }
 }
 
+double
+EntryAdmission::CutoffIn(std::string_view aZone,
+                         const std::string& aName,
+                         double aMean) const
+{
+  const Cutoffs& zones = mZoneCutoffs.at(aName);
+  const auto found = zones.find(aZone);
+  return found == zones.end() ? aMean : found->second;
+}
+
 EntryDecision
-EntryAdmission::Decide(core::TimePoint aNow, const EntryRequest& aRequest)
+EntryAdmission::Decide(const EntryRequest& aRequest) const
 {
   EntryDecision decision;
+  decision.mRank = RankOf(aRequest.mPriority, aRequest.mHash);
   const RouteCost* cost = mCosts.Find(aRequest.mRoute);
-  const double unit = ToUnitInterval(aRequest.mHash);
-  const double draw =
-    aRequest.mRefusedBefore ? unit * kRefusedBeforeFactor : unit;
-  for (auto& [service, level] : mLevels) {
-    double seconds = cost == nullptr ? 0 : cost->SlotSecondsAt(service);
-    const bool assumed = seconds == 0 && (cost == nullptr || !cost->mComplete);
-    if (assumed) {
-      seconds = kUnknownCost;
-    }
-    if (seconds == 0) {
-      continue;
-    }
-    level.OnDemand(aNow,
-                   aRequest.mPriority,
-                   seconds,
-                   cost == nullptr ? core::Duration(0)
-                                   : cost->SpreadAt(service));
-    const double admitted = level.Admitted(aRequest.mPriority);
-    if (draw >= admitted && decision.mAdmitted) {
-      decision.mAdmitted = false;
-      decision.mService = service;
-      decision.mLoad = level.Load();
-      decision.mShare = level.Share();
-      decision.mSlotSeconds = seconds;
-      decision.mCostAssumed = assumed;
-      decision.mRetryAfter = RetryDelay(aRequest, unit);
+  if (cost == nullptr) {
+    return decision;
+  }
+  for (const auto& [name, mean] : mCutoffs) {
+    const double cutoff = CutoffIn(aRequest.mZone, name, mean);
+    const auto [service, caller] = ServicesOfName(name);
+    const bool leads_to = cost->SlotSecondsAt(service) > 0 &&
+                          (caller.empty() || cost->SlotSecondsAt(caller) > 0);
+    if (leads_to && cutoff < decision.mCutoff) {
+      decision.mService = name;
+      decision.mCutoff = cutoff;
     }
   }
+  decision.mAdmitted = decision.mRank <= decision.mCutoff + kMargin;
+  if (decision.mAdmitted) {
+    decision.mService.clear();
+    return decision;
+  }
+  decision.mRetryAfter = RetryDelay(aRequest.mLatencyObjective, aRequest.mHash);
   return decision;
 }
 
--- a/src/nutmegrock/overload/EntryAdmission.h
+++ b/src/nutmegrock/overload/EntryAdmission.h
@@ -3,7 +3,6 @@
 #include "core/Time.h"
 #include "overload/RouteCosts.h"
 #include "overload/ServiceLoads.h"
-#include "overload/ShedLevel.h"
 
 #include <chrono>
 #include <cstdint>
@@ -21,52 +20,64 @@
   std::chrono::milliseconds mLatencyObjective{ 0 };
   /// Hash of the request identity.
   std::uint64_t mHash = 0;
-  /// The caller was refused before and retries.
-  bool mRefusedBefore = false;
+  /// Availability zone in which the request is to run.
+  std::string_view mZone = {};
 };
 
+/// Time after which the caller of a refused request may retry, by the latency
+/// objective of its route and the hash of its identity.
+std::chrono::milliseconds
+RetryDelay(std::chrono::milliseconds aLatencyObjective, std::uint64_t aHash);
+
 /// Decision about a request and its cause.
 struct EntryDecision
 {
   bool mAdmitted = true;
-  /// Service whose load led to the refusal; empty when admitted.
+  /// Rank of the request; see RankOf().
+  double mRank = 0;
+  /// Service, or calls of a service, whose cutoff led to the refusal; empty
+  /// when admitted.
   std::string mService;
-  /// Load of that service and share of the demand that is admitted for it.
-  double mLoad = 0;
-  double mShare = 1;
-  /// Cost of the request at that service in slot seconds, and true if it was
-  /// assumed because the calls of the route are not known yet.
-  double mSlotSeconds = 0;
-  bool mCostAssumed = false;
+  double mCutoff = kOpenRank;
   /// Delay after which a refused caller may retry.
   std::chrono::milliseconds mRetryAfter{ 0 };
 };
 
 /// Admission control at the entry node for whole requests: a request is
-/// admitted only if every service that it leads to, as learned from responses,
-/// has capacity for it. Calls that backend servers make for admitted requests
-/// are not subject to it. Not synchronized.
+/// admitted if its rank is below the cutoffs of all services that it leads to,
+/// as learned from responses. The cutoffs of its zone count, and the means of
+/// all zones for services that have none there. Somewhat more is admitted than
+/// is served now, so that the nodes below see when they can serve more; they
+/// order it by rank. Calls that backend servers make for admitted requests are
+/// not subject to it. Not synchronized.
 class EntryAdmission
 {
 public:
+  using Cutoffs = std::map<std::string, double, std::less<>>;
+
   /// Both must outlive this object.
   EntryAdmission(const RouteCosts& aCosts, const ServiceLoads& aLoads);
 
-  EntryDecision Decide(core::TimePoint aNow, const EntryRequest& aRequest);
-  /// Updates the levels from the loads. To be called about every 50 ms.
+  /// Decides by the cutoffs of the last Tick().
+  EntryDecision Decide(const EntryRequest& aRequest) const;
+  /// Updates the cutoffs from the loads. To be called about every 20 ms.
   void Tick(core::TimePoint aNow);
-  /// Levels of the services with a known load.
-  const std::map<std::string, ShedLevel, std::less<>>& Levels() const
-  {
-    return mLevels;
-  }
+  /// Cutoffs of the services, and of the calls between services, that do not
+  /// serve all requests at present.
+  const Cutoffs& CutoffsInForce() const { return mCutoffs; }
 
 private:
-  ShedLevel& LevelOf(std::string_view aService);
+  using ZoneCutoffs = std::map<std::string, Cutoffs, std::less<>>;
+
+  double CutoffIn(std::string_view aZone,
+                  const std::string& aName,
+                  double aMean) const;
 
   const RouteCosts& mCosts;
   const ServiceLoads& mLoads;
-  std::map<std::string, ShedLevel, std::less<>> mLevels;
+  Cutoffs mCutoffs;
+  /// By service, then by zone.
+  ZoneCutoffs mZoneCutoffs;
 };
 
 } // namespace nutmegrock::overload
--- a/src/nutmegrock/overload/ServiceLoads.cpp
+++ b/src/nutmegrock/overload/ServiceLoads.cpp
@@ -16,6 +16,7 @@
 /// Maximum number of zones of a service; when exceeded, all are dropped and
 /// learned again. The design has 25.
 constexpr std::size_t kMaxZones = 64;
+constexpr char kCallsSeparator = '<';
 
 /// Slots of the service in the zone; 0 if it has no servers there.
 double
@@ -32,6 +33,25 @@
 
 } // namespace
 
+std::string
+NameOfCalls(std::string_view aCallingService, std::string_view aService)
+{
+  std::string name(aService);
+  name += kCallsSeparator;
+  name += aCallingService;
+  return name;
+}
+
+std::pair<std::string_view, std::string_view>
+ServicesOfName(std::string_view aName)
+{
+  const std::size_t separator = aName.find(kCallsSeparator);
+  return separator == std::string_view::npos
+           ? std::pair{ aName, std::string_view() }
+           : std::pair{ aName.substr(0, separator),
+                        aName.substr(separator + 1) };
+}
+
 bool
 ServiceLoads::IsFresh(core::TimePoint aNow, const Zone& aZone)
 {
@@ -77,26 +97,30 @@
 }
 
 void
-ServiceLoads::OnServerLoad(core::TimePoint aNow,
-                           std::string_view aService,
-                           std::string_view aZone,
-                           core::Incarnation aServer,
-                           double aLoad)
+ServiceLoads::OnServerLoad(core::TimePoint aNow, const ServerReport& aReport)
 {
-  Zone& zone = ZoneOf(aService, aZone);
-  zone.mServers[aServer] = { aLoad, aNow };
-  double sum = 0;
+  Zone& zone = ZoneOf(aReport.mService, aReport.mZone);
+  zone.mServers[aReport.mServer] = {
+    aReport.mLoad, aReport.mCutoff, aReport.mWeight, aNow
+  };
+  double loads = 0;
+  double cutoffs = 0;
+  double weights = 0;
   std::size_t count = 0;
   for (auto it = zone.mServers.begin(); it != zone.mServers.end();) {
-    if (aNow - it->second.mAt > kServerLifetime) {
+    const ServerLoad& server = it->second;
+    if (aNow - server.mAt > kServerLifetime) {
       it = zone.mServers.erase(it);
       continue;
     }
-    sum += it->second.mLoad;
+    loads += server.mLoad;
+    cutoffs += server.mWeight * std::min(mOpenRank, server.mCutoff);
+    weights += server.mWeight;
     ++count;
     ++it;
   }
-  zone.mLoad = sum / static_cast<double>(count);
+  zone.mLoad = loads / static_cast<double>(count);
+  zone.mCutoff = weights > 0 ? cutoffs / weights : kOpenRank;
   zone.mAt = aNow;
 }
 
@@ -107,6 +131,7 @@
   const core::TimePoint at = aNow - aReport.mAge;
   if (zone.mAt == core::TimePoint{} || at > zone.mAt + kForwardingMargin) {
     zone.mLoad = aReport.mLoad;
+    zone.mCutoff = aReport.mCutoff;
     zone.mAt = at;
   }
 }
@@ -133,6 +158,27 @@
   return sum / slots;
 }
 
+double
+ServiceLoads::Cutoff(core::TimePoint aNow, std::string_view aService) const
+{
+  const auto found = mServices.find(aService);
+  if (found == mServices.end()) {
+    return kOpenRank;
+  }
+  double sum = 0;
+  double slots = 0;
+  for (const auto& [name, zone] : found->second.mZones) {
+    if (IsFresh(aNow, zone)) {
+      const double weight = SlotsIn(found->second.mSlots, name);
+      sum += weight * std::min(mOpenRank, zone.mCutoff);
+      slots += weight;
+    }
+  }
+  constexpr double kRounding = 1e-3;
+  return slots <= 0 || sum / slots >= mOpenRank - kRounding ? kOpenRank
+                                                            : sum / slots;
+}
+
 std::optional<double>
 ServiceLoads::ZoneLoad(core::TimePoint aNow,
                        std::string_view aService,
@@ -156,32 +202,39 @@
 {
   struct LoadedService
   {
+    bool mHasCutoff = false;
     double mMax = 0;
     const std::string* mName = nullptr;
     const Service* mService = nullptr;
   };
   std::vector<LoadedService> loaded;
   for (const auto& [name, service] : mServices) {
-    LoadedService entry{ 0, &name, &service };
+    LoadedService entry{ false, 0, &name, &service };
     for (const auto& [zone_name, zone] : service.mZones) {
-      entry.mMax =
-        IsFresh(aNow, zone) ? std::max(entry.mMax, zone.mLoad) : entry.mMax;
+      if (IsFresh(aNow, zone)) {
+        entry.mMax = std::max(entry.mMax, zone.mLoad);
+        entry.mHasCutoff = entry.mHasCutoff || zone.mCutoff < mOpenRank;
+      }
     }
-    if (entry.mMax >= aMinLoad) {
+    if (entry.mMax >= aMinLoad || entry.mHasCutoff) {
       loaded.push_back(entry);
     }
   }
   std::sort(loaded.begin(),
             loaded.end(),
             [](const LoadedService& aLeft, const LoadedService& aRight) {
-              return aLeft.mMax > aRight.mMax;
+              return std::pair(aLeft.mHasCutoff, aLeft.mMax) >
+                     std::pair(aRight.mHasCutoff, aRight.mMax);
             });
   std::vector<LoadReport> reports;
   for (const LoadedService& entry : loaded) {
     for (const auto& [zone_name, zone] : entry.mService->mZones) {
       if (IsFresh(aNow, zone) && reports.size() < aMaxReports) {
-        reports.push_back(
-          { *entry.mName, zone_name, zone.mLoad, aNow - zone.mAt });
+        reports.push_back({ *entry.mName,
+                            zone_name,
+                            zone.mLoad,
+                            zone.mCutoff,
+                            aNow - zone.mAt });
       }
     }
   }
--- a/src/nutmegrock/overload/WorkQueue.cpp
+++ b/src/nutmegrock/overload/WorkQueue.cpp
@@ -9,6 +9,8 @@
 
 /// Load of a fully used server whose calls have no known typical time yet.
 constexpr double kRunningLoad = 0.9;
+/// Interval between two updates of the cutoffs.
+constexpr std::chrono::milliseconds kCutoffInterval{ 100 };
 
 double
 SecondsOf(core::Duration aDuration)
@@ -55,8 +57,7 @@
   // An exponentially decaying sum divided by its time constant is a rate.
   const double rate =
     mRequestedSeconds * DecayFactor(aNow) / SecondsOf(mSettings.mSmoothing);
-  const double backlog =
-    mItems.empty() ? 0 : mWaitingSeconds / SecondsOf(mSettings.mDrainTime);
+  const double backlog = WaitingSeconds() / SecondsOf(mSettings.mDrainTime);
   double load =
     std::max((rate + backlog) / mLimit,
              static_cast<double>(SlotsInUse()) / mLimit * kRunningLoad);
@@ -71,6 +72,99 @@
            : load;
 }
 
+WorkQueue::Pool&
+WorkQueue::PoolOf(const std::string& aDownstream)
+{
+  return aDownstream.empty() ? mOwn : mPools[aDownstream];
+}
+
+const WorkQueue::Pool*
+WorkQueue::FindPool(const std::string& aDownstream) const
+{
+  const auto found = mPools.find(aDownstream);
+  return found == mPools.end() ? nullptr : &found->second;
+}
+
+double
+WorkQueue::WaitingSeconds() const
+{
+  double seconds = mOwn.mWaitingSeconds;
+  for (const auto& [service, pool] : mPools) {
+    seconds += pool.HasRoom() ? pool.mWaitingSeconds : 0;
+  }
+  return std::max(0.0, seconds);
+}
+
+double
+WorkQueue::Occupancy() const
+{
+  if (mLimit == 0) {
+    return 0;
+  }
+  const auto occupancy =
+    [](std::size_t aRunning, std::size_t aWaiting, std::uint32_t aLimit) {
+      return static_cast<double>(aRunning + aWaiting) / std::max(1U, aLimit);
+    };
+  double most = occupancy(SlotsInUse(), mItems.size(), mLimit);
+  for (const auto& [service, pool] : mPools) {
+    if (pool.mLimit) {
+      most = std::max(
+        most, occupancy(pool.mRunning, pool.mOrder.size(), *pool.mLimit));
+    }
+  }
+  return most;
+}
+
+double
+WorkQueue::DownstreamCutoff(const std::string& aService) const
+{
+  const Pool* pool = FindPool(aService);
+  return pool == nullptr ? kOpenRank : pool->mCutoff.Cutoff();
+}
+
+double
+WorkQueue::DownstreamRate(const std::string& aService) const
+{
+  const Pool* pool = FindPool(aService);
+  return pool == nullptr ? 0 : pool->mCutoff.Rate();
+}
+
+std::uint32_t
+WorkQueue::DownstreamRunning(const std::string& aService) const
+{
+  const Pool* pool = FindPool(aService);
+  return pool == nullptr ? 0 : pool->mRunning;
+}
+
+std::optional<std::uint32_t>
+WorkQueue::DownstreamLimit(const std::string& aService) const
+{
+  const Pool* pool = FindPool(aService);
+  return pool == nullptr ? std::nullopt : pool->mLimit;
+}
+
+std::vector<std::string>
+WorkQueue::Downstream() const
+{
+  std::vector<std::string> services;
+  services.reserve(mPools.size());
+  for (const auto& [service, pool] : mPools) {
+    services.push_back(service);
+  }
+  return services;
+}
+
+WorkChanges
+WorkQueue::SetDownstreamLimit(core::TimePoint aNow,
+                              const std::string& aService,
+                              std::optional<std::uint32_t> aLimit)
+{
+  WorkChanges changes;
+  PoolOf(aService).mLimit = aLimit;
+  StartNext(aNow, changes);
+  return changes;
+}
+
 core::Expected<bool>
 WorkQueue::Offer(core::TimePoint aNow, const WorkItem& aItem)
 {
@@ -82,8 +176,10 @@
     return core::Fail(core::ErrorKind::QueueTimeout,
                       "too little time is left for the call");
   }
-  if (SlotsInUse() < mLimit && mItems.empty() && HasToken()) {
-    CountStart();
+  Pool& pool = PoolOf(aItem.mDownstream);
+  if (SlotsInUse() < mLimit && NextPool() == nullptr && pool.HasRoom() &&
+      HasToken()) {
+    CountStart(aItem);
     return true;
   }
   double max_waiting = mSettings.mMaxWaitingRatio * mLimit;
@@ -92,32 +188,97 @@
       std::min(max_waiting,
                std::max(1.0, *mRateLimit * SecondsOf(mSettings.mMaxRateWait)));
   }
-  if (static_cast<double>(mItems.size()) >= max_waiting) {
+  if (static_cast<double>(mItems.size()) >= max_waiting &&
+      !Evict(aItem.mRank)) {
+    CountExpired(aItem);
     return core::Fail(core::ErrorKind::QueueFull, "the queue is full");
   }
-  const auto place = mOrder.emplace(aItem.mDue, aItem.mId);
-  mItems.emplace(aItem.mId, Entry{ aItem, place });
-  mWaitingSeconds += SecondsOf(aItem.mTypicalTime);
+  const auto place =
+    pool.mOrder.emplace(std::pair{ aItem.mRank, mNextArrival++ }, aItem.mId)
+      .first;
+  const auto max_wait = std::chrono::duration_cast<core::Duration>(
+    mSettings.mMaxWaitShare * (aItem.mDeadline - aNow));
+  mItems.emplace(aItem.mId, Entry{ aItem, place, aNow + max_wait });
+  pool.mWaitingSeconds += SecondsOf(aItem.mTypicalTime);
   return false;
 }
 
+bool
+WorkQueue::IsHopeless(core::TimePoint aNow, const Entry& aEntry) const
+{
+  const WorkItem& item = aEntry.mItem;
+  if (aNow + item.mTypicalTime / 2 > item.mDeadline) {
+    return true;
+  }
+  const Pool* pool =
+    item.mDownstream.empty() ? &mOwn : FindPool(item.mDownstream);
+  const RankCutoff& cutoff =
+    pool != nullptr && pool->mLimit ? pool->mCutoff : mOwn.mCutoff;
+  return aNow >= aEntry.mWaitsUntil &&
+         std::min(item.mRank, item.mDemandRank) >
+           cutoff.Cutoff() + mSettings.mCutoffMargin;
+}
+
+bool
+WorkQueue::Evict(double aRank)
+{
+  const Order* highest = nullptr;
+  const auto consider = [&highest](const Pool& aPool) {
+    if (!aPool.mOrder.empty() &&
+        (highest == nullptr ||
+         aPool.mOrder.rbegin()->first > highest->rbegin()->first)) {
+      highest = &aPool.mOrder;
+    }
+  };
+  consider(mOwn);
+  for (const auto& [service, pool] : mPools) {
+    consider(pool);
+  }
+  if (highest == nullptr || highest->rbegin()->first.first <= aRank) {
+    return false;
+  }
+  const std::uint64_t id = highest->rbegin()->second;
+  CountExpired(mItems.at(id).mItem);
+  Remove(id);
+  mEvicted.push_back(id);
+  return true;
+}
+
+WorkQueue::Pool*
+WorkQueue::NextPool()
+{
+  Pool* next = mOwn.mOrder.empty() ? nullptr : &mOwn;
+  for (auto& [service, pool] : mPools) {
+    if (!pool.mOrder.empty() && pool.HasRoom() &&
+        (next == nullptr ||
+         pool.mOrder.begin()->first < next->mOrder.begin()->first)) {
+      next = &pool;
+    }
+  }
+  return next;
+}
+
 void
 WorkQueue::StartNext(core::TimePoint aNow, WorkChanges& aChanges)
 {
   AddTokens(aNow);
-  while (SlotsInUse() < mLimit && HasToken() && !mOrder.empty()) {
-    const std::uint64_t id = mOrder.begin()->second;
-    const auto entry = mItems.find(id);
-    const WorkItem& item = entry->second.mItem;
+  while (SlotsInUse() < mLimit && HasToken()) {
+    Pool* pool = NextPool();
+    if (pool == nullptr) {
+      return;
+    }
+    const auto entry = mItems.find(pool->mOrder.begin()->second);
+    const WorkItem item = entry->second.mItem;
+    pool->mWaitingSeconds -= SecondsOf(item.mTypicalTime);
+    pool->mOrder.erase(pool->mOrder.begin());
+    mItems.erase(entry);
     if (aNow + item.mTypicalTime / 2 > item.mDeadline) {
-      aChanges.mExpired.push_back(id);
+      aChanges.mExpired.push_back(item.mId);
+      CountExpired(item);
     } else {
-      aChanges.mToStart.push_back(id);
-      CountStart();
+      aChanges.mToStart.push_back(item.mId);
+      CountStart(item);
     }
-    mWaitingSeconds -= SecondsOf(item.mTypicalTime);
-    mOrder.erase(mOrder.begin());
-    mItems.erase(entry);
   }
 }
 
@@ -134,10 +295,33 @@
 }
 
 void
-WorkQueue::CountStart()
+WorkQueue::CountStart(const WorkItem& aItem)
 {
   ++mRunning;
   mTokens -= mRateLimit ? 1 : 0;
+  Pool& pool = PoolOf(aItem.mDownstream);
+  ++pool.mRunning;
+  (pool.mLimit ? pool : mOwn).mCutoff.OnStarted(aItem.mDemandRank);
+}
+
+void
+WorkQueue::CountExpired(const WorkItem& aItem)
+{
+  Pool& pool = PoolOf(aItem.mDownstream);
+  (pool.mLimit ? pool : mOwn).mCutoff.OnExpired(aItem.mDemandRank);
+}
+
+void
+WorkQueue::UpdateCutoffs(core::TimePoint aNow)
+{
+  if (aNow - mCutoffsAt < kCutoffInterval) {
+    return;
+  }
+  mCutoffsAt = aNow;
+  mOwn.mCutoff.Update(aNow, !mOwn.mOrder.empty());
+  for (auto& [service, pool] : mPools) {
+    pool.mCutoff.Update(aNow, !pool.mOrder.empty());
+  }
 }
 
 void
@@ -199,9 +383,13 @@
 }
 
 WorkChanges
-WorkQueue::OnEnd(core::TimePoint aNow)
+WorkQueue::OnEnd(core::TimePoint aNow, const std::string& aDownstream)
 {
   CountEnded(aNow, 0, 1);
+  Pool& pool = PoolOf(aDownstream);
+  if (pool.mRunning > 0) {
+    --pool.mRunning;
+  }
   WorkChanges changes;
   if (mRunning > 0) {
     --mRunning;
@@ -215,8 +403,10 @@
 {
   const auto found = mItems.find(aId);
   if (found != mItems.end()) {
-    mWaitingSeconds -= SecondsOf(found->second.mItem.mTypicalTime);
-    mOrder.erase(found->second.mPosition);
+    const WorkItem& item = found->second.mItem;
+    Pool& pool = PoolOf(item.mDownstream);
+    pool.mWaitingSeconds -= SecondsOf(item.mTypicalTime);
+    pool.mOrder.erase(found->second.mPosition);
     mItems.erase(found);
   }
 }
@@ -224,10 +414,13 @@
 WorkChanges
 WorkQueue::Tick(core::TimePoint aNow)
 {
+  UpdateCutoffs(aNow);
   WorkChanges changes;
+  changes.mExpired = std::exchange(mEvicted, {});
   for (const auto& [id, entry] : mItems) {
-    if (aNow + entry.mItem.mTypicalTime / 2 > entry.mItem.mDeadline) {
+    if (IsHopeless(aNow, entry)) {
       changes.mExpired.push_back(id);
+      CountExpired(entry.mItem);
     }
   }
   for (const std::uint64_t id : changes.mExpired) {
--- a/src/nutmegrock/routes/RouteSet.cpp
+++ b/src/nutmegrock/routes/RouteSet.cpp
@@ -123,4 +123,11 @@
   return nullptr;
 }
 
+const Route*
+RouteSet::FindByName(std::string_view aName) const
+{
+  const auto found = mByName.find(aName);
+  return found == mByName.end() ? nullptr : &mSource.mRoutes[found->second];
+}
+
 } // namespace nutmegrock::routes
--- a/src/nutmegrock/routes/RouteSet.h
+++ b/src/nutmegrock/routes/RouteSet.h
@@ -49,6 +49,8 @@
   /// path, or null. Ignores the query and the port of the host; host names are
   /// case-insensitive.
   const Route* Find(std::string_view aHost, std::string_view aTarget) const;
+  /// Returns the route of that name, or null.
+  const Route* FindByName(std::string_view aName) const;
 
 private:
   explicit RouteSet(RouteSetSource aSource);
--- a/src/nutmegrock/routing/ServiceRouter.cpp
+++ b/src/nutmegrock/routing/ServiceRouter.cpp
@@ -192,7 +192,9 @@
 }
 
 double
-ServiceRouter::ReportedLoad(core::TimePoint aNow, std::size_t aIndex) const
+ServiceRouter::ReportedShare(core::TimePoint aNow,
+                             std::size_t aIndex,
+                             std::uint32_t aPermille) const
 {
   const Entry& entry = mEntries[aIndex];
   if (entry.mReportedAt <= aNow - mSettings.mReportLifetime) {
@@ -200,14 +202,23 @@
   }
   const double age = static_cast<double>((aNow - entry.mReportedAt).count()) /
                      static_cast<double>(mSettings.mReportLifetime.count());
-  return std::min(entry.mReportedPermille / 1000.0, kMaxReported) * (1 - age);
+  return std::min(aPermille / 1000.0, kMaxReported) * (1 - age);
+}
+
+double
+ServiceRouter::ReportedLoad(core::TimePoint aNow, std::size_t aIndex) const
+{
+  return ReportedShare(aNow, aIndex, mEntries[aIndex].mReportedPermille);
 }
 
 double
 ServiceRouter::LoadOf(core::TimePoint aNow, std::size_t aIndex) const
 {
+  const Entry& entry = mEntries[aIndex];
+  const std::uint32_t crowded =
+    std::max(entry.mReportedPermille, entry.mOccupancyPermille);
   return mEjection.InFlight(aIndex) / Weight(aNow, aIndex) +
-         kReportWeight * ReportedLoad(aNow, aIndex) +
+         kReportWeight * ReportedShare(aNow, aIndex, crowded) +
          mEjection.FailedShare(aNow, aIndex);
 }
 
@@ -374,6 +385,7 @@
   }
   if (aFeedback != nullptr) {
     entry.mReportedPermille = aFeedback->mLoadPermille;
+    entry.mOccupancyPermille = aFeedback->mOccupancyPermille;
     entry.mReportedAt = aNow;
   }
 }
--- a/src/nutmegrock/routing/ServiceRouter.h
+++ b/src/nutmegrock/routing/ServiceRouter.h
@@ -65,6 +65,7 @@
     /// End of slow start.
     core::TimePoint mRampUntil = core::TimePoint::min();
     std::uint32_t mReportedPermille = 0;
+    std::uint32_t mOccupancyPermille = 0;
     core::TimePoint mReportedAt = core::TimePoint::min();
   };
   /// The two best candidates by rendezvous rank; smaller is better.
@@ -115,7 +116,13 @@
   /// ejected.
   bool EjectOverdue(core::TimePoint aNow, const Best& aBest);
   double Weight(core::TimePoint aNow, std::size_t aIndex) const;
-  /// The reported load as a share, decaying with its age.
+  /// A value of the last report as a share, decaying with its age.
+  double ReportedShare(core::TimePoint aNow,
+                       std::size_t aIndex,
+                       std::uint32_t aPermille) const;
+  /// The reported demand. Used to compare zones: a server may be crowded by
+  /// calls that wait for a service below, and leaving the zone does not help
+  /// them.
   double ReportedLoad(core::TimePoint aNow, std::size_t aIndex) const;
   /// Load for the comparison of two candidates.
   double LoadOf(core::TimePoint aNow, std::size_t aIndex) const;
--- a/tests/gateway/PathTest.cpp
+++ b/tests/gateway/PathTest.cpp
@@ -1,9 +1,12 @@
+#include "core/Hash.h"
 #include "gateway/Entry.h"
 #include "gateway/Serving.h"
+#include "proxy/HeaderNames.h"
 #include "proxy/HttpListener.h"
 #include "tests/transport/RawSocket.h"
 
 #include <boost/asio/post.hpp>
+#include <cmath>
 #include <doctest/doctest.h>
 #include <future>
 #include <thread>
@@ -21,7 +24,8 @@
 {
   routes::RouteSetSource source;
   source.mVersion = 3;
-  source.mServices = { { "till", "/health", 10 } };
+  source.mServices = { { "till", "/health", 10 },
+                       { "tracker", "/health", 10 } };
   const auto add = [&source](const char* aName, routes::RouteKind aKind) {
     routes::Route route;
     route.mName = aName;
@@ -36,17 +40,22 @@
   };
   add("read", routes::RouteKind::Idempotent);
   add("pay", routes::RouteKind::NonIdempotent);
+  add("part", routes::RouteKind::Idempotent);
+  source.mRoutes.back().mTargets = { { "tracker", 1 } };
+  source.mRoutes.back().mPriority = 2;
   return *routes::RouteSet::Create(source);
 }
 
 /// A node with an entry half and one serving half on one thread; the test acts
-/// as its backend server.
+/// as its backend server, and as the node of the service "tracker", which the
+/// route "part" leads to.
 class Node
 {
 public:
   Node()
     : mWork(boost::asio::make_work_guard(mIo))
     , mLog({}, [](std::string_view) {})
+    , mRuns(mGraph)
     , mAdmission(mCosts, mLoads)
   {
     Open();
@@ -83,7 +92,26 @@
            "Nutmegrock-Request: id-1\r\nNutmegrock-Deadline-Ms: " +
            std::to_string(aDeadlineMs) + "\r\n\r\n";
   }
+  /// Stops the clock of both halves, so that times are exact.
+  void Freeze()
+  {
+    Do([this] { mFrozenAt = core::Clock::now(); });
+  }
+  /// Sets the stopped clock forward.
+  void Advance(milliseconds aTime)
+  {
+    Do([this, aTime] {
+      *mFrozenAt += aTime;
+      mServing->Tick();
+    });
+  }
+  /// Tells the node whether backend servers call the route.
+  void LearnInternal(const std::string& aRoute, bool aInternal)
+  {
+    Do([&] { mCosts.Learn(aRoute, { {}, true, aInternal }); });
+  }
   RawServer& Server() { return mServer; }
+  RawServer& Peer() { return mPeer; }
   Serving& ServingHalf() { return *mServing; }
   Entry& EntryHalf() { return *mEntry; }
   core::Incarnation Self() const { return mSelf; }
@@ -93,19 +121,24 @@
   {
     const auto now = [] { return core::Clock::now(); };
     mPool = std::make_unique<proxy::ClientPool>(mIo, proxy::HeaderNames(), now);
-    mShared = std::make_unique<SharedComponents>(
-      SharedComponents{ now,
-                        *mPool,
-                        mGraph,
-                        mShares,
-                        mRetryShares,
-                        mCosts,
-                        mLoads,
-                        mRegistry,
-                        mLog,
-                        [] { return std::uint64_t{ 3 }; },
-                        [] { return std::size_t{ 1 }; },
-                        [](const core::Address&, std::uint64_t) {} });
+    mShared = std::make_unique<SharedComponents>(SharedComponents{
+      [this] { return mFrozenAt.value_or(core::Clock::now()); },
+      *mPool,
+      mGraph,
+      mRuns,
+      mDownstream,
+      mShares,
+      mRetryShares,
+      mCosts,
+      mLoads,
+      mRegistry,
+      mLog,
+      [] { return std::uint64_t{ 3 }; },
+      [](const std::string& aRoute) {
+        return std::string(aRoute == "part" ? "tracker" : "till");
+      },
+      [] { return std::size_t{ 1 }; },
+      [](const core::Address&, std::uint64_t) {} });
     ServingSettings serving;
     serving.mSelf = mSelf;
     serving.mServer.mService = "till";
@@ -123,10 +156,16 @@
     self.mIncarnation = mSelf;
     self.mSlots = 4;
     mRouter->Update(core::Clock::now(), "till", { self });
+    routing::Candidate peer;
+    peer.mIncarnation = { 99 };
+    peer.mPeer = mPeer.Address();
+    peer.mSlots = 4;
+    mRouter->Update(core::Clock::now(), "tracker", { peer });
     mRoutes.Activate(MakeRoutes());
     EntrySettings entry;
     entry.mSelf = mSelf;
     entry.mService = "shop";
+    entry.mPeerPort = mPeer.Address().mPort;
     mEntry = std::make_unique<Entry>(
       entry, *mShared, *mServing, mRoutes, *mRouter, mAdmission, mAllowance);
     proxy::HttpListenerSettings listener;
@@ -151,6 +190,7 @@
   }
 
   RawServer mServer;
+  RawServer mPeer;
   boost::asio::io_context mIo{ 1 };
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     mWork;
@@ -158,7 +198,10 @@
   const core::Incarnation mSelf{ 77 };
   metrics::Registry mRegistry;
   DecisionLog mLog;
+  std::optional<core::TimePoint> mFrozenAt;
   overload::CallGraph mGraph;
+  overload::RunTracker mRuns;
+  overload::DownstreamLimits mDownstream;
   overload::CallerShares mShares;
   retry::RetryShare mRetryShares;
   overload::RouteCosts mCosts;
@@ -422,21 +465,81 @@
 
 namespace {
 
-/// Keeps the queue time of a call as reported by the serving node.
-class QueueTimeSink final : public proxy::ResponseSink
+/// Keeps the note about a call of the serving node.
+class NoteSink final : public proxy::ResponseSink
 {
 public:
   void OnResponseHead(const proxy::ResponseHead& aHead) override
   {
     const auto note = DecodePeerNote(aHead.mPeerNote);
-    mQueueTime.set_value(note ? note->mQueueTime : milliseconds(-1));
+    mNote.set_value(note ? std::optional(*note) : std::nullopt);
   }
   void OnResponseBody(std::string_view) override {}
   void OnResponseEnd() override {}
   void OnResponseFailed(const core::Error&) override {}
   void OnRequestSent() override {}
 
-  std::promise<milliseconds> mQueueTime;
+  /// Waits for the note.
+  PeerNote Note()
+  {
+    auto future = mNote.get_future();
+    REQUIRE(future.wait_for(std::chrono::seconds(2)) ==
+            std::future_status::ready);
+    const auto note = future.get();
+    REQUIRE(note.has_value());
+    return *note;
+  }
+
+private:
+  std::promise<std::optional<PeerNote>> mNote;
+};
+
+/// Calls that the test sends to the serving half of a node.
+class SentCalls
+{
+public:
+  explicit SentCalls(Node& aNode)
+    : mNode(aNode)
+  {
+  }
+  SentCalls(const SentCalls&) = delete;
+  SentCalls& operator=(const SentCalls&) = delete;
+  ~SentCalls()
+  {
+    mNode.Do([this] { mCalls.clear(); });
+  }
+
+  /// Sends a request of a caller on the route "pay".
+  NoteSink& Send(std::uint32_t aRankPermille,
+                 milliseconds aTimeRemaining,
+                 milliseconds aFinishWithin)
+  {
+    PeerCall peer;
+    peer.mTarget = mNode.Self();
+    peer.mService = "till";
+    peer.mRoute = "pay";
+    peer.mTimeRemaining = aTimeRemaining;
+    peer.mRetryPermille = 250;
+    peer.mRankPermille = aRankPermille;
+    peer.mDemandRankPermille = aRankPermille;
+    peer.mFinishWithin = aFinishWithin;
+    proxy::RequestHead head;
+    head.mMethod = "GET";
+    head.mTarget = "/pay/1";
+    head.mRequestId = "id-1";
+    const auto sink = std::make_shared<NoteSink>();
+    mNode.Do([&] {
+      mCalls.push_back(mNode.ServingHalf().Start(peer, head, sink));
+      mCalls.back()->EndBody();
+    });
+    mSinks.push_back(sink);
+    return *sink;
+  }
+
+private:
+  Node& mNode;
+  std::vector<std::shared_ptr<NoteSink>> mSinks;
+  std::vector<proxy::OutgoingRequestPtr> mCalls;
 };
 
 } // namespace
@@ -454,30 +557,153 @@
     runs.push_back(node.Server().Accept());
     runs.back().ReadUntil("\r\n\r\n");
   }
-  const auto sink = std::make_shared<QueueTimeSink>();
-  auto queue_time = sink->mQueueTime.get_future();
-  proxy::OutgoingRequestPtr call;
-  node.Do([&] {
-    PeerCall peer;
-    peer.mTarget = node.Self();
-    peer.mService = "till";
-    peer.mRoute = "pay";
-    peer.mObjectiveRemaining = milliseconds(500);
-    peer.mTimeRemaining = milliseconds(2000);
-    proxy::RequestHead head;
-    head.mMethod = "GET";
-    head.mTarget = "/pay/1";
-    head.mRequestId = "id-1";
-    call = node.ServingHalf().Start(peer, head, sink);
-    call->EndBody();
-  });
+  SentCalls calls(node);
+  NoteSink& sink = calls.Send(0, milliseconds(2000), milliseconds(2000));
   std::this_thread::sleep_for(milliseconds(120));
   runs.front().Write(kWhole);
   // The connection of the finished run is reused.
   runs.front().ReadUntil("\r\n\r\n");
   runs.front().Write(kWhole);
-  REQUIRE(queue_time.wait_for(std::chrono::seconds(2)) ==
-          std::future_status::ready);
-  CHECK(queue_time.get() >= milliseconds(100));
-  node.Do([&] { call.reset(); });
+  CHECK(sink.Note().mQueueTime >= milliseconds(100));
+}
+
+// Load pattern: more calls than the server can run before their deadline.
+// Guards against entry nodes that do not learn up to which rank a service
+// serves, and against nodes that see a crowded server as free.
+TEST_CASE("a serving node reports its cutoff, its occupancy and the run time")
+{
+  Node node;
+  node.Freeze();
+  SentCalls calls(node);
+  constexpr milliseconds kLong(2000);
+  constexpr milliseconds kShort(80);
+  NoteSink& first = calls.Send(100, kLong, kLong);
+  std::vector<RawSocket> runs;
+  for (int i = 0; i < 3; ++i) {
+    if (i > 0) {
+      calls.Send(100, kLong, kLong);
+    }
+    runs.push_back(node.Server().Accept());
+    runs.back().ReadUntil("\r\n\r\n");
+  }
+  node.Do(
+    [&] { CHECK(node.ServingHalf().Queue().Cutoff() == overload::kOpenRank); });
+  NoteSink& waiting = calls.Send(500, kLong, kLong);
+  for (int round = 0; round < 6; ++round) {
+    // The request of a call can end before its own time limit.
+    for (int i = 0; i < 10; ++i) {
+      calls.Send(920, i % 2 == 0 ? kShort : kLong, kShort);
+    }
+    node.Advance(milliseconds(100));
+  }
+  runs.front().Write(kWhole);
+  const PeerNote note = first.Note();
+  CHECK(note.mCutoff > 0.1);
+  CHECK(note.mCutoff <= 0.92);
+  CHECK(note.mOccupancy == doctest::Approx(4.0 / 3).epsilon(0.001));
+  CHECK(note.mWindow > 0);
+  CHECK(note.mQueueTime == milliseconds(0));
+  CHECK(note.mRunTime == milliseconds(600));
+  // The connection of the finished run is reused.
+  runs.front().ReadUntil("\r\n\r\n");
+  node.Advance(milliseconds(30));
+  runs.front().Write(kWhole);
+  const PeerNote second = waiting.Note();
+  CHECK(second.mOccupancy == 1);
+  CHECK(second.mQueueTime == milliseconds(600));
+  CHECK(second.mRunTime == milliseconds(30));
+}
+
+namespace {
+
+/// Sends a request on the route "part" and returns what the node sends about
+/// it. Keeps both connections open in aOpen, that of the other node last.
+PeerCall
+ReadPeerCall(Node& aNode, std::vector<RawSocket>& aOpen, int aTimeoutMs)
+{
+  aOpen.push_back(aNode.Connect());
+  aOpen.back().Write(Node::Request("part", aTimeoutMs));
+  aOpen.push_back(aNode.Peer().Accept());
+  const std::string head = aOpen.back().ReadUntil("\r\n\r\n");
+  const std::string name = std::string(proxy::kPeerCallHeader) + ": ";
+  const std::size_t found = head.find(name);
+  REQUIRE(found != std::string::npos);
+  const std::size_t begin = found + name.size();
+  const auto call =
+    DecodePeerCall(head.substr(begin, head.find("\r\n", begin) - begin));
+  REQUIRE(call.has_value());
+  return *call;
+}
+
+} // namespace
+
+// Guards against a rank that differs between entry nodes, which would break
+// requests at random.
+TEST_CASE("a request of a caller is ranked by its priority and its identity")
+{
+  Node node;
+  node.Freeze();
+  node.LearnInternal("part", false);
+  std::vector<RawSocket> open;
+  const PeerCall call = ReadPeerCall(node, open, 1200);
+  const double rank = overload::RankOf(2, core::HashOf("id-1"));
+  CHECK(call.mService == "tracker");
+  CHECK(call.mCallerService == "shop");
+  CHECK(call.mRoute == "part");
+  CHECK(call.mTarget == core::Incarnation{ 99 });
+  CHECK(call.mRankPermille ==
+        static_cast<std::uint32_t>(std::lround(1000 * rank)));
+  CHECK(call.mDemandRankPermille == call.mRankPermille);
+  CHECK(call.mTimeRemaining == milliseconds(1200));
+  CHECK(call.mFinishWithin == milliseconds(1200));
+  CHECK(call.mRetryPermille == 0);
+  CHECK(call.mCallingNode == 0);
+}
+
+// Guards against issue 26: nested calls of one request were refused
+// independently of each other, so an overload broke a part of each request.
+TEST_CASE("a nested call takes over the rank and the end of its request")
+{
+  Node node;
+  node.Freeze();
+  node.LearnInternal("part", true);
+  SentCalls calls(node);
+  calls.Send(1345, milliseconds(1200), milliseconds(900));
+  RawSocket run = node.Server().Accept();
+  run.ReadUntil("\r\n\r\n");
+  std::vector<RawSocket> open;
+  // Until it is known that calls have the deadline of their run, the route
+  // decides on their order. Only one run can have made the call.
+  const PeerCall unknown = ReadPeerCall(node, open, 1200);
+  CHECK(unknown.mRankPermille == 2900);
+  CHECK(unknown.mDemandRankPermille == 1345);
+  CHECK(unknown.mFinishWithin == milliseconds(1200));
+  CHECK(unknown.mCallingNode != 0);
+  PeerCall known;
+  for (int i = 0; i < 20; ++i) {
+    known = ReadPeerCall(node, open, 1200);
+  }
+  CHECK(known.mRankPermille == 1345);
+  CHECK(known.mDemandRankPermille == 1345);
+  CHECK(known.mTimeRemaining == milliseconds(1200));
+  CHECK(known.mFinishWithin == milliseconds(900));
+  CHECK(known.mRetryPermille == 250);
+  CHECK(known.mCallingNode != 0);
+  // A call that cannot be identified counts as one of a run that makes such
+  // calls, but does not go before others.
+  const PeerCall other = ReadPeerCall(node, open, 700);
+  CHECK(other.mRankPermille == 2900);
+  CHECK(other.mDemandRankPermille == 1345);
+  CHECK(other.mFinishWithin == milliseconds(700));
+  CHECK(other.mRetryPermille == 250);
+  CHECK(other.mCallingNode == known.mCallingNode);
+  // A request that has used a service goes before new ones.
+  ReadPeerCall(node, open, 1200);
+  open.back().Write("HTTP/1.1 200 OK\r\nNutmegrock-Request: id-1\r\n"
+                    "Nutmegrock-Seal: s\r\nNutmegrock-Peer-Note: l=0\r\n"
+                    "Connection: close\r\nContent-Length: 2\r\n\r\nok");
+  CHECK(open[open.size() - 2].ReadUntil("ok").starts_with("HTTP/1.1 200"));
+  const PeerCall next = ReadPeerCall(node, open, 1200);
+  CHECK(next.mRankPermille == 1000);
+  CHECK(next.mFinishWithin == milliseconds(900));
 }
--- a/tests/overload/ChainModel.cpp
+++ b/tests/overload/ChainModel.cpp
@@ -52,6 +52,10 @@
 constexpr double kRosterSeconds = 0.063;
 constexpr double kTruckSeconds = 0.1;
 constexpr std::uint32_t kDispatchSlots = 53;
+/// The node of "archive" in the windows of "dispatch".
+constexpr std::uint32_t kArchiveNode = 1;
+/// Rank of calls whose request the node does not know.
+constexpr double kUnknownRank = 1.9;
 /// Age of a load report when the entry node receives it.
 constexpr double kReportDelay = 0.04;
 constexpr double kRunTimeWeight = 0.05;
@@ -72,9 +76,13 @@
 
 } // namespace
 
-ChainModel::ChainModel(unsigned aSeed)
+ChainModel::ChainModel(unsigned aSeed, std::uint32_t aScale)
   : mRandom(aSeed)
-  , mDispatch{ "dispatch", kDispatchSlots, overload::WorkQueue() }
+  , mScale(aScale)
+  , mStock(ServiceOf("stock", 154 * aScale))
+  , mBooking(ServiceOf("booking", 125 * aScale))
+  , mArchive(ServiceOf("archive", 125 * aScale))
+  , mDispatch(ServiceOf("dispatch", kDispatchSlots * aScale))
   , mRunSeconds{ { "check", 0.94 },           { "ledger", 0.345 },
                  { "reservation", 0.67 },     { "index", 0.33 },
                  { "upload", 0.3 },           { "truck", kTruckSeconds },
@@ -122,7 +130,13 @@
 }
 
 double
-ChainModel::LeastLostShare(double aFactor)
+ChainModel::WastedShare() const
+{
+  return mRuns == 0 ? 0 : static_cast<double>(mWastedRuns) / mRuns;
+}
+
+double
+ChainModel::LeastLostShare(double aFactor, double aSlowdown)
 {
   const auto rate = [aFactor](Kind aKind) {
     return aFactor * InfoOf(aKind).mPerSecond;
@@ -133,10 +147,19 @@
     (rate(Kind::Check) + rate(Kind::Reservation)) * 10 * kRosterSeconds +
     rate(Kind::Truck) * kTruckSeconds;
   const double capacity =
-    kDispatchSlots * overload::WorkQueueSettings().mSlotShare;
+    kDispatchSlots * overload::WorkQueueSettings().mSlotShare / aSlowdown;
   return std::max(0.0, work - capacity) / (10 * kRosterSeconds) / asked;
 }
 
+ChainModel::Service
+ChainModel::ServiceOf(const char* aName, std::uint32_t aSlots)
+{
+  Service service;
+  service.mName = aName;
+  service.mSlots = aSlots;
+  return service;
+}
+
 void
 ChainModel::At(core::TimePoint aAt, std::function<void()> aAction)
 {
@@ -166,13 +189,13 @@
     });
     return;
   }
-  After(WorkTime(aMean), [this, aId] { End(aId, true); });
+  After(WorkTime(aMean) * mSlowdown, [this, aId] { End(aId, true); });
 }
 
 void
 ChainModel::Arrive(Kind aKind)
 {
-  const double rate = InfoOf(aKind).mPerSecond * mFactor;
+  const double rate = InfoOf(aKind).mPerSecond * mScale * mFactor;
   After(std::exponential_distribution<double>(rate)(mRandom), [this, aKind] {
     ++mOutcomes.at(static_cast<std::size_t>(aKind)).mAsked;
     Enter(aKind, mNow + InfoOf(aKind).mTimeLimit, false);
@@ -190,15 +213,18 @@
   request.mPriority = info.mPriority;
   request.mLatencyObjective = info.mObjective;
   request.mHash = mRandom();
-  request.mRefusedBefore = aRefusedBefore;
-  const auto decision = mAdmission.Decide(mNow, request);
+  const auto decision = mAdmission.Decide(request);
   Outcome& outcome = mOutcomes.at(static_cast<std::size_t>(aKind));
   if (decision.mAdmitted) {
-    Start(aKind,
-          std::min(aGivesUpAt, mNow + info.mRouteTimeout),
-          [&outcome](bool aSuccess) {
-            ++(aSuccess ? outcome.mServed : outcome.mFailed);
-          });
+    const auto chain = std::make_shared<Request>();
+    chain->mChain = { decision.mRank,
+                      std::min(aGivesUpAt, mNow + info.mRouteTimeout),
+                      0 };
+    Start(aKind, chain, [this, &outcome, chain](bool aSuccess) {
+      ++(aSuccess ? outcome.mServed : outcome.mFailed);
+      mRuns += chain->mRuns;
+      mWastedRuns += aSuccess ? 0 : chain->mRuns;
+    });
   } else if (aRefusedBefore) {
     ++outcome.mRefused;
   } else {
@@ -208,20 +234,19 @@
 }
 
 void
-ChainModel::Start(Kind aKind, core::TimePoint aDeadline, Done aDone)
+ChainModel::Start(Kind aKind, const RequestPtr& aRequest, Done aDone)
 {
-  const double objective =
-    std::chrono::duration<double>(InfoOf(aKind).mObjective).count();
+  const core::TimePoint deadline = aRequest->mChain.mFinishBy;
   switch (aKind) {
     case Kind::Check:
       Offer(
         mStock,
         "check",
-        objective,
-        aDeadline,
-        [this, aDeadline](auto aId) {
-          After(WorkTime(0.25), [this, aId, aDeadline] {
-            CallInTurn(2, "ledger", aDeadline, [this, aId](bool aSuccess) {
+        aRequest,
+        deadline,
+        [this, aRequest](auto aId) {
+          After(WorkTime(0.25), [this, aId, aRequest] {
+            CallInTurn(2, "ledger", aRequest, [this, aId](bool aSuccess) {
               End(aId, aSuccess);
             });
           });
@@ -232,11 +257,11 @@
       Offer(
         mBooking,
         "reservation",
-        objective,
-        aDeadline,
-        [this, aDeadline](auto aId) {
-          After(WorkTime(0.33), [this, aId, aDeadline] {
-            CallTogether(2, "index", aDeadline, [this, aId](bool aSuccess) {
+        aRequest,
+        deadline,
+        [this, aRequest](auto aId) {
+          After(WorkTime(0.33), [this, aId, aRequest] {
+            CallTogether(2, "index", aRequest, [this, aId](bool aSuccess) {
               End(aId, aSuccess);
             });
           });
@@ -247,8 +272,8 @@
       Offer(
         mArchive,
         "upload",
-        objective,
-        aDeadline,
+        aRequest,
+        deadline,
         [this](auto aId) {
           After(WorkTime(0.3), [this, aId] { End(aId, true); });
         },
@@ -258,8 +283,8 @@
       Offer(
         mDispatch,
         "truck",
-        objective,
-        aDeadline,
+        aRequest,
+        deadline,
         [this](auto aId) { RunAtDispatch(aId, kTruckSeconds); },
         std::move(aDone));
       break;
@@ -269,16 +294,16 @@
 void
 ChainModel::CallInTurn(int aCount,
                        const std::string& aRoute,
-                       core::TimePoint aDeadline,
+                       const RequestPtr& aRequest,
                        const Done& aDone)
 {
   if (aCount == 0) {
     aDone(true);
     return;
   }
-  CallRoute(aRoute, aDeadline, [=, this](bool aSuccess) {
+  CallRoute(aRoute, aRequest, [=, this](bool aSuccess) {
     if (aSuccess) {
-      CallInTurn(aCount - 1, aRoute, aDeadline, aDone);
+      CallInTurn(aCount - 1, aRoute, aRequest, aDone);
     } else {
       aDone(false);
     }
@@ -288,13 +313,13 @@
 void
 ChainModel::CallTogether(int aCount,
                          const std::string& aRoute,
-                         core::TimePoint aDeadline,
+                         const RequestPtr& aRequest,
                          const Done& aDone)
 {
   const auto left = std::make_shared<int>(aCount);
   const auto failed = std::make_shared<bool>(false);
   for (int i = 0; i < aCount; ++i) {
-    CallRoute(aRoute, aDeadline, [left, failed, aDone](bool aSuccess) {
+    CallRoute(aRoute, aRequest, [left, failed, aDone](bool aSuccess) {
       *failed = *failed || !aSuccess;
       if (--*left == 0) {
         aDone(!*failed);
@@ -305,37 +330,36 @@
 
 void
 ChainModel::CallRoute(const std::string& aRoute,
-                      core::TimePoint aDeadline,
+                      const RequestPtr& aRequest,
                       const Done& aDone)
 {
   const auto limit = [&](int aMilliseconds) {
-    return std::min(aDeadline, mNow + milliseconds(aMilliseconds));
+    return std::min(aRequest->mChain.mFinishBy,
+                    mNow + milliseconds(aMilliseconds));
   };
   if (aRoute == "ledger") {
-    const core::TimePoint deadline = limit(3000);
     Offer(
       mBooking,
       aRoute,
-      1.2,
-      deadline,
-      [this, deadline](auto aId) {
-        After(WorkTime(0.015), [this, aId, deadline] {
-          CallInTurn(1, "index", deadline, [this, aId](bool aSuccess) {
+      aRequest,
+      limit(3000),
+      [this, aRequest](auto aId) {
+        After(WorkTime(0.015), [this, aId, aRequest] {
+          CallInTurn(1, "index", aRequest, [this, aId](bool aSuccess) {
             End(aId, aSuccess);
           });
         });
       },
       aDone);
   } else if (aRoute == "index") {
-    const core::TimePoint deadline = limit(2500);
     Offer(
       mArchive,
       aRoute,
-      1.2,
-      deadline,
-      [this, deadline](auto aId) {
-        After(WorkTime(0.015), [this, aId, deadline] {
-          CallInTurn(5, "roster", deadline, [this, aId](bool aSuccess) {
+      aRequest,
+      limit(2500),
+      [this, aRequest](auto aId) {
+        After(WorkTime(0.015), [this, aId, aRequest] {
+          CallInTurn(5, "roster", aRequest, [this, aId](bool aSuccess) {
             End(aId, aSuccess);
           });
         });
@@ -345,9 +369,12 @@
     Offer(
       mDispatch,
       aRoute,
-      0.3,
+      aRequest,
       limit(700),
-      [this](auto aId) { RunAtDispatch(aId, kRosterSeconds); },
+      [this, aRequest](auto aId) {
+        ++aRequest->mRuns;
+        RunAtDispatch(aId, kRosterSeconds);
+      },
       aDone);
   }
 }
@@ -355,7 +382,7 @@
 void
 ChainModel::Offer(Service& aService,
                   const std::string& aRoute,
-                  double aDueSeconds,
+                  const RequestPtr& aRequest,
                   core::TimePoint aDeadline,
                   std::function<void(std::uint64_t)> aRun,
                   Done aDone)
@@ -364,25 +391,49 @@
   Call call;
   call.mService = &aService;
   call.mRoute = aRoute;
+  call.mDownstream = aRoute == "index" ? mDispatch.mName : "";
   call.mRun = [run = std::move(aRun), id] { run(id); };
   call.mDone = std::move(aDone);
+  const double rank = aRequest->mChain.mRank;
+  const overload::WorkItem item{
+    id,        aRoute == "roster" ? kUnknownRank : rank, rank,
+    aDeadline, ToDuration(RunSeconds(aRoute)),           call.mDownstream
+  };
+  if (aRoute == "roster") {
+    aService.mWindows.OnStart(kArchiveNode);
+  } else {
+    ++aService.mDirectCalls;
+  }
   mCalls.emplace(id, std::move(call));
-  const auto accepted =
-    aService.mQueue.Offer(mNow,
-                          { id,
-                            mNow + ToDuration(aDueSeconds),
-                            aDeadline,
-                            ToDuration(RunSeconds(aRoute)) });
+  const auto accepted = aService.mQueue.Offer(mNow, item);
   At(aDeadline, [this, id] { End(id, false); });
   if (!accepted) {
-    const Done done = std::move(mCalls.at(id).mDone);
-    mCalls.erase(id);
-    done(false);
+    Drop(id);
   } else if (*accepted) {
     Apply({ { id }, {} });
   }
 }
 
+// Ends a call that has not run.
+void
+ChainModel::Drop(std::uint64_t aId)
+{
+  const Call call = std::move(mCalls.at(aId));
+  mCalls.erase(aId);
+  Leave(call);
+  call.mDone(false);
+}
+
+void
+ChainModel::Leave(const Call& aCall)
+{
+  if (aCall.mRoute == "roster") {
+    aCall.mService->mWindows.OnEnd(kArchiveNode);
+  } else {
+    --aCall.mService->mDirectCalls;
+  }
+}
+
 void
 ChainModel::Apply(const overload::WorkChanges& aChanges)
 {
@@ -394,9 +445,7 @@
     run();
   }
   for (const std::uint64_t id : aChanges.mExpired) {
-    const Done done = std::move(mCalls.at(id).mDone);
-    mCalls.erase(id);
-    done(false);
+    Drop(id);
   }
 }
 
@@ -410,6 +459,7 @@
   }
   const Call call = std::move(found->second);
   mCalls.erase(found);
+  Leave(call);
   Service& service = *call.mService;
   if (call.mRunning) {
     const double seconds =
@@ -418,7 +468,7 @@
       double& typical = mRunSeconds[call.mRoute];
       typical += kRunTimeWeight * (seconds - typical);
     }
-    Apply(service.mQueue.OnEnd(mNow));
+    Apply(service.mQueue.OnEnd(mNow, call.mDownstream));
   } else {
     service.mQueue.Remove(aId);
   }
@@ -429,10 +479,28 @@
 void
 ChainModel::ReportLoad(Service& aService)
 {
+  mArchive.mDownstream.OnResponse(
+    mNow, { mDispatch.mName, {}, mDispatch.mWindows.Window(), {}, {} });
   const double load = aService.mQueue.Load(mNow);
-  After(kReportDelay, [this, &aService, load] {
+  const double cutoff = aService.mQueue.Cutoff();
+  After(kReportDelay, [this, &aService, load, cutoff] {
     mLoads.OnServerLoad(
-      mNow, aService.mName, "a", core::Incarnation{ 1 }, load);
+      mNow, { aService.mName, "a", core::Incarnation{ 1 }, load, cutoff });
+  });
+}
+
+void
+ChainModel::LimitRuns(Service& aService, Service& aDownstream)
+{
+  const std::string& name = aDownstream.mName;
+  Apply(aService.mQueue.SetDownstreamLimit(
+    mNow, name, aService.mDownstream.LimitOf(mNow, name)));
+  const double cutoff = aService.mQueue.DownstreamCutoff(name);
+  After(kReportDelay, [this, &aService, &aDownstream, cutoff] {
+    const std::string calls =
+      overload::NameOfCalls(aService.mName, aDownstream.mName);
+    mLoads.OnServerLoad(mNow,
+                        { calls, "a", core::Incarnation{ 1 }, 0, cutoff });
   });
 }
 
@@ -440,8 +508,10 @@
 ChainModel::Tick()
 {
   for (Service* service : { &mStock, &mBooking, &mArchive, &mDispatch }) {
+    service->mWindows.Update(service->mQueue.Limit(), service->mDirectCalls);
     Apply(service->mQueue.Tick(mNow));
   }
+  LimitRuns(mArchive, mDispatch);
   mAdmission.Tick(mNow);
   const auto ticks = (mNow - mStart) / kTick;
   if (ticks % 10 == 0) {
--- a/tests/overload/ZonePlacementTest.cpp
+++ b/tests/overload/ZonePlacementTest.cpp
@@ -81,8 +81,9 @@
       if (mPast.size() > kLagSteps) {
         mLoad = mPast[mPast.size() - 1 - kLagSteps];
         for (std::size_t i = 0; i < kZones.size(); ++i) {
-          mLoads.OnReport(mNow,
-                          { "dispatch", kZones[i], mLoad[i], milliseconds(0) });
+          mLoads.OnReport(
+            mNow,
+            { "dispatch", kZones[i], mLoad[i], kOpenRank, milliseconds(0) });
         }
       }
     }
--- a/tests/routes/RouteSetTest.cpp
+++ b/tests/routes/RouteSetTest.cpp
@@ -66,6 +66,26 @@
   }
 }
 
+TEST_CASE("a route is found by its exact name, with all its services")
+{
+  RouteSetSource source = MakeSource(1);
+  source.mServices.push_back({ "till-next", "/health", 100 });
+  source.mRoutes[1].mTargets.push_back({ "till-next", 3 });
+  const auto set = *RouteSet::Create(source);
+  for (const Route& route : set->Routes()) {
+    CAPTURE(route.mName);
+    CHECK(set->FindByName(route.mName) == &route);
+  }
+  const Route* split = set->FindByName("pay");
+  REQUIRE(split != nullptr);
+  CHECK(*split == source.mRoutes[1]);
+  CHECK(split == set->Find("shop.example", "/pay/"));
+  for (const char* unknown : { "", "pa", "pay ", "Pay", "/pay/", "till" }) {
+    CAPTURE(unknown);
+    CHECK(set->FindByName(unknown) == nullptr);
+  }
+}
+
 TEST_CASE("an invalid set is refused with its error")
 {
   struct Case
--- a/tests/routing/RouterTest.cpp
+++ b/tests/routing/RouterTest.cpp
@@ -142,7 +142,7 @@
                                        std::pair{ 1000U, 1.0 } }) {
       const auto router = *Router::Create({});
       router->Update(kNow, "till", { Server(1, "a"), Server(2, "b") });
-      const core::CallFeedback feedback{ {}, {}, load, 0 };
+      const core::CallFeedback feedback{ {}, {}, load, 0, 0 };
       for (const std::uint64_t id : { 1U, 2U }) {
         router->OnStart(kNow, Incarnation{ id });
         router->OnEnd(
@@ -164,12 +164,44 @@
     }
     CHECK(Shares(*router)[2] == doctest::Approx(1));
     // A report of no load at server 1 does not outweigh the calls in flight.
-    const core::CallFeedback idle{ {}, {}, 0, 0 };
+    const core::CallFeedback idle{ {}, {}, 0, 0, 0 };
     router->OnStart(kNow, Incarnation{ 1 });
     router->OnEnd(kNow, Incarnation{ 1 }, AttemptOutcome::Ok, 0ms, &idle);
     CHECK(Shares(*router)[2] == doctest::Approx(1));
   }
 
+  // Guards against issue 26: a server whose runs wait for an overloaded service
+  // reports little load, and got as many requests as a free one.
+  TEST_CASE("requests do not pile up at a server that is full of waiting calls")
+  {
+    struct Report
+    {
+      std::uint32_t mLoad;
+      std::uint32_t mOccupancy;
+    };
+    // Share of requests that server 2 gets.
+    const auto share = [](const Report& aFirst, const Report& aSecond) {
+      const auto router = *Router::Create({});
+      router->Update(kNow, "till", { Server(1), Server(2) });
+      for (const auto& [id, report] :
+           { std::pair{ 1U, aFirst }, std::pair{ 2U, aSecond } }) {
+        core::CallFeedback feedback;
+        feedback.mLoadPermille = report.mLoad;
+        feedback.mOccupancyPermille = report.mOccupancy;
+        router->OnStart(kNow, Incarnation{ id });
+        router->OnEnd(
+          kNow, Incarnation{ id }, AttemptOutcome::Ok, 1ms, &feedback);
+      }
+      return Shares(*router)[2];
+    };
+    CHECK(share({ 500, 1800 }, { 500, 500 }) == doctest::Approx(1));
+    CHECK(share({ 500, 500 }, { 500, 1800 }) == 0);
+    CHECK(share({ 500, 1800 }, { 500, 1800 }) ==
+          doctest::Approx(0.5).epsilon(0.1));
+    // Neither value hides the other.
+    CHECK(share({ 1800, 0 }, { 500, 500 }) == doctest::Approx(1));
+  }
+
   // The member table lags behind a server that leaves (invariant I6).
   TEST_CASE("a server that refused a call as leaving is excluded, not ejected")
   {
@@ -314,9 +346,9 @@
 namespace {
 
 /// Share of requests that leave zone "a" when its server and that of zone "b"
-/// report these loads for two seconds.
+/// report these loads, and the near one this occupancy, for two seconds.
 double
-ShareLeaving(double aNear, double aFar)
+ShareLeaving(double aNear, double aFar, double aNearOccupancy = 0)
 {
   auto router = std::move(*Router::Create({}));
   core::TimePoint now{ 1h };
@@ -333,6 +365,8 @@
       core::CallFeedback feedback;
       feedback.mLoadPermille =
         static_cast<std::uint32_t>(1000 * (near ? aNear : aFar));
+      feedback.mOccupancyPermille =
+        static_cast<std::uint32_t>(near ? 1000 * aNearOccupancy : 0);
       const Incarnation server{ near ? 1U : 2U };
       router->OnStart(now, server);
       router->OnEnd(now,
@@ -362,6 +396,16 @@
   CHECK(ShareLeaving(1.2, 0.4) > 0.3);
 }
 
+// Guards against issue 26: runs that wait for an overloaded service fill the
+// servers of a zone, and its requests left it, although that does not help them
+// and traffic between zones is billed.
+TEST_CASE("servers full of waiting calls do not send requests to other zones")
+{
+  CHECK(ShareLeaving(0.5, 0.1, 2) == 0);
+  CHECK(ShareLeaving(0.5, 0.1, 9) == 0);
+  CHECK(ShareLeaving(2, 0.1, 2) > 0.3);
+}
+
 // Of three servers of the deep service two run at 0.7 of the typical speed and
 // one at 1.6, and the slow ones are nearly full. Ejecting a server that is
 // merely slower would remove a third of the capacity.
--- a/tests/transport/PeerCodecTest.cpp
+++ b/tests/transport/PeerCodecTest.cpp
@@ -54,9 +54,11 @@
     auto response = PeerCodec::ToWire(head);
     CHECK(PeerCodec::FromWire(response) == head);
 
-    const core::CallFeedback feedback{
-      { core::Importance::High, 127 }, { core::Importance::Low, 0 }, 1500, 4
-    };
+    core::CallFeedback feedback;
+    feedback.mLevel = { core::Importance::High, 127 };
+    feedback.mDownstreamLevel = { core::Importance::Low, 0 };
+    feedback.mLoadPermille = 1500;
+    feedback.mBudgetReturned = 4;
     CHECK(PeerCodec::FromWire(PeerCodec::ToWire(feedback)) == feedback);
 
     for (const core::ErrorRow& row : core::ErrorTable()) {
