Admit by the mean cutoff of all zones

Cause: admission by the cutoff of the request's own zone refuses what a load above capacity would have sent to another zone, so the loads never differ.

The cutoffs are computed once per service, no longer once per zone of it, and without the reports in between, since entry nodes do it every 20 ms.

--- a/src/nutmegrock/overload/EntryAdmission.cpp
+++ b/src/nutmegrock/overload/EntryAdmission.cpp
@@ -8,9 +8,6 @@
 
 /// Ranks above the cutoff that are admitted, in priorities.
 constexpr double kMargin = 0.1;
-/// Maximum number of load reports to consider, most loaded services first:
-/// several services in the 25 availability zones of the design.
-constexpr std::size_t kMaxTrackedLoads = 256;
 /// Retry delay of a refused caller, as a share of the latency objective, so
 /// that the response to the retry can still have its full benefit. Jitter keeps
 /// callers that were refused together from retrying together.
@@ -39,25 +36,7 @@
 void
 EntryAdmission::Tick(core::TimePoint aNow)
 {
-  mCutoffs.clear();
-  mZoneCutoffs.clear();
-  for (const LoadReport& report : mLoads.Reports(aNow, 0, kMaxTrackedLoads)) {
-    const double cutoff = mLoads.Cutoff(aNow, report.mService);
-    if (cutoff < kOpenRank) {
-      mCutoffs.emplace(report.mService, cutoff);
-      mZoneCutoffs[report.mService].emplace(report.mZone, report.mCutoff);
-    }
-  }
-}
-
-double
-EntryAdmission::CutoffIn(std::string_view aZone,
-                         const std::string& aName,
-                         double aMean) const
-{
-  const Cutoffs& zones = mZoneCutoffs.at(aName);
-  const auto found = zones.find(aZone);
-  return found == zones.end() ? aMean : found->second;
+  mCutoffs = mLoads.Cutoffs(aNow);
 }
 
 EntryDecision
@@ -69,8 +48,7 @@
   if (cost == nullptr) {
     return decision;
   }
-  for (const auto& [name, mean] : mCutoffs) {
-    const double cutoff = CutoffIn(aRequest.mZone, name, mean);
+  for (const auto& [name, cutoff] : mCutoffs) {
     const auto [service, caller] = ServicesOfName(name);
     const bool leads_to = cost->SlotSecondsAt(service) > 0 &&
                           (caller.empty() || cost->SlotSecondsAt(caller) > 0);
--- a/src/nutmegrock/overload/ServiceLoads.cpp
+++ b/src/nutmegrock/overload/ServiceLoads.cpp
@@ -162,14 +162,37 @@
 ServiceLoads::Cutoff(core::TimePoint aNow, std::string_view aService) const
 {
   const auto found = mServices.find(aService);
-  if (found == mServices.end()) {
+  return found == mServices.end() ? kOpenRank : CutoffOf(aNow, found->second);
+}
+
+std::map<std::string, double, std::less<>>
+ServiceLoads::Cutoffs(core::TimePoint aNow) const
+{
+  std::map<std::string, double, std::less<>> cutoffs;
+  for (const auto& [name, service] : mServices) {
+    const double cutoff = CutoffOf(aNow, service);
+    if (cutoff < kOpenRank) {
+      cutoffs.emplace(name, cutoff);
+    }
+  }
+  return cutoffs;
+}
+
+double
+ServiceLoads::CutoffOf(core::TimePoint aNow, const Service& aService) const
+{
+  const bool has_cutoff = std::any_of(
+    aService.mZones.begin(), aService.mZones.end(), [this](const auto& aEntry) {
+      return aEntry.second.mCutoff < mOpenRank;
+    });
+  if (!has_cutoff) {
     return kOpenRank;
   }
   double sum = 0;
   double slots = 0;
-  for (const auto& [name, zone] : found->second.mZones) {
+  for (const auto& [name, zone] : aService.mZones) {
     if (IsFresh(aNow, zone)) {
-      const double weight = SlotsIn(found->second.mSlots, name);
+      const double weight = SlotsIn(aService.mSlots, name);
       sum += weight * std::min(mOpenRank, zone.mCutoff);
       slots += weight;
     }
--- a/src/nutmegrock/overload/ServiceLoads.h
+++ b/src/nutmegrock/overload/ServiceLoads.h
@@ -90,6 +90,9 @@
   /// Mean cutoff of the service over the zones with a fresh report; kOpenRank
   /// if all requests are served or without a fresh report.
   double Cutoff(core::TimePoint aNow, std::string_view aService) const;
+  /// Cutoffs of all services that do not serve all requests.
+  std::map<std::string, double, std::less<>> Cutoffs(
+    core::TimePoint aNow) const;
   /// Load of the service in one zone; nullopt without a fresh report.
   std::optional<double> ZoneLoad(core::TimePoint aNow,
                                  std::string_view aService,
@@ -123,6 +126,7 @@
 
   static bool IsFresh(core::TimePoint aNow, const Zone& aZone);
   Service& ServiceOf(std::string_view aService);
+  double CutoffOf(core::TimePoint aNow, const Service& aService) const;
   Zone& ZoneOf(std::string_view aService, std::string_view aZone);
 
   double mOpenRank = kOpenRank;
