--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds kTickInterval{ 20 };
 /// Period of idle connection checks and saving costs.
 constexpr milliseconds kSlowTickInterval{ 250 };
+constexpr milliseconds kPoolTickInterval{ 100 };
 constexpr std::chrono::seconds kControlTimeout{ 2 };
 /// Share of the platform's limit on retries that is used, so that rounding and
 /// uneven load between nodes stay within the limit.
@@ -552,7 +553,10 @@
   mServing->Tick();
   mAdmission.Tick(now);
   mSheddingLog.Tick(now, mAdmission.CutoffsInForce(), mCosts);
-  mPool->Tick();
+  if (now - mPoolTickAt >= kPoolTickInterval) {
+    mPoolTickAt = now;
+    mPool->Tick();
+  }
   ProbeServer(now);
   PublishState();
   if (now - mSlowTickAt >= kSlowTickInterval) {
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -122,6 +122,7 @@
   std::string mSettingsText;
   core::TimePoint mSettingsCheckedAt;
   core::TimePoint mSlowTickAt;
+  core::TimePoint mPoolTickAt;
   membership::MemberState mPublished = membership::MemberState::Starting;
   std::uint32_t mPublishedSlots = 0;
   std::size_t mServices = 0;
