Track runs with one tree and without an unused estimate

Each run was in a second ordered set only to know whether a route has a run with a later deadline; the latest deadline of the route is enough, since it only excludes routes whose time limit is shorter. WorkQueue looks up the cutoff of a waiting call only after its time above it is over.

--- a/src/nutmegrock/overload/RunTracker.cpp
+++ b/src/nutmegrock/overload/RunTracker.cpp
@@ -99,7 +99,7 @@
   run.mDeadline = mDeadlines.emplace(aDeadline, aRun);
   run.mStartedAt = aNow;
   RunRoute& route = RunRouteOf(run.mRoute);
-  route.mDeadlines.insert(aDeadline);
+  route.mLatestDeadline = std::max(route.mLatestDeadline, aDeadline);
   auto& runs = route.mRuns;
   run.mIndex = runs.size();
   runs.push_back(aRun);
@@ -116,7 +116,6 @@
   const Run run = std::move(found->second);
   mRuns.erase(found);
   RunRoute& route = RunRouteOf(run.mRoute);
-  route.mDeadlines.erase(route.mDeadlines.find(run.mDeadline->first));
   mDeadlines.erase(run.mDeadline);
   auto& runs = route.mRuns;
   runs[run.mIndex] = runs.back();
@@ -257,8 +256,8 @@
   };
   std::vector<Candidate> candidates;
   for (const auto& [name, route] : mRunRoutes) {
-    if (!route.mDeadlines.empty() &&
-        *route.mDeadlines.rbegin() + mSettings.mTolerance >= aDeadline) {
+    if (!route.mRuns.empty() &&
+        route.mLatestDeadline + mSettings.mTolerance >= aDeadline) {
       candidates.push_back({ &name, &route });
     }
   }
@@ -348,14 +347,12 @@
   // Only if nearly all calls of a route are identified do those of one request
   // keep their order among each other.
   parent.mIdentified = identified && calls.mAll.AreReliable();
-  double made = 0;
   if (parent.mIdentified) {
     parent.mChain.mFinishBy = FinishBy(run);
     // Requests that have used services below go before new ones.
     if (!run.mCallEnds.empty()) {
       parent.mChain.mRank = std::floor(parent.mChain.mRank);
     }
-    made = run.mCalls + static_cast<double>(run.mCallEnds.size());
     ++run.mCalls;
   }
   const auto known = std::find_if(
@@ -367,8 +364,6 @@
   } else {
     run.mMade.push_back({ std::string(aRoute), 1 });
   }
-  parent.mRemainingCalls =
-    std::max(0.0, mGraph.PerRun(run.mRoute, aRoute) - 1 - made);
   return parent;
 }
 
--- a/src/nutmegrock/overload/RunTracker.h
+++ b/src/nutmegrock/overload/RunTracker.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -36,8 +35,6 @@
   /// The run was identified by its deadline; otherwise it is any run of the
   /// route that makes such calls.
   bool mIdentified = false;
-  /// Calls on the same route that the run is still to make, on average.
-  double mRemainingCalls = 0;
 };
 
 /// Tracks the runs in progress at the local backend server and finds the run
@@ -91,7 +88,8 @@
   struct RunRoute
   {
     std::vector<std::uint64_t> mRuns;
-    std::multiset<core::TimePoint> mDeadlines;
+    /// Latest deadline of the runs so far.
+    core::TimePoint mLatestDeadline;
     /// Typical time in seconds from the end of the n-th call to the end of the
     /// run; negative if unknown.
     std::vector<double> mRemaining;
--- a/src/nutmegrock/overload/WorkQueue.cpp
+++ b/src/nutmegrock/overload/WorkQueue.cpp
@@ -210,13 +210,15 @@
   if (aNow + item.mTypicalTime / 2 > item.mDeadline) {
     return true;
   }
+  if (aNow < aEntry.mWaitsUntil) {
+    return false;
+  }
   const Pool* pool =
     item.mDownstream.empty() ? &mOwn : FindPool(item.mDownstream);
   const RankCutoff& cutoff =
     pool != nullptr && pool->mLimit ? pool->mCutoff : mOwn.mCutoff;
-  return aNow >= aEntry.mWaitsUntil &&
-         std::min(item.mRank, item.mDemandRank) >
-           cutoff.Cutoff() + mSettings.mCutoffMargin;
+  return std::min(item.mRank, item.mDemandRank) >
+         cutoff.Cutoff() + mSettings.mCutoffMargin;
 }
 
 bool
