--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -71,12 +71,12 @@
   mInternal = cost != nullptr && cost->mInternal.value_or(false);
   SetDeadline();
   mHash = core::HashOf(mExchange->Head().mRequestId);
+  mZone = mEntry.mPlacement.Place(
+    mArrived, mRoute->mName, mHash, mEntry.mSettings.mZone);
   if (!Admit()) {
     return;
   }
   mService = mEntry.mSplitPicker.Pick(*mRoute);
-  mZone = mEntry.mPlacement.Place(
-    mArrived, mRoute->mName, mHash, mEntry.mSettings.mZone);
   FindChain();
   mEntry.mAllowance.OnRequest(mArrived, mService, mChain.mRetryShare);
   SendAttempt();
@@ -123,6 +123,7 @@
   }
   overload::EntryRequest request;
   request.mRoute = mRoute->mName;
+  request.mZone = mZone;
   request.mPriority = mRoute->mPriority;
   request.mLatencyObjective = mRoute->mLatencyObjective;
   request.mHash = mHash;
--- a/src/nutmegrock/overload/EntryAdmission.cpp
+++ b/src/nutmegrock/overload/EntryAdmission.cpp
@@ -37,6 +37,20 @@
 EntryAdmission::Tick(core::TimePoint aNow)
 {
   mCutoffs = mLoads.Cutoffs(aNow);
+  mZoneCutoffs.clear();
+  for (const auto& [name, mean] : mCutoffs) {
+    mZoneCutoffs.emplace(name, mLoads.ZoneCutoffs(aNow, name));
+  }
+}
+
+double
+EntryAdmission::CutoffIn(std::string_view aZone,
+                         const std::string& aName,
+                         double aMean) const
+{
+  const Cutoffs& zones = mZoneCutoffs.at(aName);
+  const auto found = zones.find(aZone);
+  return found == zones.end() ? aMean : found->second;
 }
 
 EntryDecision
@@ -48,7 +62,8 @@
   if (cost == nullptr) {
     return decision;
   }
-  for (const auto& [name, cutoff] : mCutoffs) {
+  for (const auto& [name, mean] : mCutoffs) {
+    const double cutoff = CutoffIn(aRequest.mZone, name, mean);
     const auto [service, caller] = ServicesOfName(name);
     const bool leads_to = cost->SlotSecondsAt(service) > 0 &&
                           (caller.empty() || cost->SlotSecondsAt(caller) > 0);
--- a/src/nutmegrock/overload/EntryAdmission.h
+++ b/src/nutmegrock/overload/EntryAdmission.h
@@ -20,6 +20,8 @@
   std::chrono::milliseconds mLatencyObjective{ 0 };
   /// Hash of the request identity.
   std::uint64_t mHash = 0;
+  /// Availability zone in which the request is to run.
+  std::string_view mZone = {};
 };
 
 /// Time after which the caller of a refused request may retry, by the latency
@@ -43,7 +45,8 @@
 
 /// Admission control at the entry node for whole requests: a request is
 /// admitted if its rank is below the cutoffs of all services that it leads to,
-/// as learned from responses. Somewhat more is admitted than
+/// as learned from responses. The cutoffs of its zone count, and the means of
+/// all zones for services that have none there. Somewhat more is admitted than
 /// is served now, so that the nodes below see when they can serve more; they
 /// order it by rank. Calls that backend servers make for admitted requests are
 /// not subject to it. Not synchronized.
@@ -64,9 +67,17 @@
   const Cutoffs& CutoffsInForce() const { return mCutoffs; }
 
 private:
+  using ZoneCutoffs = std::map<std::string, Cutoffs, std::less<>>;
+
+  double CutoffIn(std::string_view aZone,
+                  const std::string& aName,
+                  double aMean) const;
+
   const RouteCosts& mCosts;
   const ServiceLoads& mLoads;
   Cutoffs mCutoffs;
+  /// By service, then by zone.
+  ZoneCutoffs mZoneCutoffs;
 };
 
 } // namespace nutmegrock::overload
--- a/src/nutmegrock/overload/ServiceLoads.cpp
+++ b/src/nutmegrock/overload/ServiceLoads.cpp
@@ -178,6 +178,21 @@
   return cutoffs;
 }
 
+std::map<std::string, double, std::less<>>
+ServiceLoads::ZoneCutoffs(core::TimePoint aNow, std::string_view aService) const
+{
+  std::map<std::string, double, std::less<>> cutoffs;
+  const auto found = mServices.find(aService);
+  if (found != mServices.end()) {
+    for (const auto& [name, zone] : found->second.mZones) {
+      if (IsFresh(aNow, zone)) {
+        cutoffs.emplace(name, zone.mCutoff);
+      }
+    }
+  }
+  return cutoffs;
+}
+
 double
 ServiceLoads::CutoffOf(core::TimePoint aNow, const Service& aService) const
 {
--- a/src/nutmegrock/overload/ServiceLoads.h
+++ b/src/nutmegrock/overload/ServiceLoads.h
@@ -93,6 +93,10 @@
   /// Cutoffs of all services that do not serve all requests.
   std::map<std::string, double, std::less<>> Cutoffs(
     core::TimePoint aNow) const;
+  /// Cutoffs of a service by availability zone.
+  std::map<std::string, double, std::less<>> ZoneCutoffs(
+    core::TimePoint aNow,
+    std::string_view aService) const;
   /// Load of the service in one zone; nullopt without a fresh report.
   std::optional<double> ZoneLoad(core::TimePoint aNow,
                                  std::string_view aService,
--- a/tests/overload/EntryAdmissionTest.cpp
+++ b/tests/overload/EntryAdmissionTest.cpp
@@ -52,6 +52,32 @@
 
 } // namespace
 
+// Guards against a zone that is cut off or slow and makes entry nodes of all
+// zones refuse requests.
+TEST_CASE("the cutoff of the zone of a request decides")
+{
+  EntryNode entry;
+  const auto report = [&](std::string_view aZone, double aCutoff) {
+    entry.mLoads.OnServerLoad(
+      kStart, { "stock", aZone, core::Incarnation{ 1 }, 0.5, aCutoff });
+    entry.mAdmission.Tick(kStart);
+  };
+  const auto admitted = [&](std::string_view aZone, double aUnit) {
+    return entry.mAdmission
+      .Decide({ "check", 2, milliseconds(1000), HashOf(aUnit), aZone })
+      .mAdmitted;
+  };
+  report("a", 0.2);
+  report("b", 2.6);
+  report("c", kOpenRank);
+  CHECK(!admitted("a", 0.0));
+  CHECK(admitted("b", 0.5));
+  CHECK(!admitted("b", 0.8));
+  CHECK(admitted("c", 0.99));
+  // The mean of a, b and c decides where the service has no servers.
+  CHECK(!admitted("d", 0.1));
+}
+
 // Guards against refusals by a node that has just started.
 TEST_CASE("what is not known to lead to a full service is admitted")
 {
