Say once when a call is too late, and drop a bound that never decides

WorkQueue wrote the test for too little time three times and took a call out of the queue by hand beside Remove(). RunTracker asked for 8 calls where 12 without a chance match are needed anyway. EntryCall rounded to thousandths beside ToThousandths().

--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -1,10 +1,10 @@
 #include "gateway/EntryCall.h"
 
 #include "core/Hash.h"
+#include "gateway/TextFields.h"
 #include "proxy/RequestText.h"
 
 #include <algorithm>
-#include <cmath>
 #include <spdlog/fmt/fmt.h>
 #include <utility>
 
@@ -179,9 +179,8 @@
 PeerCall
 EntryCall::PeerCallFor(core::TimePoint aNow) const
 {
-  constexpr double kPermille = 1000;
   const auto permille = [](double aValue) {
-    return static_cast<std::uint32_t>(std::lround(kPermille * aValue));
+    return static_cast<std::uint32_t>(ToThousandths(aValue));
   };
   PeerCall call;
   call.mTarget = mChoice.mIncarnation;
--- a/src/nutmegrock/overload/RunTracker.cpp
+++ b/src/nutmegrock/overload/RunTracker.cpp
@@ -12,14 +12,13 @@
 constexpr double kRemainingWeight = 0.1;
 /// Maximum number of calls of a run whose remaining time is learned.
 constexpr std::size_t kMaxCallEnds = 16;
-/// Maximum number of routes; further ones are not tracked.
+/// Maximum number of routes; at more, those without runs are dropped.
 constexpr std::size_t kMaxRoutes = 1024;
 /// Factor by which the previous calls count less with each call.
 constexpr double kMatchDecay = 0.99;
 /// Minimum share of calls beyond chance that have the deadline of their run.
 constexpr double kMinMatched = 0.85;
-/// Minimum number of calls, and of calls without a match by chance, to tell.
-constexpr double kMinCalls = 8;
+/// Minimum number of calls without a match by chance to tell.
 constexpr double kMinWithoutChance = 12;
 /// Offset of the deadlines that are looked up to measure chance. Calls of the
 /// same run do not lie this far apart by their timeouts.
@@ -57,7 +56,7 @@
 RunTracker::Matches::AreReliable() const
 {
   const double without_chance = mCalls - mByChance;
-  return mCalls >= kMinCalls && without_chance >= kMinWithoutChance &&
+  return without_chance >= kMinWithoutChance &&
          mMatched - mByChance >= kMinMatched * without_chance;
 }
 
--- a/src/nutmegrock/overload/WorkQueue.cpp
+++ b/src/nutmegrock/overload/WorkQueue.cpp
@@ -18,6 +18,12 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
+bool
+IsTooLate(core::TimePoint aNow, const WorkItem& aItem)
+{
+  return aNow + aItem.mTypicalTime / 2 > aItem.mDeadline;
+}
+
 } // namespace
 
 WorkQueue::WorkQueue(WorkQueueSettings aSettings)
@@ -172,7 +178,7 @@
   mRequestedSeconds += SecondsOf(aItem.mTypicalTime);
   mRequestedCalls += 1;
   AddTokens(aNow);
-  if (aNow + aItem.mTypicalTime / 2 > aItem.mDeadline) {
+  if (IsTooLate(aNow, aItem)) {
     return core::Fail(core::ErrorKind::QueueTimeout,
                       "too little time is left for the call");
   }
@@ -207,7 +213,7 @@
 WorkQueue::IsHopeless(core::TimePoint aNow, const Entry& aEntry) const
 {
   const WorkItem& item = aEntry.mItem;
-  if (aNow + item.mTypicalTime / 2 > item.mDeadline) {
+  if (IsTooLate(aNow, item)) {
     return true;
   }
   if (aNow < aEntry.mWaitsUntil) {
@@ -269,12 +275,9 @@
     if (pool == nullptr) {
       return;
     }
-    const auto entry = mItems.find(pool->mOrder.begin()->second);
-    const WorkItem item = entry->second.mItem;
-    pool->mWaitingSeconds -= SecondsOf(item.mTypicalTime);
-    pool->mOrder.erase(pool->mOrder.begin());
-    mItems.erase(entry);
-    if (aNow + item.mTypicalTime / 2 > item.mDeadline) {
+    const WorkItem item = mItems.at(pool->mOrder.begin()->second).mItem;
+    Remove(item.mId);
+    if (IsTooLate(aNow, item)) {
       aChanges.mExpired.push_back(item.mId);
       CountExpired(item);
     } else {
