Count the time between calls when runs above a service are limited

Cause: a node limits the runs that call a service to the windows of that service's nodes, as if each run were in a call all the time.

Change: DownstreamLimits measures the part of the time of its runs that calls spend at the servers, queue included, and allows more runs accordingly. Time in the queue counts, so a service that is full does not raise the limit.

Tests: "runs that work between their calls fill the service below, too" fails before (0.83 to 0.90 of the slots used, bound 0.9); "calls that wait at the service do not raise the limit".

--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -419,7 +419,8 @@
         mChoice.mIncarnation,
         aNote.mWindow,
         now - mAttemptStartedAt - aNote.mQueueTime,
-        aNote.mRunTime });
+        aNote.mRunTime,
+        aNote.mQueueTime });
   }
   for (const overload::LoadReport& report : aNote.mLoads) {
     mEntry.mComponents.mLoads.OnReport(now, report);
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -328,6 +328,8 @@
 Serving::LimitRuns(core::TimePoint aNow)
 {
   for (const std::string& service : mQueue.Downstream()) {
+    mComponents.mDownstream.OnRuns(
+      aNow, service, mQueue.DownstreamRunning(service));
     const auto limit = mComponents.mDownstream.LimitOf(aNow, service);
     // A service that does not respond at all must not take all slots.
     if (limit || mQueue.DownstreamRunning(service) == 0) {
--- a/src/nutmegrock/overload/DownstreamLimits.cpp
+++ b/src/nutmegrock/overload/DownstreamLimits.cpp
@@ -22,6 +22,13 @@
 /// normal.
 constexpr double kNormalFactor = 1.25;
 constexpr double kNormalSeconds = 0.01;
+/// Time constant of the sums that tell the part of a run spent in calls.
+constexpr Seconds kCallShareSmoothing{ 1.0 };
+/// Minimum of that part, so that a wrong measurement at most doubles the runs.
+constexpr double kMinCallShare = 0.5;
+/// Run time without a measurement for which runs count as always in a call, in
+/// seconds. The first calls end later than their runs begin.
+constexpr double kUnmeasuredSeconds = 2;
 
 double
 KeepOf(core::Duration aElapsed, Seconds aTimeConstant)
@@ -31,19 +38,56 @@
 
 } // namespace
 
+double
+DownstreamLimits::RecentSeconds::At(core::TimePoint aNow) const
+{
+  return mSeconds * KeepOf(aNow - mAt, kCallShareSmoothing);
+}
+
+void
+DownstreamLimits::RecentSeconds::Add(core::TimePoint aNow, double aSeconds)
+{
+  mSeconds = At(aNow) + aSeconds;
+  mAt = aNow;
+}
+
+DownstreamLimits::Service&
+DownstreamLimits::ServiceOf(std::string_view aService)
+{
+  const auto found = mServices.find(aService);
+  return found != mServices.end()
+           ? found->second
+           : mServices.emplace(aService, Service{}).first->second;
+}
+
+void
+DownstreamLimits::OnRuns(core::TimePoint aNow,
+                         std::string_view aService,
+                         std::uint32_t aRuns)
+{
+  Service& service = ServiceOf(aService);
+  if (service.mRunsAt != core::TimePoint{}) {
+    service.mInRuns.Add(aNow, Seconds(aNow - service.mRunsAt).count() * aRuns);
+  }
+  service.mRunsAt = aNow;
+}
+
 void
 DownstreamLimits::OnResponse(core::TimePoint aNow,
                              const DownstreamResponse& aResponse)
 {
-  auto service = mServices.find(aResponse.mService);
-  if (service == mServices.end()) {
-    service = mServices.emplace(aResponse.mService, Servers{}).first;
-  }
-  if (!service->second.contains(aResponse.mServer)) {
-    RemoveOld(aNow, service->second);
+  Service& service = ServiceOf(aResponse.mService);
+  if (!service.mServers.contains(aResponse.mServer)) {
+    RemoveOld(aNow, service.mServers);
   }
+  // A call that did not run was in the queue all the time.
+  service.mInCalls.Add(aNow,
+                       Seconds(aResponse.mRunTime > core::Duration(0)
+                                 ? aResponse.mRunTime + aResponse.mQueueTime
+                                 : aResponse.mLatency)
+                         .count());
   const auto [entry, is_new] =
-    service->second.try_emplace(aResponse.mServer, Server{});
+    service.mServers.try_emplace(aResponse.mServer, Server{});
   Server& server = entry->second;
   const core::Duration elapsed =
     is_new ? core::Duration::max() : aNow - server.mAt;
@@ -75,6 +119,14 @@
                     (kNormalFactor * aServer.mRunTime + kNormalSeconds));
 }
 
+double
+DownstreamLimits::CallShareOf(core::TimePoint aNow, const Service& aService)
+{
+  const double share = (aService.mInCalls.At(aNow) + kUnmeasuredSeconds) /
+                       (aService.mInRuns.At(aNow) + kUnmeasuredSeconds);
+  return std::clamp(share, kMinCallShare, 1.0);
+}
+
 // Calls spread over the servers as they did recently, so the runs reach the
 // window of one server first.
 std::optional<std::uint32_t>
@@ -84,18 +136,19 @@
   if (service == mServices.end()) {
     return std::nullopt;
   }
-  RemoveOld(aNow, service->second);
+  Servers& servers = service->second.mServers;
+  RemoveOld(aNow, servers);
   const auto recent_calls = [aNow](const Server& aServer) {
     return aServer.mCalls * KeepOf(aNow - aServer.mAt, kCallSmoothing);
   };
   double calls = 0;
   double most = 0;
-  for (const auto& [incarnation, server] : service->second) {
+  for (const auto& [incarnation, server] : servers) {
     calls += recent_calls(server);
     most = std::max(most, recent_calls(server));
   }
   std::optional<double> limit;
-  for (const auto& [incarnation, server] : service->second) {
+  for (const auto& [incarnation, server] : servers) {
     if (server.mWindow > 0 && recent_calls(server) >= kMinShare * most) {
       const double share = recent_calls(server) / calls;
       const double runs = server.mWindow / SlowdownOf(server) / share;
@@ -107,9 +160,10 @@
   }
   constexpr double kMaxLimit = std::numeric_limits<std::uint32_t>::max();
   constexpr double kRounding = 1e-6;
+  const double runs = *limit / CallShareOf(aNow, service->second);
   return std::max(1U,
                   static_cast<std::uint32_t>(
-                    std::min(kMaxLimit, std::ceil(*limit - kRounding))));
+                    std::min(kMaxLimit, std::ceil(runs - kRounding))));
 }
 
 } // namespace nutmegrock::overload
--- a/src/nutmegrock/overload/DownstreamLimits.h
+++ b/src/nutmegrock/overload/DownstreamLimits.h
@@ -22,6 +22,8 @@
   /// the part of it at the backend server; zero if it did not run.
   core::Duration mLatency{ 0 };
   core::Duration mRunTime{ 0 };
+  /// Time in the queue of the serving node.
+  core::Duration mQueueTime{ 0 };
 };
 
 /// Limits how many runs of the local backend server that call a service are in
@@ -33,6 +35,11 @@
 {
 public:
   void OnResponse(core::TimePoint aNow, const DownstreamResponse& aResponse);
+  /// Number of runs in progress that call the service. To be called every 20
+  /// ms.
+  void OnRuns(core::TimePoint aNow,
+              std::string_view aService,
+              std::uint32_t aRuns);
   /// Maximum number of runs that call the service; nullopt without a recent
   /// response.
   std::optional<std::uint32_t> LimitOf(core::TimePoint aNow,
@@ -50,6 +57,25 @@
     double mCalls = 0;
   };
   using Servers = std::map<core::Incarnation, Server>;
+  /// A sum in seconds that decays.
+  struct RecentSeconds
+  {
+    double mSeconds = 0;
+    core::TimePoint mAt;
+
+    void Add(core::TimePoint aNow, double aSeconds);
+    double At(core::TimePoint aNow) const;
+  };
+  struct Service
+  {
+    Servers mServers;
+    /// Time that calls spent at the servers, and that runs were in progress.
+    RecentSeconds mInCalls;
+    RecentSeconds mInRuns;
+    core::TimePoint mRunsAt;
+  };
+
+  Service& ServiceOf(std::string_view aService);
 
   /// Removes servers without a recent response.
   static void RemoveOld(core::TimePoint aNow, Servers& aServers);
@@ -57,8 +83,10 @@
   /// Factor by which calls take longer than the server and the network usually
   /// need, because a link or a node is the bottleneck.
   static double SlowdownOf(const Server& aServer);
+  /// Part of the time of a run during which one of its calls is at a server.
+  static double CallShareOf(core::TimePoint aNow, const Service& aService);
 
-  std::map<std::string, Servers, std::less<>> mServices;
+  std::map<std::string, Service, std::less<>> mServices;
 };
 
 } // namespace nutmegrock::overload
--- a/tests/overload/DownstreamLimitsTest.cpp
+++ b/tests/overload/DownstreamLimitsTest.cpp
@@ -187,7 +187,7 @@
 
 /// Calling nodes, each with more runs to start than it may, and servers of
 /// different speed. A run makes five calls in a row, each to the less occupied
-/// of two servers.
+/// of two servers, and works by itself for a time after each.
 class ClosedLoop
 {
 public:
@@ -195,9 +195,12 @@
   static constexpr std::size_t kServers = 4;
 
   /// Servers of aSlots slots.
-  explicit ClosedLoop(unsigned aSeed, std::uint32_t aSlots = 250)
+  explicit ClosedLoop(unsigned aSeed,
+                      std::uint32_t aSlots = 250,
+                      milliseconds aOwnWork = milliseconds(0))
     : mSlots(aSlots)
-    , mMaxRuns(aSlots * 339 / 250)
+    , mMaxRuns(aSlots * 339 / 250 * (aOwnWork.count() > 0 ? 2 : 1))
+    , mOwnWork(aOwnWork)
     , mRandom(aSeed)
   {
     constexpr std::array<int, kServers> kRunTimes = { 20, 30, 40, 60 };
@@ -219,6 +222,9 @@
         for (Server& server : mServers) {
           server.mWindows.Update(mSlots, 0);
         }
+        for (Node& node : mNodes) {
+          node.mLimits.OnRuns(mNow, "stock", node.mRuns);
+        }
       }
       for (std::size_t node = 0; node < kNodes; ++node) {
         StartRuns(node);
@@ -265,6 +271,8 @@
     Arrival,
     End,
     Response,
+    /// The run has worked by itself after a call.
+    Next,
   };
   struct Event
   {
@@ -336,6 +344,10 @@
       OnResponse(aEvent);
       return;
     }
+    if (aEvent.mKind == Kind::Next) {
+      Continue(aEvent);
+      return;
+    }
     if (aEvent.mKind == Kind::Arrival) {
       if (mNodes.at(aEvent.mNode).mGone) {
         return;
@@ -378,16 +390,27 @@
                               core::Incarnation{ aEvent.mServer + 1 },
                               aEvent.mWindow,
                               mNow - aEvent.mSent - aEvent.mQueueTime,
-                              aEvent.mRunTime });
+                              aEvent.mRunTime,
+                              aEvent.mQueueTime });
+    Event next = aEvent;
+    next.mKind = Kind::Next;
+    mEvents.emplace(mNow + mOwnWork, next);
+  }
+  void Continue(const Event& aEvent)
+  {
+    if (mNodes.at(aEvent.mNode).mGone) {
+      return;
+    }
     if (aEvent.mCall + 1 < kCalls) {
       Call(aEvent.mNode, aEvent.mCall + 1);
     } else {
-      --node.mRuns;
+      --mNodes.at(aEvent.mNode).mRuns;
     }
   }
 
   const std::uint32_t mSlots;
   const std::uint32_t mMaxRuns;
+  const milliseconds mOwnWork;
   std::mt19937 mRandom;
   core::TimePoint mNow = kStart;
   std::multimap<core::TimePoint, Event> mEvents;
@@ -431,6 +454,49 @@
   }
 }
 
+// Load pattern: a lookup works by itself for two fifths of its time, between
+// its calls of a full service. Guards against requests that are refused while a
+// fifth of the service's slots is idle, as on a day of 18 servers.
+TEST_CASE("runs that work between their calls fill the service below, too")
+{
+  for (unsigned seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed);
+    ClosedLoop loop(seed, 250, milliseconds(20));
+    loop.Run(2 * kSecond);
+    for (int half = 0; half < 4; ++half) {
+      CAPTURE(half);
+      loop.Run(5 * milliseconds(100));
+      CHECK(loop.Use(5 * milliseconds(100)) >= 0.9);
+      CHECK(loop.Use(5 * milliseconds(100)) <= 1.1);
+    }
+  }
+}
+
+// Guards against more runs than the windows allow when a service is slow to
+// answer: time in its queue is time in a call.
+TEST_CASE("calls that wait at the service do not raise the limit")
+{
+  for (const milliseconds run_time : { milliseconds(20), milliseconds(0) }) {
+    CAPTURE(run_time.count());
+    DownstreamLimits limits;
+    core::TimePoint now = kStart;
+    // Ten runs, always in a call that waits nearly all the time.
+    for (int step = 0; step < 600; ++step) {
+      now += milliseconds(20);
+      limits.OnRuns(now, "stock", 10);
+      limits.OnResponse(
+        now,
+        { "stock",
+          core::Incarnation{ 1 },
+          10,
+          run_time.count() > 0 ? milliseconds(21) : milliseconds(200),
+          run_time,
+          run_time.count() > 0 ? milliseconds(180) : milliseconds(0) });
+    }
+    CHECK(limits.LimitOf(now, "stock") <= 11);
+  }
+}
+
 // The same with servers of 60 slots, where a call more for each calling node is
 // a lot. Guards against calls that wait at the full service.
 TEST_CASE("runs above a service of small servers settle at its slots, too" *
