Take no response without an id on a connection that is in use again

Operators of similar systems saw a server send a second copy of an answer late, on a connection that was in use again; the next caller got an answer that was not its own. Here a response with the id of another request is dropped, but one without an id was given to whichever request was in flight, and a "not run" without an id became a refusal of a request that may have run.

Change: on a connection that has served another request, a response without an id fails the request as possibly run and closes the connection. On a new connection no other response can arrive, so it is taken as before.

--- a/src/nutmegrock/proxy/ClientConnection.cpp
+++ b/src/nutmegrock/proxy/ClientConnection.cpp
@@ -255,6 +255,15 @@
     mPool.CountUnexpectedResponse();
     return;
   }
+  // Another response may arrive late, and without an id nothing tells it apart.
+  if (head.mRequestId.empty() && !mRequestId.empty() && mRequestNumber > 1) {
+    mPool.CountUnexpectedResponse();
+    Fail(
+      core::ErrorKind::BackendProtocol,
+      "a response without a request id on a connection that has served other "
+      "requests");
+    return;
+  }
   mKeepAlive = mKeepAlive && head.mKeepAlive;
   if (head.mIdleTimeout) {
     mMaxIdleTime = std::chrono::duration_cast<core::Duration>(
--- a/src/nutmegrock/proxy/ClientConnection.h
+++ b/src/nutmegrock/proxy/ClientConnection.h
@@ -20,7 +20,8 @@
   /// Request line and headers, including the empty line at the end.
   std::string mHead;
   /// Request id that the response echoes. A response with another id belongs to
-  /// an earlier request and is dropped.
+  /// an earlier request and is dropped. One without an id is taken only on a
+  /// connection that has served no other request.
   std::string mRequestId;
   BodyFraming mFraming = BodyFraming::None;
   /// The response to a HEAD request has no body.
