Answer what a stopping node has accepted before it exits

Operators of similar systems saw requests that had just been accepted cut off without an answer during a planned stop under load. Here three moments could do it: - the process exited in the first moment without a request in flight, while requests were in its accept queue, half read, or answered but not sent; - requests still in flight at the end of the time to stop were cut off; - calls waiting for a slot stayed in the queue of a node that starts no work any more, until they expired.

Change: StopSequence decides the steps of a stop from the time since the signal. Calls that wait when the node stops to start work are handed back as not run, so their entry nodes use another server.

Tests, each failing with the change taken out: "a connection is busy until its caller has the whole response", "a node that exits answers the requests in flight truly", "a stopping node hands back the calls that wait".

--- a/src/nutmegrock/gateway/Entry.cpp
+++ b/src/nutmegrock/gateway/Entry.cpp
@@ -74,6 +74,16 @@
   }
 }
 
+void
+Entry::EndAll()
+{
+  const std::vector<std::shared_ptr<EntryCall>> calls(mCalls.begin(),
+                                                      mCalls.end());
+  for (const auto& call : calls) {
+    call->EndForStop();
+  }
+}
+
 void
 Entry::CountResponse(const std::string& aRoute, unsigned aStatus)
 {
--- a/src/nutmegrock/gateway/Entry.h
+++ b/src/nutmegrock/gateway/Entry.h
@@ -57,6 +57,8 @@
   std::size_t InFlight() const { return mCalls.size(); }
   /// Refuses new requests from now on, because this node is about to exit.
   void StartRefusing() { mRefusing = true; }
+  /// Ends all requests with a response of this node, because it exits now.
+  void EndAll();
   /// A new version of the routes is in force.
   void OnRoutesChanged() { mSplitPicker.Clear(); }
 
--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -348,6 +348,22 @@
 
 void
 EntryCall::Expire()
+{
+  EndWith(core::MakeError(core::ErrorKind::DeadlineExceeded,
+                          "no response within the time limit"),
+          routing::AttemptOutcome::TimedOut);
+}
+
+void
+EntryCall::EndForStop()
+{
+  EndWith(core::MakeError(core::ErrorKind::Draining,
+                          "this node exits before the response"),
+          routing::AttemptOutcome::Cancelled);
+}
+
+void
+EntryCall::EndWith(core::Error aError, routing::AttemptOutcome aOutcome)
 {
   if (mDone) {
     return;
@@ -357,10 +373,9 @@
     mAttempt.reset();
   }
   const bool sent = mAttemptOpen;
-  EndAttempt(routing::AttemptOutcome::TimedOut);
-  core::Error error = core::MakeError(core::ErrorKind::DeadlineExceeded,
-                                      "no response within the time limit");
-  Fail(sent || mPossiblyRun ? core::MarkPossiblyRun(std::move(error)) : error);
+  EndAttempt(aOutcome);
+  Fail(sent || mPossiblyRun ? core::MarkPossiblyRun(std::move(aError))
+                            : aError);
 }
 
 void
--- a/src/nutmegrock/gateway/EntryCall.h
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -28,6 +28,8 @@
   core::TimePoint Deadline() const { return mDeadline; }
   /// The deadline has passed.
   void Expire();
+  /// This node exits before the response.
+  void EndForStop();
 
   void OnRequestBody(std::string_view aBytes) override;
   void OnRequestEnd() override;
@@ -88,6 +90,8 @@
   /// retry.
   bool ShouldReplace(const proxy::ResponseHead& aHead);
   void Fail(const core::Error& aError);
+  /// Ends the current attempt and the call.
+  void EndWith(core::Error aError, routing::AttemptOutcome aOutcome);
   /// Retry-After value for a refusal that names none.
   std::chrono::milliseconds DefaultRetryAfter(core::ErrorKind aKind) const;
   /// Closes the caller's connection in the middle of the response, so that the
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -6,6 +6,7 @@
 #include "gateway/ServerProbe.h"
 #include "gateway/Serving.h"
 #include "gateway/SheddingLog.h"
+#include "gateway/StopSequence.h"
 #include "membership/udp/MembershipService.h"
 #include "metrics/Registry.h"
 #include "node/CandidateUpdater.h"
@@ -21,6 +22,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace nutmegrock::gateway {
@@ -132,8 +134,8 @@
   std::shared_ptr<ServerProbe> mProbe;
   core::TimePoint mProbedAt;
   std::uint32_t mProbeCount = 0;
-  core::TimePoint mStoppingSince;
-  bool mStopping = false;
+  /// Empty until the signal to stop.
+  std::optional<StopSequence> mStopping;
   /// True if other nodes have been notified that this one stops.
   bool mLeaving = false;
   bool mDone = false;
--- a/src/nutmegrock/gateway/GatewayControl.cpp
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -16,23 +16,6 @@
 
 using std::chrono::milliseconds;
 
-/// Minimum time between a signal to stop and the exit, in which callers and
-/// other nodes switch to other nodes. Callers leave after two missed readiness
-/// checks, made once a second.
-constexpr milliseconds kMinStopTime{ 2'600 };
-/// For this long after the signal, requests from nodes that do not know of the
-/// stop yet still run.
-constexpr milliseconds kAcceptWorkTime{ 2'500 };
-/// Delay between the signal and the notification of other nodes. The local
-/// backend server of a stopping node is healthy, so its capacity is lost from
-/// then on.
-constexpr milliseconds kPublishLeaveDelay{ 2'100 };
-/// Requests that arrive after this share of the time to stop could not finish
-/// before the process exits.
-constexpr double kRefuseAfterShare = 0.5;
-/// Part of the platform's time to stop that is reserved for the exit of the
-/// process.
-constexpr milliseconds kStopReserve{ 400 };
 constexpr milliseconds kSettingsCheckInterval{ 2'000 };
 
 const std::string kJson = proxy::HeaderLine("Content-Type", "application/json");
@@ -216,8 +199,7 @@
   if (mStopping) {
     return;
   }
-  mStopping = true;
-  mStoppingSince = core::Clock::now();
+  mStopping.emplace(core::Clock::now(), mSettings.mBounds.mStop);
   mLog.LogState(fmt::format("event=stopping in_flight={}", InFlight()));
   mCallerListener->StartStopping();
   mNodeListener->StartStopping();
@@ -226,22 +208,24 @@
 void
 GatewayRuntime::Components::TickStopping(core::TimePoint aNow)
 {
-  const auto elapsed = aNow - mStoppingSince;
-  if (elapsed > kPublishLeaveDelay && !mLeaving) {
+  const bool idle = InFlight() == 0 &&
+                    mCallerListener->BusyConnections() == 0 &&
+                    mNodeListener->BusyConnections() == 0;
+  const StopActions actions = mStopping->Next(aNow, idle);
+  if (actions.mAnnounceLeave && !mLeaving) {
     mLeaving = true;
     PublishState();
   }
-  if (elapsed > kAcceptWorkTime) {
+  if (actions.mRefuseWork) {
     mServing->StartStopping();
   }
-  if (elapsed > mSettings.mBounds.mStop * kRefuseAfterShare) {
+  if (actions.mRefuseRequests) {
     mEntry->StartRefusing();
   }
-  const bool idle = InFlight() == 0 &&
-                    mCallerListener->BusyConnections() == 0 &&
-                    mNodeListener->BusyConnections() == 0;
-  const bool timed_out = elapsed > mSettings.mBounds.mStop - kStopReserve;
-  if ((elapsed > kMinStopTime && idle) || timed_out) {
+  if (actions.mAnswerAll) {
+    mEntry->EndAll();
+  }
+  if (actions.mExit) {
     mDone = true;
     mIo.stop();
   }
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -206,6 +206,25 @@
   }
 }
 
+// Waiting calls have not run, so other nodes can still run them in time.
+void
+Serving::StartStopping()
+{
+  if (std::exchange(mStopping, true)) {
+    return;
+  }
+  std::vector<std::shared_ptr<ServingCall>> waiting;
+  for (const auto& [id, call] : mCalls) {
+    if (!call->IsRunning()) {
+      waiting.push_back(call);
+    }
+  }
+  for (const auto& call : waiting) {
+    call->Refuse(
+      core::MakeError(core::ErrorKind::Draining, "this node is stopping"));
+  }
+}
+
 bool
 Serving::IsLeaving() const
 {
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -95,8 +95,8 @@
   /// The same as another node or an earlier process has learned it. Used until
   /// this node knows the calls of a route itself.
   void RestoreDownstream(const overload::DownstreamServices& aServices);
-  /// Refuses new work from now on, because this node stops.
-  void StartStopping() { mStopping = true; }
+  /// Refuses new and waiting work from now on, because this node stops.
+  void StartStopping();
   const announce::LocalServer& Server() const { return mServer; }
   /// Returns true if new work is refused because the server is absent or
   /// leaving, or because this node is stopping.
--- a/src/nutmegrock/proxy/HttpListener.cpp
+++ b/src/nutmegrock/proxy/HttpListener.cpp
@@ -126,7 +126,7 @@
 {
   std::size_t busy = 0;
   for (const auto& entry : mConnections) {
-    busy += entry.second->IsIdle() ? 0 : 1;
+    busy += entry.second->IsBusy() ? 1 : 0;
   }
   return busy;
 }
--- a/src/nutmegrock/proxy/HttpListener.h
+++ b/src/nutmegrock/proxy/HttpListener.h
@@ -57,7 +57,8 @@
   /// From now on responses announce the close of their connection.
   void StartStopping() { mStopping = true; }
   bool IsStopping() const { return mStopping; }
-  /// Connections with requests in flight.
+  /// Connections with requests in flight or half read, or with responses that
+  /// are still being sent.
   std::size_t BusyConnections() const;
   /// Requests that were not valid HTTP, and connections refused above the
   /// limit.
--- a/src/nutmegrock/proxy/ServerConnection.cpp
+++ b/src/nutmegrock/proxy/ServerConnection.cpp
@@ -306,6 +306,12 @@
   return mChannel->Unsent();
 }
 
+bool
+ServerConnection::IsBusy() const
+{
+  return !IsIdle() || mHeadStarted || mLingering || mChannel->Unsent() > 0;
+}
+
 bool
 ServerConnection::ShouldClose() const
 {
--- a/src/nutmegrock/proxy/ServerConnection.h
+++ b/src/nutmegrock/proxy/ServerConnection.h
@@ -39,6 +39,9 @@
   /// Applies the timeouts.
   void Tick(core::TimePoint aNow);
   bool IsIdle() const { return mExchanges.empty() && !mReading; }
+  /// True while a request is in flight or half read, or a response is not yet
+  /// received by the caller as far as is known.
+  bool IsBusy() const;
 
 private:
   void OnBytes(std::string_view aBytes);
--- a/tests/gateway/PathTest.cpp
+++ b/tests/gateway/PathTest.cpp
@@ -441,6 +441,48 @@
   CHECK(first.ReadUntil("ok").starts_with("HTTP/1.1 200"));
 }
 
+// Guards against requests in flight that are cut off without an answer when the
+// time to stop is over, and against an answer that claims they have not run.
+TEST_CASE("a node that exits answers the requests in flight truly")
+{
+  Node node;
+  RawSocket running = node.Connect();
+  running.Write(Node::Request("pay"));
+  RawSocket server = node.Server().Accept();
+  server.ReadUntil("\r\n\r\n");
+  node.Do([&] { node.EntryHalf().EndAll(); });
+  const std::string answer = running.ReadUntil("\r\n\r\n");
+  CHECK(answer.starts_with("HTTP/1.1 502"));
+  CHECK(answer.find("Nutmegrock-Request: id-1\r\n") != std::string::npos);
+  node.Do([&] { CHECK(node.EntryHalf().InFlight() == 0); });
+  CHECK(server.WaitForClose());
+}
+
+// Guards against calls that wait at a stopping node until they are cut off:
+// they have not run, so their entry nodes send them to another server.
+TEST_CASE("a stopping node hands back the calls that wait")
+{
+  Node node;
+  std::vector<RawSocket> callers;
+  std::vector<RawSocket> runs;
+  for (int i = 0; i < 4; ++i) {
+    callers.push_back(node.Connect());
+    callers.back().Write(Node::Request("pay"));
+    if (i < 3) {
+      runs.push_back(node.Server().Accept());
+      runs.back().ReadUntil("\r\n\r\n");
+    }
+  }
+  std::this_thread::sleep_for(milliseconds(50));
+  node.Do([&] { node.ServingHalf().StartStopping(); });
+  // There is no other server.
+  const std::string refusal = callers.back().ReadUntil("\r\n\r\n");
+  CHECK(refusal.starts_with("HTTP/1.1 503"));
+  CHECK(refusal.find("Retry-After: ") != std::string::npos);
+  runs.front().Write(kWhole);
+  CHECK(callers.front().ReadUntil("ok").starts_with("HTTP/1.1 200"));
+}
+
 // Load pattern: after a power failure every run of a route fails, because the
 // deep service is overloaded from the first second. Guards against a mesh that
 // does not recover because entry nodes never learn of a route without a
--- a/tests/proxy/ConnectionTest.cpp
+++ b/tests/proxy/ConnectionTest.cpp
@@ -86,7 +86,9 @@
         }));
     });
   }
-  ~PendingRequests()
+  ~PendingRequests() { Reset(); }
+  /// Closes the listener and its connections.
+  void Reset()
   {
     mThread.Run([this] {
       mExchanges.clear();
@@ -128,6 +130,43 @@
   CHECK(text.find("first") < text.find("second"));
 }
 
+// Guards against a node that exits with a request half read, a response in its
+// buffer, or one that its caller has not read: the caller gets no answer.
+TEST_CASE("a connection is busy until its caller has the whole response")
+{
+  IoThread thread;
+  PendingRequests pending(thread);
+  const auto busy = [&] {
+    std::size_t count = 0;
+    thread.Run([&] { count = pending.mListener->BusyConnections(); });
+    return count;
+  };
+  const auto becomes = [&](std::size_t aCount) {
+    for (int i = 0; i < 400 && busy() != aCount; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return busy() == aCount;
+  };
+  RawSocket client(pending.mListener->LocalAddress());
+  CHECK(busy() == 0);
+  client.Write("GET /1 HTT");
+  CHECK(becomes(1));
+  client.Write("P/1.1\r\n\r\n");
+  pending.WaitFor(1);
+  const std::string body(std::size_t{ 16 } * 1024 * 1024, 'x');
+  thread.Run([&] { pending.mExchanges[0]->SendResponse(200, {}, body); });
+  // The caller has not read it yet, so it does not fit into the buffers of the
+  // system.
+  CHECK(busy() == 1);
+  client.ReadUntil("\r\n\r\nx");
+  CHECK(busy() == 1);
+  std::thread reader([&] { client.WaitForClose(); });
+  CHECK(becomes(0));
+  thread.Run([&] { pending.mListener->StartStopping(); });
+  pending.Reset();
+  reader.join();
+}
+
 TEST_CASE("bytes that are not a request get an error response and are closed")
 {
   IoThread thread;
@@ -170,6 +209,43 @@
   CHECK(!text.ends_with("0\r\n\r\n"));
 }
 
+// Guards against a late second copy of a response, without an id, that is taken
+// for the response to the next request on the connection: callers got the
+// answer to somebody else's request, or were told that theirs had not run.
+TEST_CASE("a response without an id counts on a new connection only")
+{
+  const std::string anonymous =
+    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold";
+  const std::string not_run = "HTTP/1.1 503 Full\r\nNutmegrock-Run: not-run\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  for (const std::string& copy : { anonymous, not_run }) {
+    CAPTURE(copy);
+    IoThread thread;
+    RawServer server;
+    std::unique_ptr<ClientPool> pool;
+    thread.Run([&] {
+      pool = std::make_unique<ClientPool>(thread.Io(), HeaderNames(), Now);
+    });
+    const auto first = std::make_shared<ResponseCollector>();
+    thread.Run([&] { pool->Send(server.Address(), Get("a"), first); });
+    RawSocket connection = server.Accept();
+    connection.ReadUntil("\r\n\r\n");
+    connection.Write(copy);
+    CHECK(!first->Wait().has_value());
+    const auto second = std::make_shared<ResponseCollector>();
+    thread.Run([&] { pool->Send(server.Address(), Get("b"), second); });
+    connection.ReadUntil("\r\n\r\n");
+    connection.Write(copy + ResponseText("b", "two"));
+    const auto error = second->Wait();
+    REQUIRE(error.has_value());
+    CHECK(error->mKind == core::ErrorKind::BackendProtocol);
+    CHECK(error->mRun == core::RunCertainty::Unknown);
+    CHECK(second->mBody.empty());
+    CHECK(connection.WaitForClose());
+    thread.Run([&] { pool.reset(); });
+  }
+}
+
 // A duplicate of a response must not be taken for the response to the next
 // request.
 TEST_CASE("a response with another request's id is dropped")
