Call the store less often at the start and for changes in succession

Cause: each node that starts reads the rows of the next region, two calls that one node could make for all; each version of the routes costs a call of each node, also when the next follows at once; an idle watch ends every 10 s.

Change: nodes read the next region some time after their start, spread so that a region makes one such read in about two seconds, whatever its size; a node alone in its region reads it at once. After a change a node waits up to 0.8 s before it watches again, so versions in succession take one call; other nodes tell it of them meanwhile. Idle watches end after 5 to 25 s, each at another time, so that one of many nodes soon notices connections that have gone silent.

The test of the rows read at the start now waits for the rows of the next region, which come later; the bounds are the same. New tests, failing before: "a starting node with neighbours does not read the next region", "versions in quick succession take few calls to the store" (40 calls before, at most 16).

--- a/src/nutmegrock/membership/udp/MembershipService.cpp
+++ b/src/nutmegrock/membership/udp/MembershipService.cpp
@@ -162,9 +162,9 @@
       return aMembership.PingAddresses(core::Clock::now(), aFound);
     });
   };
-  hooks.mIsAlone = [this] {
+  hooks.mMembers = [this] {
     const std::lock_guard lock(mMutex);
-    return mMembership->Table().Present().empty();
+    return mMembership->Table().Present().size();
   };
   hooks.mIsGone = [this](core::Incarnation aIncarnation) {
     const std::lock_guard lock(mMutex);
@@ -172,11 +172,10 @@
     return !mMembership->IsIsolated() &&
            (entry == nullptr || !entry->IsPresent());
   };
-  mRows = std::make_unique<SeedRows>(std::move(aTable),
-                                     mSettings.mOwn,
-                                     mSettings.mProtocol.mDeadRetention,
-                                     std::move(hooks),
-                                     mCounters);
+  SeedRowsSettings settings;
+  settings.mStaleAfter = mSettings.mProtocol.mDeadRetention;
+  mRows = std::make_unique<SeedRows>(
+    std::move(aTable), mSettings.mOwn, settings, std::move(hooks), mCounters);
 }
 
 void
--- a/src/nutmegrock/membership/udp/SeedRows.cpp
+++ b/src/nutmegrock/membership/udp/SeedRows.cpp
@@ -48,14 +48,14 @@
 
 SeedRows::SeedRows(std::shared_ptr<store::TableService> aTable,
                    const Member& aOwn,
-                   std::chrono::nanoseconds aStaleAfter,
+                   SeedRowsSettings aSettings,
                    SeedRowsHooks aHooks,
                    MembershipCounters& aCounters)
   : mTable(std::move(aTable))
   , mRegionPrefix(fmt::format("{}{}/", kPrefix, aOwn.mRegion))
   , mOwnKey(KeyOf(aOwn))
   , mOwnValue(aOwn.mAddress.ToString())
-  , mStaleAfter(aStaleAfter)
+  , mSettings(aSettings)
   , mHooks(std::move(aHooks))
   , mCounters(aCounters)
   , mRandom(aOwn.mIncarnation.mBits ^ 0x5eedULL)
@@ -126,9 +126,18 @@
   bool success = mWritten || WriteOwn();
   const auto now = Clock::now();
   if (success &&
-      (now >= mNextRead || (now >= mNextReadAlone && mHooks.mIsAlone()))) {
+      (now >= mNextRead || (now >= mNextReadAlone && mHooks.mMembers() == 0))) {
     success = ReadSeeds();
   }
+  if (success && now >= mSettledAt && !mNextRegionRead) {
+    const std::chrono::duration<double> spread(
+      static_cast<double>(mHooks.mMembers()) / mSettings.mNextRegionReads);
+    mNextRegionRead = now + std::chrono::duration_cast<Clock::duration>(
+                              2 * mRandom.Unit() * spread);
+  }
+  if (success && mNextRegionRead && now >= *mNextRegionRead) {
+    success = ReadNextRegion();
+  }
   if (success) {
     RemoveStale();
   }
@@ -141,7 +150,9 @@
   // Wakes up regularly, since a node that lost all other members reads again
   // soon.
   const auto until =
-    success ? std::min(mNextRead, Clock::now() + 60s)
+    success ? std::min({ mNextRead,
+                         mNextRegionRead.value_or(mSettledAt),
+                         Clock::now() + 60s })
             : Clock::now() +
                 std::chrono::duration_cast<std::chrono::milliseconds>(retry);
   mWake.wait_until(aLock, until, [this] {
@@ -186,6 +197,7 @@
     written || written.error().mKind == core::ErrorKind::VersionConflict;
   if (mWritten) {
     mNextRead = Clock::now();
+    mSettledAt = mNextRead + mSettings.mSettleTime;
   }
   return RecordResult(mWritten, "write the own row");
 }
@@ -197,6 +209,17 @@
   if (!ReadRegion(mRegionPrefix, kOwnRegionRows, rows)) {
     return false;
   }
+  mNextRead = Clock::now() + Jittered(kReadInterval);
+  mNextReadAlone = Clock::now() + Jittered(kReadIntervalAlone);
+  // A node alone in its region knows no other member that could read the next.
+  const bool others = ReportRows(rows);
+  return others || ReadNextRegion();
+}
+
+bool
+SeedRows::ReadNextRegion()
+{
+  std::vector<store::Row> rows;
   // '0' follows '/', so this is the first key after the region of this node.
   std::string after = mRegionPrefix;
   after.back() = '0';
@@ -214,18 +237,28 @@
       return false;
     }
   }
+  mNextRegionRead = Clock::now() + Jittered(kReadInterval);
+  if (!rows.empty()) {
+    ReportRows(rows);
+  }
+  return true;
+}
+
+/// Returns true if a row is that of another node.
+bool
+SeedRows::ReportRows(const std::vector<store::Row>& aRows)
+{
   std::vector<core::Address> found;
-  for (const store::Row& row : rows) {
+  for (const store::Row& row : aRows) {
     const auto address = core::Address::Parse(row.mValue);
     if (address && row.mKey != mOwnKey) {
       found.push_back(*address);
       mSeen.emplace(row.mKey, Clock::now());
     }
   }
-  mNextRead = Clock::now() + Jittered(kReadInterval);
-  mNextReadAlone = Clock::now() + Jittered(kReadIntervalAlone);
+  const bool others = !found.empty();
   mHooks.mOnRowsFound(std::move(found));
-  return true;
+  return others;
 }
 
 bool
@@ -267,7 +300,7 @@
 {
   const auto now = Clock::now();
   for (auto next = mSeen.begin(); next != mSeen.end();) {
-    if (now - next->second < mStaleAfter) {
+    if (now - next->second < mSettings.mStaleAfter) {
       ++next;
       continue;
     }
--- a/src/nutmegrock/membership/udp/SeedRows.h
+++ b/src/nutmegrock/membership/udp/SeedRows.h
@@ -13,19 +13,31 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
 namespace nutmegrock::membership::udp {
 
+struct SeedRowsSettings
+{
+  /// Age after which a row that was read is removed if its member is gone.
+  std::chrono::nanoseconds mStaleAfter = std::chrono::hours{ 2 };
+  /// Time after the start at which a node has learned the members of its
+  /// region. Then the nodes of the region read the next one, at a rate of about
+  /// mNextRegionReads per second in all, whatever their number.
+  std::chrono::milliseconds mSettleTime{ 5'000 };
+  double mNextRegionReads = 0.5;
+};
+
 /// Hooks of the seed rows. Called on their thread.
 struct SeedRowsHooks
 {
   /// Called with the addresses of the rows that were read.
   std::function<void(std::vector<core::Address>)> mOnRowsFound;
-  /// Returns true if no other member is known.
-  std::function<bool()> mIsAlone;
+  /// Number of other members that are present.
+  std::function<std::size_t()> mMembers;
   /// Returns true if the row of a member can be removed: the member is not
   /// present and this node is not isolated.
   std::function<bool(core::Incarnation)> mIsGone;
@@ -39,17 +51,16 @@
 public:
   using Clock = std::chrono::steady_clock;
 
-  /// Rows read from the region of this node and from the next region in key
-  /// order. The latter joins all regions into one mesh, as the regions form a
-  /// ring. One more row is read to find the name of the next region, 16 in all.
+  /// Rows read from the region of this node, and later from the next region in
+  /// key order. The latter joins all regions into one mesh, as the regions form
+  /// a ring. One more row is read to find the name of the next region, 16 in
+  /// all.
   static constexpr std::size_t kOwnRegionRows = 12;
   static constexpr std::size_t kNextRegionRows = 3;
 
-  /// aStaleAfter: age after which a row that was read is removed if its member
-  /// is gone.
   SeedRows(std::shared_ptr<store::TableService> aTable,
            const Member& aOwn,
-           std::chrono::nanoseconds aStaleAfter,
+           SeedRowsSettings aSettings,
            SeedRowsHooks aHooks,
            MembershipCounters& aCounters);
   SeedRows(const SeedRows&) = delete;
@@ -75,6 +86,8 @@
   void RunRemovals(std::unique_lock<std::mutex>& aLock);
   bool WriteOwn();
   bool ReadSeeds();
+  bool ReadNextRegion();
+  bool ReportRows(const std::vector<store::Row>& aRows);
   bool ReadRegion(const std::string& aPrefix,
                   std::size_t aLimit,
                   std::vector<store::Row>& aRows);
@@ -88,7 +101,7 @@
   std::string mRegionPrefix;
   std::string mOwnKey;
   std::string mOwnValue;
-  std::chrono::nanoseconds mStaleAfter;
+  SeedRowsSettings mSettings;
   SeedRowsHooks mHooks;
   MembershipCounters& mCounters;
   Random mRandom;
@@ -99,6 +112,9 @@
   std::chrono::milliseconds mBackOff{ 0 };
   Clock::time_point mNextRead;
   Clock::time_point mNextReadAlone;
+  /// Empty until the time of the read is chosen.
+  std::optional<Clock::time_point> mNextRegionRead;
+  Clock::time_point mSettledAt;
   /// Keys of rows read and when, until they are checked for staleness.
   std::map<std::string, Clock::time_point> mSeen;
 
--- a/src/nutmegrock/routes/RouteSync.cpp
+++ b/src/nutmegrock/routes/RouteSync.cpp
@@ -11,8 +11,14 @@
 using std::chrono::milliseconds;
 
 /// How long one call to the store waits for a change. Also the time after which
-/// a silent connection is noticed; meanwhile changes arrive from other nodes.
-constexpr milliseconds kWatchTimeout{ 10'000 };
+/// a silent connection is noticed; meanwhile changes arrive from other nodes,
+/// one of which notices soon, as each waits for another time.
+constexpr milliseconds kMinWatchTimeout{ 5'000 };
+constexpr milliseconds kMaxWatchTimeout{ 25'000 };
+/// Maximum delay between a change and the next watch, so that changes in quick
+/// succession take one call. A node that hears of changes only from the store
+/// puts the newest in force within this time and a round trip.
+constexpr milliseconds kMaxWatchDelay{ 800 };
 /// Backoff while the store fails, doubled each time. Calls cost money, and a
 /// recovered store must be noticed within two seconds.
 constexpr milliseconds kInitialBackoff{ 250 };
@@ -112,6 +118,19 @@
   mWake.wait_for(lock, aTime, [this] { return mStopping; });
 }
 
+milliseconds
+RouteSync::Between(milliseconds aLeast, milliseconds aMost)
+{
+  return milliseconds(std::uniform_int_distribution<milliseconds::rep>(
+    aLeast.count(), aMost.count())(mRandom));
+}
+
+milliseconds
+RouteSync::WatchTimeout()
+{
+  return Between(kMinWatchTimeout, kMaxWatchTimeout);
+}
+
 void
 RouteSync::Run()
 {
@@ -136,7 +155,7 @@
 RouteSync::RunOnce()
 {
   auto stored = mCursor == 0 ? mStore->Read()
-                             : mStore->WaitForChange(mCursor, kWatchTimeout);
+                             : mStore->WaitForChange(mCursor, WatchTimeout());
   if (!stored && stored.error().mKind == core::ErrorKind::NotFound) {
     mHooks.mLog(fmt::format("event=store_history_gone cursor={}", mCursor));
     mCursor = 0;
@@ -151,9 +170,13 @@
   if (!stored) {
     return false;
   }
+  const bool watching = mCursor != 0;
   mCursor = stored->mCursor;
   if (!stored->mDocument.empty()) {
     mShared->Activate(stored->mDocument, "store");
+    if (watching) {
+      Pause(Between(milliseconds(0), kMaxWatchDelay));
+    }
   } else if (mCursor == 0) {
     Pause(kEmptyStoreDelay);
   }
--- a/src/nutmegrock/routes/RouteSync.h
+++ b/src/nutmegrock/routes/RouteSync.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 
@@ -63,6 +64,10 @@
   /// Returns false when the store failed.
   bool RunOnce();
   void Pause(std::chrono::milliseconds aTime);
+  /// A random time in this range.
+  std::chrono::milliseconds Between(std::chrono::milliseconds aLeast,
+                                    std::chrono::milliseconds aMost);
+  std::chrono::milliseconds WatchTimeout();
 
   const std::shared_ptr<RouteStore> mStore;
   const Hooks mHooks;
@@ -70,6 +75,7 @@
   std::shared_ptr<Shared> mShared;
   /// Used only by the thread. 0: read the whole document next.
   std::uint64_t mCursor = 0;
+  std::mt19937_64 mRandom{ std::random_device{}() };
   std::atomic<bool> mStoreReachable{ false };
   std::mutex mMutex;
   std::condition_variable mWake;
--- a/tests/membership/FakeTable.h
+++ b/tests/membership/FakeTable.h
@@ -35,6 +35,7 @@
     if (mDown) {
       return Unavailable();
     }
+    ++mScans;
     std::vector<store::Row> rows;
     for (auto next = mRows.lower_bound(std::max(aPrefix, aFrom));
          next != mRows.end() && rows.size() < aLimit &&
@@ -87,6 +88,7 @@
   }
 
   std::atomic<bool> mDown{ false };
+  std::atomic<int> mScans{ 0 };
   /// Writes take effect but report an error.
   std::atomic<bool> mLoseResponses{ false };
   std::atomic<std::size_t> mWrites{ 0 };
--- a/tests/membership/SeedRowsTest.cpp
+++ b/tests/membership/SeedRowsTest.cpp
@@ -41,12 +41,15 @@
       }
       ++mReads;
     };
-    hooks.mIsAlone = [] { return false; };
+    hooks.mMembers = [this] { return mMembers; };
     hooks.mIsGone = [](core::Incarnation aIncarnation) {
       return aIncarnation.mBits < 100;
     };
+    SeedRowsSettings settings;
+    settings.mStaleAfter = aStaleAfter;
+    settings.mSettleTime = mSettleTime;
     mRows = std::make_unique<SeedRows>(
-      mTable, Own(), aStaleAfter, std::move(hooks), mCounters);
+      mTable, Own(), settings, std::move(hooks), mCounters);
   }
 
   /// Waits until a condition holds; the limit is reached only by a failing
@@ -73,6 +76,8 @@
   std::mutex mMutex;
   std::set<std::string> mFound;
   std::atomic<int> mReads{ 0 };
+  std::size_t mMembers = 0;
+  std::chrono::milliseconds mSettleTime{ 20 };
   std::unique_ptr<SeedRows> mRows;
 };
 
@@ -111,7 +116,10 @@
       put("erongo", row.mBefore, 2);
       put("zambezi", row.mAfter, 3);
       fixture.Start();
-      CHECK(fixture.Eventually([&] { return fixture.mReads == 1; }));
+      CHECK(fixture.Eventually(
+        [&] { return fixture.Found().size() + 1 >= row.mFound; }));
+      std::this_thread::sleep_for(100ms);
+      CHECK(fixture.mReads >= 1);
       CHECK(fixture.mTable->mRowsRead <= 16);
       CHECK(fixture.Found().size() <= row.mFound);
       CHECK(fixture.Found().size() + 1 >= row.mFound);
@@ -119,6 +127,26 @@
     }
   }
 
+  // Load pattern: all nodes of a region start at once. Guards against calls to
+  // the store that each of them makes and that one of them could make for all.
+  TEST_CASE("a starting node with neighbours does not read the next region")
+  {
+    Fixture fixture;
+    for (int i = 0; i < 96; ++i) {
+      fixture.mTable->Put(
+        fmt::format("nodes/khomas/{:016x}", 0x9e3779b97f4a7c15ULL * (i + 1)),
+        fmt::format("10.0.0.{}:7002", i + 1));
+    }
+    fixture.mTable->Put("nodes/zambezi/0000000000000001", "10.0.1.1:7002");
+    // Reads are spread over 200,000 s here.
+    fixture.mMembers = 100'000;
+    fixture.Start();
+    CHECK(fixture.Eventually([&] { return fixture.mReads == 1; }));
+    std::this_thread::sleep_for(200ms);
+    CHECK(fixture.mReads == 1);
+    CHECK(fixture.mTable->mScans <= 2);
+  }
+
   // The row was written although the response reported an error.
   TEST_CASE("a lost response of the store does not prevent the start")
   {
--- a/tests/routes/RouteSyncTest.cpp
+++ b/tests/routes/RouteSyncTest.cpp
@@ -1,5 +1,8 @@
 #include "routes/RouteSync.h"
+#include "core/Time.h"
 
+#include <algorithm>
+#include <atomic>
 #include <deque>
 #include <doctest/doctest.h>
 
@@ -97,6 +100,73 @@
   CHECK(*sync.HandlePull() == "7");
 }
 
+namespace {
+
+/// Holds a version that grows by one at intervals, up to a last one.
+class ChangingStore final : public RouteStore
+{
+public:
+  static constexpr std::uint64_t kLast = 40;
+  static constexpr std::chrono::milliseconds kInterval{ 50 };
+
+  core::Expected<StoredRoutes> Read() override { return Newest(); }
+  core::Expected<StoredRoutes> WaitForChange(std::uint64_t aCursor,
+                                             std::chrono::milliseconds) override
+  {
+    ++mCalls;
+    for (int i = 0; i < 100 && Version() <= aCursor; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return Version() > aCursor ? Newest() : StoredRoutes{ "", aCursor };
+  }
+  std::uint64_t Version() const
+  {
+    return std::min<std::uint64_t>(
+      kLast,
+      1 +
+        static_cast<std::uint64_t>((core::Clock::now() - mBegin) / kInterval));
+  }
+
+  std::atomic<int> mCalls{ 0 };
+
+private:
+  StoredRoutes Newest() const
+  {
+    return { std::to_string(Version()), Version() };
+  }
+
+  const core::TimePoint mBegin = core::Clock::now();
+};
+
+} // namespace
+
+// Load pattern: versions in quick succession at many nodes. Guards against a
+// call to the store for each version and node, and against nodes that stay
+// behind the newest one.
+TEST_CASE("versions in quick succession take few calls to the store")
+{
+  const auto store = std::make_shared<ChangingStore>();
+  ActiveRoutes active;
+  RouteSync sync(store,
+                 DecodeNumber,
+                 active,
+                 { [](const core::Address&, const RouteSync::PullCallback&) {},
+                   [](const std::string&) {} });
+  sync.Start();
+  std::uint64_t behind = 0;
+  std::uint64_t before = 0;
+  while (store->Version() < ChangingStore::kLast) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    behind = std::max(behind, store->Version() - active.Version());
+    CHECK(active.Version() >= before);
+    before = active.Version();
+  }
+  CHECK(WaitFor([&] { return active.Version() == ChangingStore::kLast; }));
+  CHECK(store->mCalls <= 16);
+  // 0.8 s, and some time on a busy machine.
+  CHECK(behind <= 24);
+}
+
 // Guards against nodes that cannot reach the store staying on an old version.
 TEST_CASE("a newer version of another node is pulled once and put in force")
 {
