Check the first heartbeat that a restarted node hears

Operators of similar systems saw a server that had left in use again after a restart of one of the system's processes. Here a node that starts knows nothing of its server; a heartbeat that arrives seconds late, from a server that has left meanwhile, put it in use for up to 12 s.

Change: after a start the node also sends a health check when it has heard one heartbeat only. A server that reports that it leaves or fails counts as absent until its next heartbeat, which a server that has left does not send. A check that is rejected because the server is busy, or gets no response, changes nothing, so a restart under load costs no capacity.

Tests: "a first heartbeat that a health check contradicts is not used", "a health check confirms the first heartbeat", "a health check tells a leaving server from a busy one".

--- a/src/nutmegrock/announce/LocalServer.cpp
+++ b/src/nutmegrock/announce/LocalServer.cpp
@@ -83,6 +83,10 @@
   const bool same_run = mLatest && mLatest->mId == aAnnouncement.mId &&
                         mLatest->mStartedMs == aAnnouncement.mStartedMs;
   const bool was_leaving = same_run && mLeavingSince.has_value();
+  const bool repeated =
+    same_run && mLatest->mSequence == aAnnouncement.mSequence;
+  mUnconfirmed = !mLatest || (mUnconfirmed && repeated);
+  mDoubted = mDoubted && mUnconfirmed;
   mLatest = aAnnouncement;
   mLastHeartbeatAt = aNow;
   if (aAnnouncement.mDraining) {
@@ -125,6 +129,10 @@
                        const std::string& aId,
                        std::uint32_t aSlots)
 {
+  if (mLatest && mLatest->mId == aId) {
+    mUnconfirmed = false;
+    return std::exchange(mDoubted, false);
+  }
   if (mLatest || aId.empty() || aSlots == 0 || mDeparted.count(aId) > 0) {
     return false;
   }
@@ -138,10 +146,25 @@
   return true;
 }
 
+bool
+LocalServer::OnUnhealthy()
+{
+  if (!mUnconfirmed || mLeavingSince) {
+    return false;
+  }
+  return !std::exchange(mDoubted, true);
+}
+
+bool
+LocalServer::NeedsCheck() const
+{
+  return !mLatest || (mUnconfirmed && !mDoubted);
+}
+
 ServerPhase
 LocalServer::Phase(core::TimePoint aNow) const
 {
-  if (!mLatest) {
+  if (!mLatest || mDoubted) {
     return ServerPhase::Absent;
   }
   if (mLeavingSince) {
--- a/src/nutmegrock/announce/LocalServer.h
+++ b/src/nutmegrock/announce/LocalServer.h
@@ -68,6 +68,15 @@
                  const std::string& aId,
                  std::uint32_t aSlots);
 
+  /// A health check found the server leaving or failing. After a start of the
+  /// node its only heartbeat so far may be a late one of a server that has left
+  /// since, so the server counts as absent until the next heartbeat. Returns
+  /// true if the phase changed.
+  bool OnUnhealthy();
+  /// Returns true if a health check can tell something: no server is known, or
+  /// only from one heartbeat, which may be late.
+  bool NeedsCheck() const;
+
   ServerPhase Phase(core::TimePoint aNow) const;
   /// Returns true if the server may start work: it is serving, or has been
   /// leaving for less than mLeaveGracePeriod.
@@ -82,6 +91,11 @@
   std::optional<Announcement> mLatest;
   core::TimePoint mLastHeartbeatAt;
   std::optional<core::TimePoint> mLeavingSince;
+  /// The server is known from one heartbeat only, and no health check has
+  /// succeeded.
+  bool mUnconfirmed = false;
+  /// A health check contradicts that heartbeat.
+  bool mDoubted = false;
   /// Identities that have left, each with its latest known start time.
   std::map<std::string, std::int64_t> mDeparted;
 };
--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -521,7 +521,7 @@
     mProbe.reset();
   }
   const routes::RouteSetPtr routes = mRoutes.Current();
-  if (mServing->Server().Latest() || mStopping || !routes ||
+  if (!mServing->Server().NeedsCheck() || mStopping || !routes ||
       mProbeCount >= kMaxProbes || aNow - mProbedAt < kProbeInterval) {
     return;
   }
--- a/src/nutmegrock/gateway/ServerProbe.cpp
+++ b/src/nutmegrock/gateway/ServerProbe.cpp
@@ -12,6 +12,8 @@
 /// Maximum size of the body of a health check's response, in bytes.
 constexpr std::size_t kMaxBodyBytes = std::size_t{ 64 } * 1024;
 
+constexpr unsigned kUnavailable = 503;
+
 } // namespace
 
 std::shared_ptr<ServerProbe>
@@ -58,6 +60,11 @@
                                       : std::optional<std::uint32_t>();
   if (aHead.IsSuccess() && !aHead.mServerId.empty() && slots) {
     mHandler({ aHead.mServerId, *slots, aHead.mRateLimit, aHead.mLeaving });
+  } else if (aHead.mStatus == kUnavailable && !aHead.mNotRun) {
+    ServerHealth health;
+    health.mId = aHead.mServerId;
+    health.mHealthy = false;
+    mHandler(health);
   }
 }
 
--- a/src/nutmegrock/gateway/ServerProbe.h
+++ b/src/nutmegrock/gateway/ServerProbe.h
@@ -21,6 +21,8 @@
   /// Requests per second that it takes, if it limits them.
   std::optional<double> mRateLimit = std::nullopt;
   bool mLeaving = false;
+  /// False if the server reports that it leaves or fails.
+  bool mHealthy = true;
 
   bool operator==(const ServerHealth&) const = default;
 };
@@ -32,7 +34,9 @@
   using Handler = std::function<void(const ServerHealth&)>;
 
   /// Sends the check. Calls the handler when the server is healthy and reports
-  /// its identity; otherwise nothing happens. Destroying the probe cancels it.
+  /// its identity, or says that it leaves or fails. A check that the server was
+  /// too busy for, or that gets no response, tells nothing. Destroying the
+  /// probe cancels it.
   static std::shared_ptr<ServerProbe> Send(proxy::ClientPool& aPool,
                                            const core::Address& aServer,
                                            const std::string& aPath,
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -167,6 +167,15 @@
 bool
 Serving::OnHealthy(const ServerHealth& aHealth)
 {
+  if (!aHealth.mHealthy) {
+    if (!mServer.OnUnhealthy()) {
+      return false;
+    }
+    mComponents.mLog.LogState(
+      fmt::format("event=server_doubted server={} cause=health_check",
+                  mServer.Latest()->mId));
+    return true;
+  }
   const bool changed =
     mServer.OnHealthy(mComponents.mNow(), aHealth.mId, aHealth.mSlots);
   if (changed) {
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -88,7 +88,7 @@
   /// Handle a heartbeat or leave of the backend server; see LocalServer.
   core::Expected<bool> OnHeartbeat(const announce::Announcement& aAnnouncement);
   bool OnLeave(const std::string& aId, std::int64_t aStartedMs);
-  /// A health check of the backend server succeeded; see LocalServer.
+  /// A health check of the backend server has ended; see LocalServer.
   bool OnHealthy(const ServerHealth& aHealth);
   /// Services that runs of the local backend server call, as far as known.
   overload::DownstreamServices KnownDownstream() const;
--- a/tests/announce/LocalServerTest.cpp
+++ b/tests/announce/LocalServerTest.cpp
@@ -106,6 +106,40 @@
   CHECK(server.OnHeartbeat(kStart, MakeHeartbeat("a", 200, 1)).has_value());
 }
 
+// Guards against a server that has left and is used again after its node was
+// restarted: its last heartbeat can arrive seconds late, and nothing else is
+// known.
+TEST_CASE("a first heartbeat that a health check contradicts is not used")
+{
+  LocalServer server = MakeServer();
+  CHECK(server.NeedsCheck());
+  REQUIRE(server.OnHeartbeat(kStart, MakeHeartbeat("a", 100, 5)));
+  CHECK(server.CanStartWork(kStart));
+  CHECK(server.NeedsCheck());
+  CHECK(server.OnUnhealthy());
+  CHECK(!server.CanStartWork(kStart));
+  CHECK(server.Phase(kStart) == ServerPhase::Absent);
+  // The same heartbeat, sent again, tells nothing new.
+  CHECK(server.OnHeartbeat(kStart, MakeHeartbeat("a", 100, 5)).has_value());
+  CHECK(!server.CanStartWork(kStart));
+  CHECK(!server.NeedsCheck());
+  // A server that lives sends another one, whatever its health check says.
+  CHECK(server.OnHeartbeat(kStart, MakeHeartbeat("a", 100, 6)).value());
+  CHECK(server.CanStartWork(kStart));
+  CHECK(!server.OnUnhealthy());
+  CHECK(server.CanStartWork(kStart));
+}
+
+TEST_CASE("a health check confirms the first heartbeat")
+{
+  LocalServer server = MakeServer();
+  REQUIRE(server.OnHeartbeat(kStart, MakeHeartbeat("a", 100, 5)));
+  CHECK(!server.OnHealthy(kStart, "a", 10));
+  CHECK(!server.NeedsCheck());
+  CHECK(!server.OnUnhealthy());
+  CHECK(server.CanStartWork(kStart));
+}
+
 TEST_CASE("a health check counts until the first heartbeat")
 {
   LocalServer server = MakeServer();
--- a/tests/gateway/ServerProbeTest.cpp
+++ b/tests/gateway/ServerProbeTest.cpp
@@ -74,6 +74,25 @@
   CHECK(probe.Health() == ServerHealth{ "i-1", 4 });
 }
 
+// Guards against a check that a busy server rejects like any request and that
+// is taken for a sign that the server leaves.
+TEST_CASE("a health check tells a leaving server from a busy one")
+{
+  for (const bool busy : { false, true }) {
+    CAPTURE(busy);
+    RawServer server;
+    ProbeThread probe(server.Address());
+    RawSocket connection = server.Accept();
+    connection.ReadUntil("\r\n\r\n");
+    connection.Write(std::string("HTTP/1.1 503 No\r\n") +
+                     (busy ? "Nutmegrock-Run: not-run\r\n" : "") +
+                     "Content-Length: 0\r\nConnection: close\r\n\r\n");
+    CHECK(connection.WaitForClose());
+    CHECK(probe.Health().has_value() == !busy);
+    CHECK((busy || !probe.Health()->mHealthy));
+  }
+}
+
 // Guards against a server that answers a health check with bytes without end,
 // which would be read as long as both processes live.
 TEST_CASE("a health check whose body has no end is cancelled")
