--- a/src/nutmegrock/announce/LocalServer.h
+++ b/src/nutmegrock/announce/LocalServer.h
@@ -62,8 +62,9 @@
                std::int64_t aStartedMs);
 
   /// A health check of the server at the address succeeded. A node that has
-  /// just started identifies the server this way before its next heartbeat; has
-  /// no effect after the first heartbeat. Returns true if the phase changed.
+  /// just started identifies the server this way before its next heartbeat.
+  /// After the first heartbeat it only confirms that one. Returns true if the
+  /// phase changed.
   bool OnHealthy(core::TimePoint aNow,
                  const std::string& aId,
                  std::uint32_t aSlots);
