Share the set-up of reused connections in tests, and close two races in new ones

Found by reading the whole change again; tests only, no assertion is loosened. - RouteSyncTest subtracted the active version from one of the store that was read before it. A change in between makes the unsigned difference huge, so the test could fail without a fault. Not seen; the active version is now read first. - "a stopping node hands back the calls that wait" slept 50 ms for the fourth call to arrive; it now waits until it is in the queue. - SeedRowsTest had lost its upper bound on the number of reports (1 before, as both regions were read together); it is now two, one for each region.

--- a/tests/gateway/PathTest.cpp
+++ b/tests/gateway/PathTest.cpp
@@ -473,7 +473,15 @@
       runs.back().ReadUntil("\r\n\r\n");
     }
   }
-  std::this_thread::sleep_for(milliseconds(50));
+  const auto waiting = [&node] {
+    std::size_t count = 0;
+    node.Do([&] { count = node.ServingHalf().Queue().Waiting(); });
+    return count;
+  };
+  for (int i = 0; i < 400 && waiting() == 0; ++i) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  REQUIRE(waiting() == 1);
   node.Do([&] { node.ServingHalf().StartStopping(); });
   // There is no other server.
   const std::string refusal = callers.back().ReadUntil("\r\n\r\n");
--- a/tests/membership/SeedRowsTest.cpp
+++ b/tests/membership/SeedRowsTest.cpp
@@ -119,7 +119,9 @@
       CHECK(fixture.Eventually(
         [&] { return fixture.Found().size() + 1 >= row.mFound; }));
       std::this_thread::sleep_for(100ms);
+      // One report for each region.
       CHECK(fixture.mReads >= 1);
+      CHECK(fixture.mReads <= 2);
       CHECK(fixture.mTable->mRowsRead <= 16);
       CHECK(fixture.Found().size() <= row.mFound);
       CHECK(fixture.Found().size() + 1 >= row.mFound);
--- a/tests/proxy/ConnectionTest.cpp
+++ b/tests/proxy/ConnectionTest.cpp
@@ -114,6 +114,47 @@
   std::vector<ServerExchangePtr> mExchanges;
 };
 
+/// A request with the id "b" that was sent on a connection on which one with
+/// the id "a" got this response.
+struct SecondRequest
+{
+  explicit SecondRequest(const std::string& aFirstResponse)
+    : mConnection(Open())
+  {
+    mConnection.ReadUntil("\r\n\r\n");
+    mConnection.Write(aFirstResponse);
+    CHECK(!mFirst->Wait().has_value());
+    mThread.Run(
+      [this] { mPool->Send(mServer.Address(), Get("b"), mResponse); });
+    mConnection.ReadUntil("\r\n\r\n");
+  }
+  SecondRequest(const SecondRequest&) = delete;
+  SecondRequest& operator=(const SecondRequest&) = delete;
+  ~SecondRequest()
+  {
+    mThread.Run([this] { mPool.reset(); });
+  }
+
+  IoThread mThread;
+  RawServer mServer;
+  std::unique_ptr<ClientPool> mPool;
+  std::shared_ptr<ResponseCollector> mFirst =
+    std::make_shared<ResponseCollector>();
+  std::shared_ptr<ResponseCollector> mResponse =
+    std::make_shared<ResponseCollector>();
+  RawSocket mConnection;
+
+private:
+  RawSocket Open()
+  {
+    mThread.Run([this] {
+      mPool = std::make_unique<ClientPool>(mThread.Io(), HeaderNames(), Now);
+      mPool->Send(mServer.Address(), Get("a"), mFirst);
+    });
+    return mServer.Accept();
+  }
+};
+
 } // namespace
 
 // A response that is ready early must not be sent for an earlier request.
@@ -220,21 +261,9 @@
                               "Content-Length: 0\r\n\r\n";
   for (const std::string& copy : { anonymous, not_run }) {
     CAPTURE(copy);
-    IoThread thread;
-    RawServer server;
-    std::unique_ptr<ClientPool> pool;
-    thread.Run([&] {
-      pool = std::make_unique<ClientPool>(thread.Io(), HeaderNames(), Now);
-    });
-    const auto first = std::make_shared<ResponseCollector>();
-    thread.Run([&] { pool->Send(server.Address(), Get("a"), first); });
-    RawSocket connection = server.Accept();
-    connection.ReadUntil("\r\n\r\n");
-    connection.Write(copy);
-    CHECK(!first->Wait().has_value());
-    const auto second = std::make_shared<ResponseCollector>();
-    thread.Run([&] { pool->Send(server.Address(), Get("b"), second); });
-    connection.ReadUntil("\r\n\r\n");
+    SecondRequest reused(copy);
+    RawSocket& connection = reused.mConnection;
+    const auto& second = reused.mResponse;
     connection.Write(copy + ResponseText("b", "two"));
     const auto error = second->Wait();
     REQUIRE(error.has_value());
@@ -242,7 +271,6 @@
     CHECK(error->mRun == core::RunCertainty::Unknown);
     CHECK(second->mBody.empty());
     CHECK(connection.WaitForClose());
-    thread.Run([&] { pool.reset(); });
   }
 }
 
@@ -250,28 +278,15 @@
 // request.
 TEST_CASE("a response with another request's id is dropped")
 {
-  IoThread thread;
-  RawServer server;
-  std::unique_ptr<ClientPool> pool;
-  thread.Run([&] {
-    pool = std::make_unique<ClientPool>(thread.Io(), HeaderNames(), Now);
-  });
-  const auto first = std::make_shared<ResponseCollector>();
-  thread.Run([&] { pool->Send(server.Address(), Get("a"), first); });
-  RawSocket connection = server.Accept();
-  connection.ReadUntil("\r\n\r\n");
-  connection.Write(ResponseText("a", "one"));
-  CHECK(!first->Wait().has_value());
-  const auto second = std::make_shared<ResponseCollector>();
-  thread.Run([&] { pool->Send(server.Address(), Get("b"), second); });
-  connection.ReadUntil("\r\n\r\n");
+  SecondRequest reused(ResponseText("a", "one"));
+  RawSocket& connection = reused.mConnection;
+  const auto& second = reused.mResponse;
   connection.Write(ResponseText("a", "one") + ResponseText("b", "two"));
   CHECK(!second->Wait().has_value());
   CHECK(second->mBody == "two");
-  thread.Run([&] {
-    CHECK(pool->Counts().mOpened == 1);
-    CHECK(pool->Counts().mUnexpectedResponses == 1);
-    pool.reset();
+  reused.mThread.Run([&] {
+    CHECK(reused.mPool->Counts().mOpened == 1);
+    CHECK(reused.mPool->Counts().mUnexpectedResponses == 1);
   });
 }
 
--- a/tests/routes/RouteSyncTest.cpp
+++ b/tests/routes/RouteSyncTest.cpp
@@ -157,9 +157,11 @@
   std::uint64_t before = 0;
   while (store->Version() < ChangingStore::kLast) {
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    behind = std::max(behind, store->Version() - active.Version());
-    CHECK(active.Version() >= before);
-    before = active.Version();
+    // Read first, so that the store cannot appear to be behind it.
+    const std::uint64_t version = active.Version();
+    behind = std::max(behind, store->Version() - version);
+    CHECK(version >= before);
+    before = version;
   }
   CHECK(WaitFor([&] { return active.Version() == ChangingStore::kLast; }));
   CHECK(store->mCalls <= 16);
