--- a/review/1/case.cpp
+++ b/review/1/case.cc
@@ -1,6 +1,6 @@
 // A ping with bytes that cannot be read, from another writer, while clients on
 // kept connections wait for answers.
-#include "standin/Harness.h"
+#include "standin/Harness.hh"
 
 using namespace review;
 
@@ -52,8 +52,9 @@
     for (int i = 0; i < kClients; ++i) {
       const std::string id = round + "-" + std::to_string(i);
       Record::Line("client sends %s", id.c_str());
-      SendAll(connections[i],
-              RequestText("POST", "jepu9.example", "/puka111/2f", id, 5000, "x"));
+      SendAll(
+        connections[i],
+        RequestText("POST", "jepu9.example", "/puka111/2f", id, 5000, "x"));
     }
     if (round == "second") {
       SleepUntil(Now() + 0.4);
@@ -78,9 +79,12 @@
         }
       }
       Record::Line("client gets %s: %s status %s, at a backend: %s",
-                   id.c_str(), NameOf(end), answer.mSecond.c_str(),
+                   id.c_str(),
+                   NameOf(end),
+                   answer.mSecond.c_str(),
                    reached ? "yes" : "no");
-      if (round == "first" && (end != ReadEnd::Complete || answer.Status() != 200)) {
+      if (round == "first" &&
+          (end != ReadEnd::Complete || answer.Status() != 200)) {
         CannotRun("the first requests are not served");
       }
       if (end != ReadEnd::Complete && reached) {
@@ -89,9 +93,12 @@
     }
   }
   const bool ended = all.mNodes[0]->HasEnded();
-  Record::Line("requests that reached a sound backend and whose kept connection "
-               "was closed without an answer: %d, allowed %d; the node has "
-               "ended by itself: %s",
-               lost, kAllowed, ended ? "yes" : "no");
+  Record::Line(
+    "requests that reached a sound backend and whose kept connection "
+    "was closed without an answer: %d, allowed %d; the node has "
+    "ended by itself: %s",
+    lost,
+    kAllowed,
+    ended ? "yes" : "no");
   Finish(lost > kAllowed ? 1 : 0);
 }
--- a/review/3/case.cpp
+++ b/review/3/case.cc
@@ -1,6 +1,6 @@
 // The open connections to the store go silent for good, without a reset, while
 // new ones work. Later the config changes.
-#include "standin/Harness.h"
+#include "standin/Harness.hh"
 
 using namespace review;
 
@@ -93,7 +93,8 @@
   // All machines are in touch again, and the store is stable.
   SleepUntil(Now() + kContactS + 0.5);
   routes[1].mService = "wuno96b";
-  routes.push_back({ "r-added", "hulo84.example", "/added/", "safe", "wuno96b" });
+  routes.push_back(
+    { "r-added", "hulo84.example", "/added/", "safe", "wuno96b" });
   all.mStore->PutConfig(ConfigText(9, services, routes));
   const double acknowledged = Now();
   Record::Line("the store acknowledges config r9: adds /added/, moves /moved/");
@@ -109,7 +110,8 @@
       for (const std::string path : { "/added/1", "/moved/1" }) {
         const std::string id = "q-" + std::to_string(++number);
         Record::Line("client of %s sends %s %s",
-                     all.mNodes[n]->MachineOf().mIp.c_str(), id.c_str(),
+                     all.mNodes[n]->MachineOf().mIp.c_str(),
+                     id.c_str(),
                      path.c_str());
         const int status = Ask(all.Outbound(n), text(path, id), 5);
         Record::Line("client gets %s %s: %d", id.c_str(), path.c_str(), status);
@@ -130,7 +132,10 @@
   }
   Record::Line("sent %d; refused with 404 though r9 has the route: %d, allowed "
                "%d; run by the old service: %d",
-               sent, denied, kAllowedDenied + sent / 500, old_service);
+               sent,
+               denied,
+               kAllowedDenied + sent / 500,
+               old_service);
   for (const auto& node : all.mNodes) {
     if (node->HasEnded()) {
       CannotRun("a node has ended");
--- a/review/5/case.cpp
+++ b/review/5/case.cc
@@ -1,6 +1,6 @@
 // A backend server deregisters, and its node is killed and starts again. A ping
 // that the backend server had sent before arrives late.
-#include "standin/Harness.h"
+#include "standin/Harness.hh"
 
 using namespace review;
 
@@ -50,7 +50,8 @@
   backend.mLeaving = true;
   const int status = Ask(control, backend.LeaveText());
   const double acknowledged = Now();
-  Record::Line("deregister of %s: %d", backend.SettingsOf().mId.c_str(), status);
+  Record::Line(
+    "deregister of %s: %d", backend.SettingsOf().mId.c_str(), status);
   if (status != 200) {
     CannotRun("deregister is not acknowledged");
   }
@@ -95,7 +96,9 @@
   }
   Record::Line("requests sent %d, answered with 200: %d", number, served);
   Record::Line("runs at %s later than %.1f s after its acknowledged leave: %d",
-               backend.SettingsOf().mId.c_str(), from - acknowledged, late);
+               backend.SettingsOf().mId.c_str(),
+               from - acknowledged,
+               late);
   if (served == 0) {
     CannotRun("no request was served");
   }
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/*/case.cpp; do
+for source in review/*/case.cc; do
   number="$(basename "$(dirname "$source")")"
   g++ -std=c++17 -O1 -Wall -Wextra -I review -o "target/review/case$number" \
     "$source" -pthread
--- a/review/standin/Harness.h
+++ b/review/standin/Harness.hh
@@ -66,7 +66,8 @@
       std::_Exit(2);
     }
   }
-  static void Line(const char* aFormat, ...) __attribute__((format(printf, 1, 2)))
+  static void Line(const char* aFormat, ...)
+    __attribute__((format(printf, 1, 2)))
   {
     char text[1024];
     va_list arguments;
@@ -274,8 +275,8 @@
     aMessage.mSecond = line.substr(first + 1, second - first - 1);
     while (at != std::string::npos) {
       const std::size_t next = aText.find("\r\n", at + 2);
-      const std::string field = aText.substr(
-        at + 2, next == std::string::npos ? next : next - at - 2);
+      const std::string field =
+        aText.substr(at + 2, next == std::string::npos ? next : next - at - 2);
       const std::size_t colon = field.find(':');
       if (colon != std::string::npos) {
         std::string name = field.substr(0, colon);
@@ -408,8 +409,9 @@
   }
   Message answer;
   Reader reader(fd);
-  const bool complete = SendAll(fd, aText) && reader.Read(answer, Now() + aSeconds) ==
-                                                ReadEnd::Complete;
+  const bool complete =
+    SendAll(fd, aText) &&
+    reader.Read(answer, Now() + aSeconds) == ReadEnd::Complete;
   close(fd);
   return complete ? answer.Status() : 0;
 }
@@ -430,8 +432,8 @@
                                     : 0U);
     }
     for (std::size_t j = 0; j < 4; ++j) {
-      text += i + j > aBytes.size() ? '='
-                                    : kLetters[bits >> (18U - 6U * j) & 63U];
+      text +=
+        i + j > aBytes.size() ? '=' : kLetters[bits >> (18U - 6U * j) & 63U];
     }
   }
   return text;
@@ -462,7 +464,9 @@
     bool mDeleted = false;
   };
 
-  void Put(const std::string& aTable, const std::string& aKey, std::string aValue)
+  void Put(const std::string& aTable,
+           const std::string& aKey,
+           std::string aValue)
   {
     mTables[aTable][aKey] = { std::move(aValue), ++mVer, false };
     mChanged.notify_all();
@@ -552,7 +556,8 @@
     const std::string from = Query(aTarget, "from");
     const std::string to = Query(aTarget, "target");
     const std::string limit = Query(aTarget, "limit");
-    std::size_t left = limit.empty() ? 500 : std::strtoull(limit.c_str(), nullptr, 10);
+    std::size_t left =
+      limit.empty() ? 500 : std::strtoull(limit.c_str(), nullptr, 10);
     const std::lock_guard lock(mMutex);
     aBody = "{\"rows\":[";
     bool more = false;
@@ -569,7 +574,8 @@
       aBody += (first ? "" : ",") + Text(table, key, row);
       first = false;
     }
-    aBody += std::string("],\"hasMore\":") + (more ? "true," : "false,") + Tail() + "}";
+    aBody += std::string("],\"hasMore\":") + (more ? "true," : "false,") +
+             Tail() + "}";
     return 200;
   }
 
@@ -579,8 +585,8 @@
     const std::uint64_t after =
       std::strtoull(Query(aTarget, "after").c_str(), nullptr, 10);
     const auto until =
-      Clock::now() + std::chrono::milliseconds(
-                       std::atoi(Query(aTarget, "waitMs").c_str()));
+      Clock::now() +
+      std::chrono::milliseconds(std::atoi(Query(aTarget, "waitMs").c_str()));
     std::unique_lock lock(mMutex);
     for (;;) {
       std::map<std::uint64_t, std::string> changed;
@@ -716,7 +722,9 @@
     std::thread([this] { Beat(); }).detach();
   }
 
-  std::function<Job(const Message&)> mJob = [](const Message&) { return Job{}; };
+  std::function<Job(const Message&)> mJob = [](const Message&) {
+    return Job{};
+  };
   std::atomic<bool> mBeats{ true };
   std::atomic<bool> mLeaving{ false };
 
@@ -773,7 +781,8 @@
       if (mBeats) {
         Ask(mSettings.mControl, HeartbeatText(NextSequence()));
       }
-      std::this_thread::sleep_for(std::chrono::milliseconds(mSettings.mHeartbeatMs));
+      std::this_thread::sleep_for(
+        std::chrono::milliseconds(mSettings.mHeartbeatMs));
     }
   }
 
@@ -811,18 +820,20 @@
   bool Answer(int aFd, const Message& aRequest)
   {
     if (aRequest.mSecond == "/health") {
-      return SendAll(aFd,
-                     Response(mLeaving ? 503 : 200, Lines(aRequest), ""));
+      return SendAll(aFd, Response(mLeaving ? 503 : 200, Lines(aRequest), ""));
     }
     const std::string id = aRequest.Header("nutmegrock-request-id");
-    const std::string expected = aRequest.Header("nutmegrock-expected-instance");
+    const std::string expected =
+      aRequest.Header("nutmegrock-expected-instance");
     const std::string not_run = "Nutmegrock-Not-Executed: 1\r\n";
     if (id.empty()) {
       return SendAll(aFd, Response(400, Lines(aRequest) + not_run, ""));
     }
     if (!expected.empty() && expected != mSettings.mId) {
       Record::Line("backend %s refuses %s, expected %s",
-                   mSettings.mId.c_str(), id.c_str(), expected.c_str());
+                   mSettings.mId.c_str(),
+                   id.c_str(),
+                   expected.c_str());
       return SendAll(aFd, Response(421, Lines(aRequest) + not_run, ""));
     }
     Record::Line("backend %s receives %s", mSettings.mId.c_str(), id.c_str());
@@ -848,8 +859,11 @@
       mRuns.push_back({ id, aRequest.mSecond, Now(), 0, false });
     }
     Record::Line("backend %s runs %s %s %s body %zu",
-                 mSettings.mId.c_str(), id.c_str(), aRequest.mFirst.c_str(),
-                 aRequest.mSecond.c_str(), aRequest.mBody.size());
+                 mSettings.mId.c_str(),
+                 id.c_str(),
+                 aRequest.mFirst.c_str(),
+                 aRequest.mSecond.c_str(),
+                 aRequest.mBody.size());
     const double end = Now() + job.mWorkMs / 1000;
     while (Now() < end && !gone) {
       std::this_thread::sleep_for(2ms);
@@ -864,15 +878,18 @@
     mFree.notify_all();
     if (gone) {
       Record::Line("backend %s drops %s, its connection is closed",
-                   mSettings.mId.c_str(), id.c_str());
+                   mSettings.mId.c_str(),
+                   id.c_str());
       return false;
     }
-    const std::string lines = Lines(aRequest) +
-                              "Nutmegrock-Server-Seal: seal." + id + "\r\n";
-    const bool sent = SendAll(
-      aFd, Response(200, lines, std::string(job.mAnswerBytes, 'x')));
+    const std::string lines =
+      Lines(aRequest) + "Nutmegrock-Server-Seal: seal." + id + "\r\n";
+    const bool sent =
+      SendAll(aFd, Response(200, lines, std::string(job.mAnswerBytes, 'x')));
     Record::Line("backend %s has run %s, answer %s",
-                 mSettings.mId.c_str(), id.c_str(), sent ? "sent" : "not taken");
+                 mSettings.mId.c_str(),
+                 id.c_str(),
+                 sent ? "sent" : "not taken");
     return sent;
   }
 
@@ -924,13 +941,15 @@
                  "store: \"http://%s\"\nbounds:\n  drain_ms: 2000\n"
                  "  stop_s: 6\n  retry_ratio: 0.2\n  retry_extra: 49\n"
                  "  retry_window_s: 10\n",
-                 mMachine.mService.c_str(), mMachine.mZone.c_str(),
+                 mMachine.mService.c_str(),
+                 mMachine.mZone.c_str(),
                  mMachine.App().Text().c_str(),
                  mMachine.Outbound().Text().c_str(),
                  mMachine.Inbound().Text().c_str(),
                  mMachine.Ready().Text().c_str(),
                  mMachine.Control().Text().c_str(),
-                 mMachine.Peer().Text().c_str(), mMachine.mIp.c_str(),
+                 mMachine.Peer().Text().c_str(),
+                 mMachine.mIp.c_str(),
                  mMachine.mStore.c_str());
     std::fclose(file);
   }
@@ -941,13 +960,16 @@
     mPid = fork();
     if (mPid == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);
-      const int out =
-        open(mLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      const int out = open(mLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(out, 1);
       dup2(out, 2);
       setenv("NUTMEGROCK_BOOT", mSettings.c_str(), 1);
-      execl("target/nutmegrock", "target/nutmegrock", "gateway", "--settings",
-            mSettings.c_str(), nullptr);
+      execl("target/nutmegrock",
+            "target/nutmegrock",
+            "gateway",
+            "--settings",
+            mSettings.c_str(),
+            nullptr);
       std::_Exit(127);
     }
     Children().push_back(mPid);
@@ -972,10 +994,12 @@
     mPid = 0;
     mStatus = status;
     if (WIFSIGNALED(status)) {
-      Record::Line("node %s has ended by signal %d", mMachine.mIp.c_str(),
+      Record::Line("node %s has ended by signal %d",
+                   mMachine.mIp.c_str(),
                    WTERMSIG(status));
     } else {
-      Record::Line("node %s has ended with exit code %d", mMachine.mIp.c_str(),
+      Record::Line("node %s has ended with exit code %d",
+                   mMachine.mIp.c_str(),
                    WEXITSTATUS(status));
     }
     return true;
@@ -984,8 +1008,9 @@
 
   bool IsReady() const
   {
-    return Ask(mMachine.Ready(), "GET /ready HTTP/1.1\r\nHost: r\r\n\r\n", 0.5) ==
-           200;
+    return Ask(mMachine.Ready(),
+               "GET /ready HTTP/1.1\r\nHost: r\r\n\r\n",
+               0.5) == 200;
   }
 
   const Machine& MachineOf() const { return mMachine; }
@@ -1027,7 +1052,10 @@
                      const std::string& aZone,
                      const std::string& aStore = "")
   {
-    return { mNet + std::to_string(++mCount), aService, aZone, mPort,
+    return { mNet + std::to_string(++mCount),
+             aService,
+             aZone,
+             mPort,
              aStore.empty() ? StoreAddress().Text() : aStore };
   }
 
@@ -1054,11 +1082,12 @@
            const std::vector<std::string>& aServices,
            const std::vector<RouteText>& aRoutes)
 {
-  std::string text = "{\"version\":\"r" + std::to_string(aVersion) +
-                     "\",\"services\":[";
+  std::string text =
+    "{\"version\":\"r" + std::to_string(aVersion) + "\",\"services\":[";
   for (std::size_t i = 0; i < aServices.size(); ++i) {
-    text += std::string(i == 0 ? "" : ",") + R"({"name":")" + aServices[i] +
-            R"(","healthPath":"/health","maxConnections":600,"protocol":"h1","tls":false})";
+    text +=
+      std::string(i == 0 ? "" : ",") + R"({"name":")" + aServices[i] +
+      R"(","healthPath":"/health","maxConnections":600,"protocol":"h1","tls":false})";
   }
   text += R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,)"
           R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},"hosts":[)";
@@ -1113,10 +1142,7 @@
   std::vector<std::unique_ptr<Node>> mNodes;
   std::vector<std::unique_ptr<Backend>> mBackends;
 
-  Deployment()
-  {
-    mStore = std::make_unique<Store>(mGround.StoreAddress());
-  }
+  Deployment() { mStore = std::make_unique<Store>(mGround.StoreAddress()); }
 
   /// Starts a machine; returns its index.
   std::size_t Add(const std::string& aService,
@@ -1157,10 +1183,11 @@
             const std::string& aBody = "",
             const std::string& aLines = "")
 {
-  std::string text = aMethod + " " + aPath + " HTTP/1.1\r\nHost: " + aHost +
-                     "\r\nNutmegrock-Request-Id: " + aId +
-                     "\r\nNutmegrock-Deadline-Ms: " +
-                     std::to_string(aDeadlineMs) + "\r\n" + aLines;
+  std::string text =
+    aMethod + " " + aPath + " HTTP/1.1\r\nHost: " + aHost +
+    "\r\nNutmegrock-Request-Id: " + aId +
+    "\r\nNutmegrock-Deadline-Ms: " + std::to_string(aDeadlineMs) + "\r\n" +
+    aLines;
   if (aMethod == "POST") {
     text += "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
   }
