--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -85,6 +85,7 @@
   int served = 0;
   while (Now() < from + 4) {
     const std::string id = "q-" + std::to_string(++number);
+    Record::Line("client sends %s", id.c_str());
     const int got = Ask(all.Outbound(0), Text(id), 6);
     served += got == 200 ? 1 : 0;
     Record::Line("client gets %s: %d", id.c_str(), got);
