--- a/tests/adapter/NoticesTest.cpp
+++ b/tests/adapter/NoticesTest.cpp
@@ -89,3 +89,28 @@
     CHECK(notice.error().mKind == wrong.mKind);
   }
 }
+
+// Guards against one notice of another writer ending the process: an exception
+// from decoding its target reached the event loop.
+TEST_CASE("a notice whose target cannot be decoded is refused")
+{
+  for (const std::string id :
+       { "i-caf\xe9", "%zz", "%", "%4", "i%", "\xff\xfe", "%G0" }) {
+    for (const std::string call :
+         { "instances.heartbeat", "instances.deregister" }) {
+      const std::string target = "/rpc?call=" + call + "&of=" + id;
+      CAPTURE(target);
+      core::Expected<gateway::ServerNotice> notice = LeaveNotice{};
+      CHECK_NOTHROW(notice = DecodeNotice({ "POST", target, kBody }));
+      REQUIRE(!notice.has_value());
+      CHECK(notice.error().mKind == core::ErrorKind::BadRequest);
+    }
+  }
+  CHECK(
+    DecodeNotice({ "POST", "/rpc?call=%zz&of=i-7f", kBody }).error().mKind ==
+    core::ErrorKind::BadRequest);
+  // Values that no notice uses are not decoded.
+  CHECK(DecodeNotice({ "POST", kTarget + "&other=%zz", kBody }).has_value());
+  CHECK(std::get<LeaveNotice>(*DecodeNotice({ "POST", kLeave + "%2Fa", "" })) ==
+        LeaveNotice{ "i-7f/a", 0 });
+}
