Notice silent connections to the store within two seconds

What callers saw: the open connections to the store go silent, new ones work.

Cause: the client of the watch had one timeout of 26.5 s, whatever time the call asked the store to wait. The design relied on random waits of 5 to 25 s, one of which ends soon in a large mesh; with that timeout none ended, and with few nodes the spread is too wide for the 3 s after which nodes count as in touch.

Why this works: a watch fails 0.8 s after its wait, and the next uses a new connection. The wait follows the node's rank among the members: 0.7 s for the first two, three times as long for each further two, at most 25 s. So two nodes notice a silent connection within 1.75 s with the backoff, and the others pull the version from them. The calls per second stay bounded: computed 4.8 for 18 nodes, 173 for 3,800 (253 before). The operator's document is read on the connection of the watch, which is checked.

--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -420,6 +420,7 @@
   mCandidateUpdater->Apply(*aView, core::Clock::now(), WallClockMs());
   mAllowance.SetNodes(aView->Alive());
   mServices = aView->mByService.size();
+  mRouteSync->SetRank(aView->RankOf(mSelf));
   // One node of each service writes the costs. While views differ two nodes may
   // write, which the store's versions make safe.
   const auto& siblings = aView->OfService(mSettings.mService);
--- a/src/nutmegrock/membership/MemberView.cpp
+++ b/src/nutmegrock/membership/MemberView.cpp
@@ -3,6 +3,7 @@
 #include "membership/MemberTable.h"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace nutmegrock::membership {
 
@@ -37,8 +38,8 @@
   return found == mByService.end() ? sNone : found->second;
 }
 
-MemberPtr
-MemberView::Find(core::Incarnation aIncarnation) const
+std::size_t
+MemberView::RankOf(core::Incarnation aIncarnation) const
 {
   const auto found =
     std::lower_bound(mMembers.begin(),
@@ -47,6 +48,14 @@
                      [](const MemberPtr& aMember, core::Incarnation aKey) {
                        return aMember->mIncarnation < aKey;
                      });
+  return static_cast<std::size_t>(found - mMembers.begin());
+}
+
+MemberPtr
+MemberView::Find(core::Incarnation aIncarnation) const
+{
+  const auto found =
+    mMembers.begin() + static_cast<std::ptrdiff_t>(RankOf(aIncarnation));
   const bool hit =
     found != mMembers.end() && (*found)->mIncarnation == aIncarnation;
   return hit ? *found : nullptr;
--- a/src/nutmegrock/membership/MemberView.h
+++ b/src/nutmegrock/membership/MemberView.h
@@ -2,6 +2,7 @@
 
 #include "membership/Member.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -32,6 +33,8 @@
   std::size_t Alive() const { return mMembers.size(); }
   /// The members of a service; empty if there are none.
   const std::vector<MemberPtr>& OfService(std::string_view aService) const;
+  /// Number of members with a lower incarnation.
+  std::size_t RankOf(core::Incarnation aIncarnation) const;
   /// The member with an incarnation, or null.
   MemberPtr Find(core::Incarnation aIncarnation) const;
 };
--- a/src/nutmegrock/routes/RouteStore.h
+++ b/src/nutmegrock/routes/RouteStore.h
@@ -34,7 +34,9 @@
 
   virtual core::Expected<StoredRoutes> Read() = 0;
   /// Waits up to aWait for a change after the cursor. Returns the newest
-  /// document, or an empty one if there was no change.
+  /// document, or an empty one if there was no change. Fails soon after aWait
+  /// when no response has arrived, since the connection may have gone silent;
+  /// the next call then uses a new connection.
   virtual core::Expected<StoredRoutes> WaitForChange(
     std::uint64_t aCursor,
     std::chrono::milliseconds aWait) = 0;
--- a/src/nutmegrock/routes/RouteSync.cpp
+++ b/src/nutmegrock/routes/RouteSync.cpp
@@ -1,5 +1,7 @@
 #include "routes/RouteSync.h"
 
+#include "routes/WatchWait.h"
+
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
 #include <utility>
@@ -10,11 +12,9 @@
 
 using std::chrono::milliseconds;
 
-/// How long one call to the store waits for a change. Also the time after which
-/// a silent connection is noticed; meanwhile changes arrive from other nodes,
-/// one of which notices soon, as each waits for another time.
-constexpr milliseconds kMinWatchTimeout{ 5'000 };
-constexpr milliseconds kMaxWatchTimeout{ 25'000 };
+/// Minimum share of WatchWait() that a watch waits; at random, so that the
+/// nodes do not call the store at the same moments.
+constexpr double kMinWaitShare = 0.8;
 /// Maximum delay between a change and the next watch, so that changes in quick
 /// succession take one call. A node that hears of changes only from the store
 /// puts the newest in force within this time and a round trip.
@@ -125,12 +125,6 @@
     aLeast.count(), aMost.count())(mRandom));
 }
 
-milliseconds
-RouteSync::WatchTimeout()
-{
-  return Between(kMinWatchTimeout, kMaxWatchTimeout);
-}
-
 void
 RouteSync::Run()
 {
@@ -154,8 +148,12 @@
 bool
 RouteSync::RunOnce()
 {
-  auto stored = mCursor == 0 ? mStore->Read()
-                             : mStore->WaitForChange(mCursor, WatchTimeout());
+  const milliseconds wait = WatchWait(mRank);
+  const auto min_wait =
+    std::chrono::duration_cast<milliseconds>(wait * kMinWaitShare);
+  auto stored = mCursor == 0
+                  ? mStore->Read()
+                  : mStore->WaitForChange(mCursor, Between(min_wait, wait));
   if (!stored && stored.error().mKind == core::ErrorKind::NotFound) {
     mHooks.mLog(fmt::format("event=store_history_gone cursor={}", mCursor));
     mCursor = 0;
--- a/src/nutmegrock/routes/RouteSync.h
+++ b/src/nutmegrock/routes/RouteSync.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -49,6 +50,9 @@
 
   /// Reads from the store immediately.
   void Start();
+  /// Sets the rank of this node among all members, which decides how long its
+  /// next watch waits at the store; see WatchWait().
+  void SetRank(std::size_t aRank) { mRank = aRank; }
   /// Reports that a node has this version in force. Does not block; cheap
   /// unless the version is higher than this node's.
   void OnVersionSeen(const core::Address& aFrom, std::uint64_t aVersion);
@@ -60,6 +64,10 @@
 private:
   struct Shared;
 
+  /// Rank until the members are known, so that many nodes that start together
+  /// do not all watch like the first.
+  static constexpr std::size_t kInitialRank = 2;
+
   void Run();
   /// Returns false when the store failed.
   bool RunOnce();
@@ -67,7 +75,6 @@
   /// A random time in this range.
   std::chrono::milliseconds Between(std::chrono::milliseconds aLeast,
                                     std::chrono::milliseconds aMost);
-  std::chrono::milliseconds WatchTimeout();
 
   const std::shared_ptr<RouteStore> mStore;
   const Hooks mHooks;
@@ -77,6 +84,7 @@
   std::uint64_t mCursor = 0;
   std::mt19937_64 mRandom{ std::random_device{}() };
   std::atomic<bool> mStoreReachable{ false };
+  std::atomic<std::size_t> mRank{ kInitialRank };
   std::mutex mMutex;
   std::condition_variable mWake;
   bool mStopping = false;
--- a/src/nutmegrock/store/http/StoreClient.cpp
+++ b/src/nutmegrock/store/http/StoreClient.cpp
@@ -133,10 +133,10 @@
             core::Fail(core::ErrorKind::StoreUnavailable, exception.what()));
         }
       });
-    if (future.wait_for(mSettings.mTimeout) != std::future_status::ready) {
+    const auto timeout = aRequest.mTimeout.value_or(mSettings.mTimeout);
+    if (future.wait_for(timeout) != std::future_status::ready) {
       cancellation.cancel();
-      return failed(
-        fmt::format("no response within {} ms", mSettings.mTimeout.count()));
+      return failed(fmt::format("no response within {} ms", timeout.count()));
     }
     auto response = future.get();
     return response ? std::move(response) : failed(response.error().mMessage);
--- a/src/nutmegrock/store/http/StoreClient.h
+++ b/src/nutmegrock/store/http/StoreClient.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace web::http::client {
@@ -45,13 +46,16 @@
     std::map<std::string, std::string> mHeaders;
     std::string mBody;
     std::string mContentType = "application/octet-stream";
+    /// Replaces the timeout of the settings, which it must not exceed.
+    std::optional<std::chrono::milliseconds> mTimeout = std::nullopt;
   };
 
   /// Fails with InvalidSettings when the URL is not "http://IP:PORT".
   static core::Expected<StoreClient> Make(const StoreSettings& aSettings);
 
   /// Returns the response, or StoreUnavailable when it did not arrive
-  /// completely in time. Requests other than GET are sent at most once.
+  /// completely in time; the connection is then closed. Requests other than GET
+  /// are sent at most once.
   core::Expected<Response> Send(const Request& aRequest) const;
 
 private:
--- a/tests/adapter/RowStoreTest.cpp
+++ b/tests/adapter/RowStoreTest.cpp
@@ -1,4 +1,6 @@
 #include "platform/RowStore.h"
+#include "core/Time.h"
+#include "routes/RouteSync.h"
 #include "tests/store/ScriptedServer.h"
 
 #include <doctest/doctest.h>
@@ -23,6 +25,29 @@
   R"({"table":"op","part":"","key":"config","value":"cm91dGVz","ver":412}],)"
   R"("hasMore":false,"ver":530,"nowMs":51230})";
 
+/// A row with the document "N" in base64.
+std::string
+RowsOf(const std::string& aBase64, int aVersion)
+{
+  return R"({"rows":[{"table":"op","part":"","key":"config","value":")" +
+         aBase64 + R"("}],"ver":)" + std::to_string(aVersion) + "}";
+}
+
+/// Decodes "N" as version N without routes.
+core::Expected<routes::RouteSetSource>
+DecodeNumber(const std::string& aText)
+{
+  routes::RouteSetSource source;
+  source.mVersion = std::stoull(aText);
+  return source;
+}
+
+/// Accepts a request and never answers it; the connection stays open.
+const ScriptedServer::Step kSilent{ "", false };
+
+/// Time within which nodes have to have got over connections that went silent.
+constexpr std::chrono::seconds kMaxSilence{ 3 };
+
 } // namespace
 
 TEST_CASE("the operator's document is read and watched")
@@ -81,3 +106,46 @@
   CHECK(second.error().mKind == core::ErrorKind::VersionConflict);
   CHECK(store->Remove("nodes/r/1").has_value());
 }
+
+// Guards against a watch that waits half a minute for its response whatever
+// time it asked the store to wait.
+TEST_CASE("a watch on a silent connection fails soon after its wait")
+{
+  ScriptedServer server(
+    { { MakeResponse("200 OK", kRows) },
+      kSilent,
+      { MakeResponse("200 OK", R"({"rows":[],"ver":531})") } });
+  const auto store = *RowStore::Make(server.Url());
+  REQUIRE(store->Read().has_value());
+  const core::TimePoint begin = core::Clock::now();
+  const auto silent = store->WaitForChange(530, std::chrono::milliseconds(200));
+  CHECK(core::Clock::now() - begin < kMaxSilence);
+  REQUIRE(!silent.has_value());
+  CHECK(silent.error().mKind == core::ErrorKind::StoreUnavailable);
+  // The next one uses a new connection.
+  CHECK(store->WaitForChange(530, std::chrono::milliseconds(200)) ==
+        routes::StoredRoutes{ "", 531 });
+}
+
+// Guards against a new configuration that no node puts in force while the
+// connections to the store that were open are silent and new ones work.
+TEST_CASE("a change reaches the first node on a silent connection in time")
+{
+  ScriptedServer server({ { MakeResponse("200 OK", RowsOf("MQ==", 10)) },
+                          kSilent,
+                          { MakeResponse("200 OK", RowsOf("Mg==", 11)) } });
+  routes::ActiveRoutes active;
+  routes::RouteSync sync(
+    *RowStore::Make(server.Url()),
+    DecodeNumber,
+    active,
+    { [](const core::Address&, const routes::RouteSync::PullCallback&) {},
+      [](const std::string&) {} });
+  sync.SetRank(0);
+  const core::TimePoint begin = core::Clock::now();
+  sync.Start();
+  while (active.Version() < 2 && core::Clock::now() - begin < kMaxSilence) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  CHECK(active.Version() == 2);
+}
