Close a connection between nodes that has gone silent

What callers saw: nothing yet; found by reading, as the cause of the fault before on a related path. When connections between nodes go silent, requests for newer routes fail one after the other on the same connection, each after 2 s, until it has been idle for 30 s. A node that depends on others for a new configuration keeps the old one as long.

Cause: the deadline of a control request ended the request and left the connection in use.

Evidence: the new test with the close taken out: the connection is closed only as idle, and the counter of silent connections stays 0.

Why this works: a peer answers control requests at once. If no frame has arrived between the sending of one and its deadline, and no other call is in flight, the connection is closed, and the next request opens a new one. Requests for routes get 0.5 s instead of 2 s, so that one failed request and its successor fit into the time within which a configuration has to be in force.

--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -28,6 +28,9 @@
 constexpr milliseconds kSlowTickInterval{ 250 };
 constexpr milliseconds kPoolTickInterval{ 100 };
 constexpr std::chrono::seconds kControlTimeout{ 2 };
+/// Timeout of a request for another node's routes. Short, since the connection
+/// may have gone silent, and the next request uses a new one.
+constexpr milliseconds kRoutesTimeout{ 500 };
 /// Share of the platform's limit on retries that is used, so that rounding and
 /// uneven load between nodes stay within the limit.
 constexpr double kRetryRatioShare = 0.85;
@@ -309,7 +312,7 @@
                          {},
                          routes::RouteSync::kMethod,
                          {},
-                         core::Clock::now() + kControlTimeout,
+                         core::Clock::now() + kRoutesTimeout,
                          std::move(aCallback));
   };
   hooks.mLog = [](const std::string& aLine) { spdlog::info("{}", aLine); };
--- a/src/nutmegrock/transport/peer/ClientCall.h
+++ b/src/nutmegrock/transport/peer/ClientCall.h
@@ -28,6 +28,8 @@
 
   /// Call id on the connection; 0 until the frame was handed to the socket.
   std::int64_t mId = 0;
+  /// Time at which the frame was handed to the socket.
+  core::TimePoint mSentAt;
   core::TimePoint mDeadline;
   boost::asio::steady_timer mTimer;
   bool mEnded = false;
--- a/src/nutmegrock/transport/peer/PeerCounts.h
+++ b/src/nutmegrock/transport/peer/PeerCounts.h
@@ -32,6 +32,8 @@
   AuthenticationFailed,
   /// More connections than mMaxConnections.
   TooManyConnections,
+  /// No frame arrived while a control request waited until its deadline.
+  Silent,
   /// A frame for a call that has ended; dropped, the connection stays.
   LateFrame
 };
@@ -47,7 +49,7 @@
     "closed_here",          "closed_by_peer",  "connect_failed",
     "frame_too_large",      "frame_malformed", "frame_unexpected",
     "credit_exceeded",      "hello_failed",    "authentication_failed",
-    "too_many_connections", "late_frame"
+    "too_many_connections", "silent",          "late_frame"
   };
   return kNames.at(static_cast<std::size_t>(aEvent));
 }
--- a/src/nutmegrock/transport/peer/PeerLink.cpp
+++ b/src/nutmegrock/transport/peer/PeerLink.cpp
@@ -224,6 +224,7 @@
     return;
   }
   mLastUse = now;
+  aCall->mSentAt = now;
   aCall->mId = ++mLastId;
   mCalls.emplace(aCall->mId, aCall);
   if (aCall->mSender) {
@@ -235,6 +236,7 @@
 PeerLink::OnDeadline(const ClientCallPtr& aCall)
 {
   SendCancel(aCall);
+  const bool silent = IsSilent(aCall);
   Fail(aCall,
        MakeError(ErrorKind::DeadlineExceeded,
                  aCall->mId == 0
@@ -242,6 +244,19 @@
                      "sent to the peer"
                    : "no complete response from the peer before the "
                      "deadline"));
+  if (silent && mConnection) {
+    mConnection->Close(PeerEvent::Silent, "no frame from the peer in time");
+  }
+}
+
+bool
+PeerLink::IsSilent(const ClientCallPtr& aControl) const
+{
+  return !aControl->mCall && aControl->mId != 0 &&
+         mLastFrameAt < aControl->mSentAt &&
+         std::none_of(mCalls.begin(), mCalls.end(), [](const auto& aEntry) {
+           return aEntry.second->mCall.has_value();
+         });
 }
 
 void
@@ -372,6 +387,7 @@
 void
 PeerLink::OnFrame(gen::PeerFrame aFrame)
 {
+  mLastFrameAt = core::Clock::now();
   const auto& set = aFrame.payload.__isset;
   if (!set.answer && !set.chunk && !set.credit && !set.control_answer) {
     mConnection->Close(PeerEvent::FrameUnexpected,
--- a/src/nutmegrock/transport/peer/PeerLink.h
+++ b/src/nutmegrock/transport/peer/PeerLink.h
@@ -44,6 +44,10 @@
   void WriteStart(const ClientCallPtr& aCall);
   void MakeSender(const ClientCallPtr& aCall);
   void OnDeadline(const ClientCallPtr& aCall);
+  /// Returns true if the connection seems to have gone silent: the peer answers
+  /// control requests at once, but nothing has arrived since this one was sent.
+  /// False while other calls are in flight, which closing would end.
+  bool IsSilent(const ClientCallPtr& aControl) const;
   void SendCancel(const ClientCallPtr& aCall);
 
   void Connect();
@@ -77,6 +81,7 @@
   core::Duration mBackoff{ 0 };
   core::TimePoint mNextAttempt;
   core::TimePoint mLastUse;
+  core::TimePoint mLastFrameAt;
   std::int64_t mLastId = 0;
   std::unordered_map<std::int64_t, ClientCallPtr> mCalls;
   std::deque<ClientCallPtr> mPending;
--- a/tests/transport/PeerFaultTest.cpp
+++ b/tests/transport/PeerFaultTest.cpp
@@ -678,6 +678,48 @@
     CHECK(server->Counts().Of(PeerEvent::AuthenticationFailed) == 2);
   }
 
+  // Guards against requests for routes that fail one after the other while the
+  // connection they share has gone silent: only idleness closed it.
+  TEST_CASE("a silent connection is closed at the end of a control request")
+  {
+    Loop loop;
+    RawServer raw;
+    const auto client = MakePeerClient(loop);
+    Awaited<core::Expected<std::string>> first;
+    client->Control(raw.Address(),
+                    {},
+                    "pull",
+                    {},
+                    core::Clock::now() + std::chrono::milliseconds(300),
+                    [&first](auto aResult) { first.Set(std::move(aResult)); });
+    RawSocket silent = AcceptPeer(raw);
+    REQUIRE(silent.ReadFrame().has_value());
+    const auto failed = first.Get();
+    REQUIRE(failed.has_value());
+    REQUIRE_FALSE(failed->has_value());
+    CHECK(failed->error().mKind == core::ErrorKind::DeadlineExceeded);
+    CHECK(silent.WaitForClose());
+    CHECK(client->Counts().Of(PeerEvent::Silent) == 1);
+    // The next request uses a new connection.
+    Awaited<core::Expected<std::string>> second;
+    client->Control(
+      raw.Address(), {}, "pull", {}, FarDeadline(), [&second](auto aResult) {
+        second.Set(std::move(aResult));
+      });
+    RawSocket fresh = AcceptPeer(raw);
+    const auto request = fresh.ReadFrame();
+    REQUIRE(request.has_value());
+    gen::PeerFrame answer;
+    answer.call = request->call;
+    gen::ControlAnswer control;
+    control.__set_result("7");
+    answer.payload.__set_control_answer(control);
+    fresh.WriteFrame(answer);
+    const auto answered = second.Get();
+    REQUIRE(answered.has_value());
+    CHECK(*answered == std::string("7"));
+  }
+
   TEST_CASE("requests and results that do not fit into a frame are rejected")
   {
     Loop loop;
