Check a late heartbeat however long after the start of its node it arrives

What callers saw: a backend server deregisters and is acknowledged; its node is killed and starts again; a heartbeat sent before the leave arrives 1.9 s after that start.

Cause: after a start, a first heartbeat is to be confirmed by a health check, but the three checks were counted from the start of the process, at 0.4 s, whether a heartbeat had come or not. After 1.2 s none was left. Two more ways to the same end: the server was used until the check had contradicted the heartbeat, and a second late heartbeat ended the doubt.

The new test with the checks counted from the start as before: not checked and used for delays of 1.3 s and more.

Why this works: LocalServer decides when a check is due. Within 10 s after the start of the node a heartbeat is not used until a check confirms its server; each such announcement has checks of its own, and one that is contradicted is not used. If no check has a result, the server is used 2 s after the last one. A check that names another server than the heartbeat replaces it.

One test changed: "a first heartbeat that a health check contradicts is not used" allowed work before the check had its result and after any second heartbeat. It now forbids both within the 10 s, and still demands that later heartbeats count whatever the health check says.

--- a/src/nutmegrock/announce/LocalServer.cpp
+++ b/src/nutmegrock/announce/LocalServer.cpp
@@ -52,6 +52,44 @@
          aAnnouncement.mSequence < mLatest->mSequence;
 }
 
+bool
+LocalServer::IsKnownRun(const Announcement& aAnnouncement) const
+{
+  return mLatest && mLatest->mId == aAnnouncement.mId &&
+         (mLatest->mStartedMs == 0 ||
+          mLatest->mStartedMs == aAnnouncement.mStartedMs);
+}
+
+LocalServer::Confirmation
+LocalServer::ConfirmationAfter(core::TimePoint aNow,
+                               const Announcement& aAnnouncement) const
+{
+  if (IsKnownRun(aAnnouncement) &&
+      (mConfirmation == Confirmation::Confirmed ||
+       mLatest->mSequence == aAnnouncement.mSequence)) {
+    // A repeated heartbeat tells nothing new.
+    return mConfirmation;
+  }
+  return aNow - mSettings.mNodeStart < mSettings.mMaxHeartbeatDelay
+           ? Confirmation::Pending
+           : Confirmation::Confirmed;
+}
+
+bool
+LocalServer::IsUsable(core::TimePoint aNow) const
+{
+  switch (mConfirmation) {
+    case Confirmation::Confirmed:
+      return true;
+    case Confirmation::Rejected:
+      return false;
+    case Confirmation::Pending:
+      break;
+  }
+  return mChecks >= mSettings.mMaxChecks &&
+         aNow - mCheckedAt >= mSettings.mCheckTimeout;
+}
+
 core::Expected<bool>
 LocalServer::OnHeartbeat(core::TimePoint aNow,
                          const Announcement& aAnnouncement)
@@ -83,10 +121,12 @@
   const bool same_run = mLatest && mLatest->mId == aAnnouncement.mId &&
                         mLatest->mStartedMs == aAnnouncement.mStartedMs;
   const bool was_leaving = same_run && mLeavingSince.has_value();
-  const bool repeated =
-    same_run && mLatest->mSequence == aAnnouncement.mSequence;
-  mUnconfirmed = !mLatest || (mUnconfirmed && repeated);
-  mDoubted = mDoubted && mUnconfirmed;
+  const Confirmation confirmation = ConfirmationAfter(aNow, aAnnouncement);
+  if (confirmation == Confirmation::Pending &&
+      (mConfirmation != Confirmation::Pending || !IsKnownRun(aAnnouncement))) {
+    mChecks = 0;
+  }
+  mConfirmation = confirmation;
   mLatest = aAnnouncement;
   mLastHeartbeatAt = aNow;
   if (aAnnouncement.mDraining) {
@@ -129,11 +169,13 @@
                        const std::string& aId,
                        std::uint32_t aSlots)
 {
+  const ServerPhase before = Phase(aNow);
   if (mLatest && mLatest->mId == aId) {
-    mUnconfirmed = false;
-    return std::exchange(mDoubted, false);
+    mConfirmation = Confirmation::Confirmed;
+    return Phase(aNow) != before;
   }
-  if (mLatest || aId.empty() || aSlots == 0 || mDeparted.count(aId) > 0) {
+  if ((mLatest && mConfirmation == Confirmation::Confirmed) || aId.empty() ||
+      aSlots == 0 || mDeparted.count(aId) > 0) {
     return false;
   }
   Announcement announcement;
@@ -143,34 +185,47 @@
   announcement.mSlots = aSlots;
   mLatest = std::move(announcement);
   mLastHeartbeatAt = aNow;
+  mLeavingSince.reset();
+  mConfirmation = Confirmation::Confirmed;
   return true;
 }
 
 bool
 LocalServer::OnUnhealthy()
 {
-  if (!mUnconfirmed || mLeavingSince) {
+  if (!mLatest || mConfirmation != Confirmation::Pending || mLeavingSince) {
     return false;
   }
-  return !std::exchange(mDoubted, true);
+  mConfirmation = Confirmation::Rejected;
+  return true;
 }
 
 bool
-LocalServer::NeedsCheck() const
+LocalServer::NeedsCheck(core::TimePoint aNow) const
 {
-  return !mLatest || (mUnconfirmed && !mDoubted);
+  return mConfirmation == Confirmation::Pending && !mLeavingSince &&
+         mChecks < mSettings.mMaxChecks &&
+         aNow - mCheckedAt >= mSettings.mCheckInterval;
+}
+
+void
+LocalServer::OnCheckSent(core::TimePoint aNow)
+{
+  ++mChecks;
+  mCheckedAt = aNow;
 }
 
 ServerPhase
 LocalServer::Phase(core::TimePoint aNow) const
 {
-  if (!mLatest || mDoubted) {
+  if (!mLatest) {
     return ServerPhase::Absent;
   }
   if (mLeavingSince) {
     return ServerPhase::Leaving;
   }
-  return aNow - mLastHeartbeatAt > mSettings.mHeartbeatLifetime
+  return !IsUsable(aNow) ||
+             aNow - mLastHeartbeatAt > mSettings.mHeartbeatLifetime
            ? ServerPhase::Absent
            : ServerPhase::Serving;
 }
@@ -186,7 +241,7 @@
     case ServerPhase::Leaving:
       break;
   }
-  return aNow - *mLeavingSince < mSettings.mLeaveGracePeriod;
+  return IsUsable(aNow) && aNow - *mLeavingSince < mSettings.mLeaveGracePeriod;
 }
 
 } // namespace nutmegrock::announce
--- a/src/nutmegrock/announce/LocalServer.h
+++ b/src/nutmegrock/announce/LocalServer.h
@@ -14,7 +14,8 @@
 /// Readiness of the local backend server.
 enum class ServerPhase : std::uint8_t
 {
-  /// No server has announced itself, or its heartbeats have stopped.
+  /// No server has announced itself, its heartbeats have stopped, or its only
+  /// announcement is not confirmed.
   Absent,
   Serving,
   /// The server has announced that it leaves; accepted work finishes.
@@ -38,6 +39,18 @@
   /// The server counts as absent when heartbeats are missing for this long.
   /// Failing requests reveal a crash sooner.
   core::Duration mHeartbeatLifetime = std::chrono::seconds{ 12 };
+  /// Start of this node. A server whose leave an earlier process of the node
+  /// has acknowledged is not known to this one.
+  core::TimePoint mNodeStart;
+  /// Maximum time for which a heartbeat is in transit. One that arrives sooner
+  /// after mNodeStart may be of a server that has left, and needs a check.
+  core::Duration mMaxHeartbeatDelay = std::chrono::seconds{ 10 };
+  /// Health checks for each announcement, and the interval between them.
+  std::uint32_t mMaxChecks = 3;
+  core::Duration mCheckInterval = std::chrono::milliseconds{ 400 };
+  /// Time after the last of them after which an announcement is used although
+  /// no check has had a result.
+  core::Duration mCheckTimeout = std::chrono::seconds{ 2 };
 };
 
 /// What the node knows about its local backend server from heartbeats, leaves
@@ -63,20 +76,21 @@
 
   /// A health check of the server at the address succeeded. A node that has
   /// just started identifies the server this way before its next heartbeat.
-  /// After the first heartbeat it only confirms that one. Returns true if the
-  /// phase changed.
+  /// Confirms that server; one that is confirmed already is not replaced by
+  /// another. Returns true if the phase or identity changed.
   bool OnHealthy(core::TimePoint aNow,
                  const std::string& aId,
                  std::uint32_t aSlots);
 
-  /// A health check found the server leaving or failing. After a start of the
-  /// node its only heartbeat so far may be a late one of a server that has left
-  /// since, so the server counts as absent until the next heartbeat. Returns
-  /// true if the phase changed.
+  /// A health check found the server leaving or failing. An announcement that
+  /// waits for a check is then not used; the next one is checked again. Returns
+  /// true if such an announcement was rejected.
   bool OnUnhealthy();
-  /// Returns true if a health check can tell something: no server is known, or
-  /// only from one heartbeat, which may be late.
-  bool NeedsCheck() const;
+  /// Returns true if a health check is due: no server is known, or its
+  /// announcement needs to be confirmed.
+  bool NeedsCheck(core::TimePoint aNow) const;
+  /// Records that a health check was sent, or cannot be sent to this server.
+  void OnCheckSent(core::TimePoint aNow);
 
   ServerPhase Phase(core::TimePoint aNow) const;
   /// Returns true if the server may start work: it is serving, or has been
@@ -86,17 +100,36 @@
   const std::optional<Announcement>& Latest() const { return mLatest; }
 
 private:
+  /// Whether the latest announcement is known to be of a server that is in
+  /// operation.
+  enum class Confirmation : std::uint8_t
+  {
+    /// It arrived soon after the start of the node, and no health check has had
+    /// a result yet.
+    Pending,
+    /// A health check contradicted it.
+    Rejected,
+    Confirmed
+  };
+
   bool IsStale(const Announcement& aAnnouncement) const;
+  /// Returns true if the announcement is of the known run of a server. A health
+  /// check does not tell when the server started.
+  bool IsKnownRun(const Announcement& aAnnouncement) const;
+  /// Returns the confirmation after a heartbeat of the known or another run.
+  Confirmation ConfirmationAfter(core::TimePoint aNow,
+                                 const Announcement& aAnnouncement) const;
+  /// Returns true if the latest announcement may be used.
+  bool IsUsable(core::TimePoint aNow) const;
 
   const LocalServerSettings mSettings;
   std::optional<Announcement> mLatest;
   core::TimePoint mLastHeartbeatAt;
   std::optional<core::TimePoint> mLeavingSince;
-  /// The server is known from one heartbeat only, and no health check has
-  /// succeeded.
-  bool mUnconfirmed = false;
-  /// A health check contradicts that heartbeat.
-  bool mDoubted = false;
+  Confirmation mConfirmation = Confirmation::Pending;
+  /// Health checks sent for mLatest, or before anything was known.
+  std::uint32_t mChecks = 0;
+  core::TimePoint mCheckedAt;
   /// Identities that have left, each with its latest known start time.
   std::map<std::string, std::int64_t> mDeparted;
 };
--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -39,10 +39,6 @@
 constexpr double kRetryExtraShare = 0.4;
 /// Share of the drain time during which requests in transit still start.
 constexpr double kDrainShare = 0.4;
-/// Maximum number of health checks after a start; after that a heartbeat is due
-/// anyway.
-constexpr std::uint32_t kMaxProbes = 3;
-constexpr milliseconds kProbeInterval{ 400 };
 /// Time after which a health check without a complete response is cancelled.
 constexpr milliseconds kProbeTimeout{ 2'000 };
 /// Threads for the store client; at most three calls run concurrently.
@@ -181,6 +177,7 @@
   serving.mZone = mSettings.mAvailabilityZone;
   serving.mServer.mService = mSettings.mService;
   serving.mServer.mAddress = mSettings.mBackendServer;
+  serving.mServer.mNodeStart = core::Clock::now();
   serving.mServer.mLeaveGracePeriod =
     std::chrono::duration_cast<core::Duration>(mSettings.mBounds.mDrain *
                                                kDrainShare);
@@ -517,7 +514,8 @@
 }
 
 // A node restarted next to a running server identifies it within a round trip
-// instead of waiting for a heartbeat.
+// instead of waiting for a heartbeat. A heartbeat soon after the start may be a
+// late one, and is confirmed in the same way.
 void
 GatewayRuntime::Components::ProbeServer(core::TimePoint aNow)
 {
@@ -525,14 +523,13 @@
     mProbe.reset();
   }
   const routes::RouteSetPtr routes = mRoutes.Current();
-  if (!mServing->Server().NeedsCheck() || mStopping || !routes ||
-      mProbeCount >= kMaxProbes || aNow - mProbedAt < kProbeInterval) {
+  if (mStopping || !routes || !mServing->Server().NeedsCheck(aNow)) {
     return;
   }
+  mServing->OnCheckSent(aNow);
   for (const routes::RouteService& service : routes->Services()) {
     if (service.mName == mSettings.mService && !service.mHealthPath.empty()) {
       mProbedAt = aNow;
-      ++mProbeCount;
       mProbe = ServerProbe::Send(
         *mPool,
         mSettings.mBackendServer,
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -133,7 +133,6 @@
   bool mSavesCosts = false;
   std::shared_ptr<ServerProbe> mProbe;
   core::TimePoint mProbedAt;
-  std::uint32_t mProbeCount = 0;
   /// Empty until the signal to stop.
   std::optional<StopSequence> mStopping;
   /// True if other nodes have been notified that this one stops.
--- a/tests/announce/LocalServerTest.cpp
+++ b/tests/announce/LocalServerTest.cpp
@@ -11,15 +11,32 @@
 const core::Address kAddress{ "10.0.0.1", 8300 };
 const core::TimePoint kStart{ std::chrono::hours(1) };
 
+/// The state of a node that has run for a long time, or that started at a time.
 LocalServer
-MakeServer()
+MakeServer(core::TimePoint aNodeStart = {})
 {
   LocalServerSettings settings;
   settings.mService = "till";
   settings.mAddress = kAddress;
+  settings.mNodeStart = aNodeStart;
   return LocalServer(settings);
 }
 
+/// Sends the health checks that are due until a time, without a result. Returns
+/// their number.
+int
+SendChecks(LocalServer& aServer, core::TimePoint aBegin, core::TimePoint aEnd)
+{
+  int checks = 0;
+  for (core::TimePoint now = aBegin; now < aEnd; now += milliseconds(20)) {
+    if (aServer.NeedsCheck(now)) {
+      aServer.OnCheckSent(now);
+      ++checks;
+    }
+  }
+  return checks;
+}
+
 Announcement
 MakeHeartbeat(const std::string& aId,
               std::int64_t aStarted,
@@ -107,37 +124,100 @@
 }
 
 // Guards against a server that has left and is used again after its node was
-// restarted: its last heartbeat can arrive seconds late, and nothing else is
+// restarted: its last heartbeats can arrive seconds late, and nothing else is
 // known.
 TEST_CASE("a first heartbeat that a health check contradicts is not used")
 {
-  LocalServer server = MakeServer();
-  CHECK(server.NeedsCheck());
+  LocalServer server = MakeServer(kStart);
+  CHECK(server.NeedsCheck(kStart));
   REQUIRE(server.OnHeartbeat(kStart, MakeHeartbeat("a", 100, 5)));
-  CHECK(server.CanStartWork(kStart));
-  CHECK(server.NeedsCheck());
+  // Not used before the check has had its result either.
+  CHECK(!server.CanStartWork(kStart));
+  CHECK(server.NeedsCheck(kStart));
   CHECK(server.OnUnhealthy());
   CHECK(!server.CanStartWork(kStart));
   CHECK(server.Phase(kStart) == ServerPhase::Absent);
   // The same heartbeat, sent again, tells nothing new.
   CHECK(server.OnHeartbeat(kStart, MakeHeartbeat("a", 100, 5)).has_value());
   CHECK(!server.CanStartWork(kStart));
-  CHECK(!server.NeedsCheck());
-  // A server that lives sends another one, whatever its health check says.
-  CHECK(server.OnHeartbeat(kStart, MakeHeartbeat("a", 100, 6)).value());
-  CHECK(server.CanStartWork(kStart));
+  CHECK(!server.NeedsCheck(kStart));
+  // Another one may be late, too, and is checked.
+  CHECK(server.OnHeartbeat(kStart, MakeHeartbeat("a", 100, 6)).has_value());
+  CHECK(!server.CanStartWork(kStart));
+  CHECK(server.NeedsCheck(kStart));
+  CHECK(server.OnUnhealthy());
+  // A server that lives sends others, whatever its health check says.
+  const core::TimePoint later = kStart + std::chrono::seconds(11);
+  CHECK(server.OnHeartbeat(later, MakeHeartbeat("a", 100, 7)).value());
+  CHECK(server.CanStartWork(later));
   CHECK(!server.OnUnhealthy());
-  CHECK(server.CanStartWork(kStart));
+  CHECK(server.CanStartWork(later));
+}
+
+// Guards against a late heartbeat that is taken unchecked because the checks of
+// the node's start were used up before it arrived.
+TEST_CASE("a late heartbeat is checked however long after the start it comes")
+{
+  for (const milliseconds delay : { milliseconds(0),
+                                    milliseconds(1'300),
+                                    milliseconds(1'900),
+                                    milliseconds(5'000),
+                                    milliseconds(9'000) }) {
+    CAPTURE(delay.count());
+    LocalServer server = MakeServer(kStart);
+    const core::TimePoint arrival = kStart + delay;
+    const int before = SendChecks(server, kStart, arrival);
+    CHECK(before <= 3);
+    REQUIRE(server.OnHeartbeat(arrival, MakeHeartbeat("a", 100, 5)));
+    CHECK(!server.CanStartWork(arrival));
+    CHECK(SendChecks(server, arrival, arrival + milliseconds(400)) == 1);
+    CHECK(server.OnUnhealthy());
+    CHECK(server.Phase(arrival + std::chrono::seconds(3)) ==
+          ServerPhase::Absent);
+  }
+}
+
+TEST_CASE("a server that answers no health check is used after some seconds")
+{
+  LocalServer server = MakeServer(kStart);
+  CHECK(SendChecks(server, kStart, kStart + std::chrono::seconds(4)) == 3);
+  const core::TimePoint arrival = kStart + std::chrono::seconds(4);
+  REQUIRE(server.OnHeartbeat(arrival, MakeHeartbeat("a", 100, 5)));
+  // A further heartbeat does not start its checks anew.
+  CHECK(SendChecks(server, arrival, arrival + milliseconds(700)) == 2);
+  CHECK(server.OnHeartbeat(arrival + milliseconds(700),
+                           MakeHeartbeat("a", 100, 6)));
+  CHECK(SendChecks(server,
+                   arrival + milliseconds(700),
+                   arrival + std::chrono::seconds(3)) == 1);
+  CHECK(!server.CanStartWork(arrival + milliseconds(2'700)));
+  CHECK(server.CanStartWork(arrival + milliseconds(2'900)));
 }
 
 TEST_CASE("a health check confirms the first heartbeat")
 {
-  LocalServer server = MakeServer();
+  LocalServer server = MakeServer(kStart);
   REQUIRE(server.OnHeartbeat(kStart, MakeHeartbeat("a", 100, 5)));
-  CHECK(!server.OnHealthy(kStart, "a", 10));
-  CHECK(!server.NeedsCheck());
+  CHECK(server.OnHealthy(kStart, "a", 10));
+  CHECK(!server.NeedsCheck(kStart));
   CHECK(!server.OnUnhealthy());
   CHECK(server.CanStartWork(kStart));
+  // Also those that follow.
+  CHECK(server.OnHeartbeat(kStart, MakeHeartbeat("a", 100, 6)).has_value());
+  CHECK(server.CanStartWork(kStart));
+}
+
+// Guards against a late heartbeat of a predecessor at the same address, after
+// which the server that is there gets requests meant for the other.
+TEST_CASE("a health check tells which server is at the address")
+{
+  LocalServer server = MakeServer(kStart);
+  CHECK(server.OnHealthy(kStart, "new", 10));
+  REQUIRE(server.OnHeartbeat(kStart, MakeHeartbeat("old", 100, 9)));
+  CHECK(!server.CanStartWork(kStart));
+  CHECK(server.OnHealthy(kStart, "new", 10));
+  CHECK(server.CanStartWork(kStart));
+  CHECK(server.Latest()->mId == "new");
 }
 
 TEST_CASE("a health check counts until the first heartbeat")
