--- a/tests/adapter/NoticesTest.cpp
+++ b/tests/adapter/NoticesTest.cpp
@@ -114,3 +114,20 @@
   CHECK(std::get<LeaveNotice>(*DecodeNotice({ "POST", kLeave + "%2Fa", "" })) ==
         LeaveNotice{ "i-7f/a", 0 });
 }
+
+// Guards against header lines of another writer's choice in requests to the
+// backend server: the identity of a notice is sent in a header.
+TEST_CASE("an identity that cannot be sent in a header is refused")
+{
+  for (const std::string id :
+       { "a%0d%0aNutmegrock-Request-Id:%201", "a%0a", "a%00", "a%7f" }) {
+    CAPTURE(id);
+    const auto notice =
+      DecodeNotice({ "POST", "/rpc?call=instances.heartbeat&of=" + id, kBody });
+    REQUIRE(!notice.has_value());
+    CHECK(notice.error().mKind == core::ErrorKind::BadRequest);
+  }
+  const auto accented = DecodeNotice(
+    { "POST", "/rpc?call=instances.deregister&of=caf%c3%a9%201", "" });
+  CHECK(std::get<LeaveNotice>(*accented) == LeaveNotice{ "caf\xc3\xa9 1", 0 });
+}
