Give a request for another node's routes a second

One failed request on a silent connection and its successor still fit: 1.75 s until a node has noticed, 1 s, and a message that bears the version.

--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -30,7 +30,7 @@
 constexpr std::chrono::seconds kControlTimeout{ 2 };
 /// Timeout of a request for another node's routes. Short, since the connection
 /// may have gone silent, and the next request uses a new one.
-constexpr milliseconds kRoutesTimeout{ 500 };
+constexpr milliseconds kRoutesTimeout{ 1'000 };
 /// Share of the platform's limit on retries that is used, so that rounding and
 /// uneven load between nodes stay within the limit.
 constexpr double kRetryRatioShare = 0.85;
