--- a/tests/adapter/NoticesTest.cpp
+++ b/tests/adapter/NoticesTest.cpp
@@ -98,7 +98,8 @@
        { "i-caf\xe9", "%zz", "%", "%4", "i%", "\xff\xfe", "%G0" }) {
     for (const std::string call :
          { "instances.heartbeat", "instances.deregister" }) {
-      const std::string target = "/rpc?call=" + call + "&of=" + id;
+      std::string target = "/rpc?call=";
+      target.append(call).append("&of=").append(id);
       CAPTURE(target);
       core::Expected<gateway::ServerNotice> notice = LeaveNotice{};
       CHECK_NOTHROW(notice = DecodeNotice({ "POST", target, kBody }));
