--- a/src/nutmegrock/announce/LocalServer.cpp
+++ b/src/nutmegrock/announce/LocalServer.cpp
@@ -125,6 +125,7 @@
   if (confirmation == Confirmation::Pending &&
       (mConfirmation != Confirmation::Pending || !IsKnownRun(aAnnouncement))) {
     mChecks = 0;
+    mCheckedAt = {};
   }
   mConfirmation = confirmation;
   mLatest = aAnnouncement;
--- a/src/nutmegrock/announce/LocalServer.h
+++ b/src/nutmegrock/announce/LocalServer.h
@@ -45,7 +45,8 @@
   /// Maximum time for which a heartbeat is in transit. One that arrives sooner
   /// after mNodeStart may be of a server that has left, and needs a check.
   core::Duration mMaxHeartbeatDelay = std::chrono::seconds{ 10 };
-  /// Health checks for each announcement, and the interval between them.
+  /// Health checks for each announcement, and the interval between them. The
+  /// first is due at once.
   std::uint32_t mMaxChecks = 3;
   core::Duration mCheckInterval = std::chrono::milliseconds{ 400 };
   /// Time after the last of them after which an announcement is used although
--- a/tests/announce/LocalServerTest.cpp
+++ b/tests/announce/LocalServerTest.cpp
@@ -159,6 +159,7 @@
 TEST_CASE("a late heartbeat is checked however long after the start it comes")
 {
   for (const milliseconds delay : { milliseconds(0),
+                                    milliseconds(20),
                                     milliseconds(1'300),
                                     milliseconds(1'900),
                                     milliseconds(5'000),
@@ -170,6 +171,8 @@
     CHECK(before <= 3);
     REQUIRE(server.OnHeartbeat(arrival, MakeHeartbeat("a", 100, 5)));
     CHECK(!server.CanStartWork(arrival));
+    // At once, so that a server in operation is used without a delay.
+    CHECK(server.NeedsCheck(arrival));
     CHECK(SendChecks(server, arrival, arrival + milliseconds(400)) == 1);
     CHECK(server.OnUnhealthy());
     CHECK(server.Phase(arrival + std::chrono::seconds(3)) ==
