Publish a server that waits for its check only when it is used

Cause: with the first heartbeat a node published the slots of its server, and 37 ms later, after the check, its state. Twice as many updates compete for the bounded room in the gossip of 96 nodes, so more nodes did not know the servers of a service when the traffic began: 66 requests got no_backend_server in the log, 196 updates of 98 servers.

Why this works: a server that is not used has no slots to publish, so one update tells both, as before.

--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -500,7 +500,10 @@
         break;
     }
   }
-  const std::uint32_t slots = PublishableSlots();
+  // A server that is not used yet has none, so that its first heartbeat and the
+  // check that confirms it lead to one update for the other nodes, not to two.
+  const bool used = state != membership::MemberState::Starting;
+  const std::uint32_t slots = used ? PublishableSlots() : 0;
   if (state == mPublished && slots == mPublishedSlots) {
     return;
   }
