Use a server that started with its node without a check

What callers saw: after a loss of power all servers and nodes start together, and callers wait.

Cause: each first heartbeat soon after the start of a node waited for a health check, also one of a server that cannot have left before that start.

Why this works: a heartbeat tells when its server started. One that started less than 2 s before the node, or after it, has not had the time to leave and to be acknowledged by an earlier process of the node, so it needs no check. Where a check is needed it is sent with the heartbeat, not with the next tick.

Evidence: the new test of LocalServerTest is of code that did not exist; without it every server waits.

--- a/src/nutmegrock/announce/LocalServer.cpp
+++ b/src/nutmegrock/announce/LocalServer.cpp
@@ -70,9 +70,19 @@
     // A repeated heartbeat tells nothing new.
     return mConfirmation;
   }
-  return aNow - mSettings.mNodeStart < mSettings.mMaxHeartbeatDelay
-           ? Confirmation::Pending
-           : Confirmation::Confirmed;
+  return MayHaveLeft(aNow, aAnnouncement) ? Confirmation::Pending
+                                          : Confirmation::Confirmed;
+}
+
+bool
+LocalServer::MayHaveLeft(core::TimePoint aNow,
+                         const Announcement& aAnnouncement) const
+{
+  const bool early = aNow - mSettings.mNodeStart < mSettings.mMaxHeartbeatDelay;
+  const std::int64_t latest_start =
+    mSettings.mNodeStartMs - mSettings.mMinServerLifetime.count();
+  return early && (aAnnouncement.mStartedMs == 0 ||
+                   aAnnouncement.mStartedMs < latest_start);
 }
 
 bool
--- a/src/nutmegrock/announce/LocalServer.h
+++ b/src/nutmegrock/announce/LocalServer.h
@@ -42,6 +42,12 @@
   /// Start of this node. A server whose leave an earlier process of the node
   /// has acknowledged is not known to this one.
   core::TimePoint mNodeStart;
+  /// The same as wall-clock time in milliseconds since 1970.
+  std::int64_t mNodeStartMs = 0;
+  /// Minimum time from the start of a server to the acknowledgement of its
+  /// leave. One that started less than this before the node, or after it, has
+  /// not left before the node's start, and needs no check.
+  std::chrono::milliseconds mMinServerLifetime{ 2'000 };
   /// Maximum time for which a heartbeat is in transit. One that arrives sooner
   /// after mNodeStart may be of a server that has left, and needs a check.
   core::Duration mMaxHeartbeatDelay = std::chrono::seconds{ 10 };
@@ -117,6 +123,10 @@
   /// Returns true if the announcement is of the known run of a server. A health
   /// check does not tell when the server started.
   bool IsKnownRun(const Announcement& aAnnouncement) const;
+  /// Returns true if the announcement may be of a server that had left before
+  /// the start of the node.
+  bool MayHaveLeft(core::TimePoint aNow,
+                   const Announcement& aAnnouncement) const;
   /// Returns the confirmation after a heartbeat of the known or another run.
   Confirmation ConfirmationAfter(core::TimePoint aNow,
                                  const Announcement& aAnnouncement) const;
--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -178,6 +178,7 @@
   serving.mServer.mService = mSettings.mService;
   serving.mServer.mAddress = mSettings.mBackendServer;
   serving.mServer.mNodeStart = core::Clock::now();
+  serving.mServer.mNodeStartMs = WallClockMs();
   serving.mServer.mLeaveGracePeriod =
     std::chrono::duration_cast<core::Duration>(mSettings.mBounds.mDrain *
                                                kDrainShare);
--- a/src/nutmegrock/gateway/GatewayControl.cpp
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -58,6 +58,7 @@
     aExchange.SendResponse(row.mStatus, kText, applied.error().mMessage + "\n");
     return;
   }
+  ProbeServer(core::Clock::now());
   PublishState();
   aExchange.SendResponse(200, kJson, mPorts.mNoticeResponse);
 }
--- a/tests/announce/LocalServerTest.cpp
+++ b/tests/announce/LocalServerTest.cpp
@@ -10,6 +10,8 @@
 
 const core::Address kAddress{ "10.0.0.1", 8300 };
 const core::TimePoint kStart{ std::chrono::hours(1) };
+/// kStart as wall-clock time; most servers started long before.
+constexpr std::int64_t kStartMs = 1'000'000;
 
 /// The state of a node that has run for a long time, or that started at a time.
 LocalServer
@@ -19,6 +21,7 @@
   settings.mService = "till";
   settings.mAddress = kAddress;
   settings.mNodeStart = aNodeStart;
+  settings.mNodeStartMs = kStartMs;
   return LocalServer(settings);
 }
 
@@ -210,6 +213,26 @@
   CHECK(server.CanStartWork(kStart));
 }
 
+// Load pattern: all machines lose power and start again while their callers
+// wait. Guards against servers that are used only after a health check although
+// they cannot have left, and against the wave of refusals that follows.
+TEST_CASE("a server that started with its node needs no health check")
+{
+  for (const std::int64_t started : { kStartMs - 1'500, kStartMs + 300 }) {
+    LocalServer server = MakeServer(kStart);
+    REQUIRE(server.OnHeartbeat(kStart, MakeHeartbeat("a", started, 1)));
+    CHECK(server.CanStartWork(kStart));
+    CHECK(!server.NeedsCheck(kStart));
+  }
+  // An older one, and one that does not tell its start, may have left.
+  for (const std::int64_t started : { kStartMs - 2'500, std::int64_t{ 0 } }) {
+    LocalServer server = MakeServer(kStart);
+    REQUIRE(server.OnHeartbeat(kStart, MakeHeartbeat("a", started, 1)));
+    CHECK(!server.CanStartWork(kStart));
+    CHECK(server.NeedsCheck(kStart));
+  }
+}
+
 // Guards against a late heartbeat of a predecessor at the same address, after
 // which the server that is there gets requests meant for the other.
 TEST_CASE("a health check tells which server is at the address")
