Decide in one place whether a heartbeat is of the known run

Callers see no change. Serving::OnHeartbeat() had the same comparison as LocalServer::IsKnownRun(), with the same reason in a comment, and copied the latest announcement for it; it calls that function now. The time after the last health check until a server is used is the timeout of a check, and comes from the same constant. RowStoreTest and RouteSyncTest share DecodeNumber().

--- a/src/nutmegrock/announce/LocalServer.h
+++ b/src/nutmegrock/announce/LocalServer.h
@@ -99,6 +99,9 @@
   /// Records that a health check was sent, or cannot be sent to this server.
   void OnCheckSent(core::TimePoint aNow);
 
+  /// Returns true if the announcement is of the known run of a server. A health
+  /// check does not tell when the server started.
+  bool IsKnownRun(const Announcement& aAnnouncement) const;
   ServerPhase Phase(core::TimePoint aNow) const;
   /// Returns true if the server may start work: it is serving, or has been
   /// leaving for less than mLeaveGracePeriod.
@@ -120,9 +123,6 @@
   };
 
   bool IsStale(const Announcement& aAnnouncement) const;
-  /// Returns true if the announcement is of the known run of a server. A health
-  /// check does not tell when the server started.
-  bool IsKnownRun(const Announcement& aAnnouncement) const;
   /// Returns true if the announcement may be of a server that had left before
   /// the start of the node.
   bool MayHaveLeft(core::TimePoint aNow,
--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -179,6 +179,7 @@
   serving.mServer.mAddress = mSettings.mBackendServer;
   serving.mServer.mNodeStart = core::Clock::now();
   serving.mServer.mNodeStartMs = WallClockMs();
+  serving.mServer.mCheckTimeout = kProbeTimeout;
   serving.mServer.mLeaveGracePeriod =
     std::chrono::duration_cast<core::Duration>(mSettings.mBounds.mDrain *
                                                kDrainShare);
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -142,14 +142,9 @@
 core::Expected<bool>
 Serving::OnHeartbeat(const announce::Announcement& aAnnouncement)
 {
-  const std::optional<announce::Announcement> before = mServer.Latest();
+  const bool other_run = mServer.Latest() && !mServer.IsKnownRun(aAnnouncement);
   auto changed = mServer.OnHeartbeat(mComponents.mNow(), aAnnouncement);
   if (changed) {
-    // A health check does not tell when the server started.
-    const bool other_run =
-      before && (before->mId != aAnnouncement.mId ||
-                 (before->mStartedMs != 0 &&
-                  before->mStartedMs != aAnnouncement.mStartedMs));
     if (other_run) {
       mQueue.ClearRateLimit();
     }
--- a/tests/adapter/RowStoreTest.cpp
+++ b/tests/adapter/RowStoreTest.cpp
@@ -1,12 +1,14 @@
 #include "platform/RowStore.h"
 #include "core/Time.h"
 #include "routes/RouteSync.h"
+#include "tests/routes/NumberDocument.h"
 #include "tests/store/ScriptedServer.h"
 
 #include <doctest/doctest.h>
 
 using namespace nutmegrock;
 using namespace nutmegrock::platform;
+using nutmegrock::tests::DecodeNumber;
 using nutmegrock::tests::ScriptedServer;
 
 namespace {
@@ -33,15 +35,6 @@
          aBase64 + R"("}],"ver":)" + std::to_string(aVersion) + "}";
 }
 
-/// Decodes "N" as version N without routes.
-core::Expected<routes::RouteSetSource>
-DecodeNumber(const std::string& aText)
-{
-  routes::RouteSetSource source;
-  source.mVersion = std::stoull(aText);
-  return source;
-}
-
 /// Accepts a request and never answers it; the connection stays open.
 const ScriptedServer::Step kSilent{ "", false };
 
--- a/tests/routes/RouteSyncTest.cpp
+++ b/tests/routes/RouteSyncTest.cpp
@@ -1,5 +1,6 @@
 #include "routes/RouteSync.h"
 #include "core/Time.h"
+#include "tests/routes/NumberDocument.h"
 
 #include <algorithm>
 #include <atomic>
@@ -8,22 +9,10 @@
 
 using namespace nutmegrock;
 using namespace nutmegrock::routes;
+using nutmegrock::tests::DecodeNumber;
 
 namespace {
 
-/// Decodes "N" as version N without routes.
-core::Expected<RouteSetSource>
-DecodeNumber(const std::string& aText)
-{
-  RouteSetSource source;
-  try {
-    source.mVersion = std::stoull(aText);
-  } catch (const std::exception&) {
-    return core::Fail(core::ErrorKind::InvalidProfiles, "not a number");
-  }
-  return source;
-}
-
 /// Returns scripted responses in order; Read() and WaitForChange() pause
 /// briefly when there are none left.
 class ScriptedStore final : public RouteStore
