Hold signals from the start until the node handles them

Callers saw processes that ended by themselves around restarts and changes of the settings (FAULT). Cause: until asio's signal_set stands, SIGHUP and SIGTERM have their default action. The time before it is mostly dynamic linking and the initializers of libraries.

--- a/src/nutmegrock/cli/GatewayCommand.cpp
+++ b/src/nutmegrock/cli/GatewayCommand.cpp
@@ -1,6 +1,7 @@
 #include "cli/GatewayCommand.h"
 
 #include "cli/CommandLine.h"
+#include "cli/HeldSignals.h"
 #include "cli/LossySink.h"
 #include "gateway/GatewayRuntime.h"
 
@@ -24,29 +25,17 @@
   spdlog::set_default_logger(logger);
 }
 
-} // namespace
-
 int
-RunGatewayCommand(const std::vector<std::string>& aArguments,
-                  std::ostream& aOut,
-                  std::ostream& aErr,
-                  const PortsFactory& aPorts)
+RunNode(const std::string& aPath,
+        std::ostream& aErr,
+        const PortsFactory& aPorts)
 {
-  CommandLine line(
-    "gateway", "Runs a node that serves published routes.", aOut, aErr);
-  const auto& file =
-    line.Value("settings", "FILE", "YAML settings of the node", true);
-  if (const auto code = line.Parse(aArguments)) {
-    return static_cast<int>(*code);
-  }
-  const auto settings = settings::LoadGatewaySettings(file.getValue());
+  const auto settings = settings::LoadGatewaySettings(aPath);
   if (!settings) {
     aErr << settings.error().mMessage << "\n";
     return static_cast<int>(ExitCode::Refused);
   }
   SetUpLog(settings->mLogLevel);
-  // The write to a closed connection reports the error instead.
-  std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
   auto ports = aPorts(*settings);
   if (!ports) {
     aErr << "nutmegrock gateway: " << ports.error().mMessage << "\n";
@@ -58,10 +47,34 @@
     aErr << "nutmegrock gateway: " << runtime.error().mMessage << "\n";
     return static_cast<int>(ExitCode::Refused);
   }
-  const std::size_t cut = (*runtime)->Run(file.getValue());
+  HeldSignals::Release();
+  const std::size_t cut = (*runtime)->Run(aPath);
   // Skips orderly destruction: a thread may wait for the store longer than the
   // platform allows for a process to end, and no state here needs it.
   std::_Exit(static_cast<int>(cut == 0 ? ExitCode::Ok : ExitCode::Refused));
 }
 
+} // namespace
+
+int
+RunGatewayCommand(const std::vector<std::string>& aArguments,
+                  std::ostream& aOut,
+                  std::ostream& aErr,
+                  const PortsFactory& aPorts)
+{
+  CommandLine line(
+    "gateway", "Runs a node that serves published routes.", aOut, aErr);
+  const auto& file =
+    line.Value("settings", "FILE", "YAML settings of the node", true);
+  if (const auto code = line.Parse(aArguments)) {
+    return static_cast<int>(*code);
+  }
+  HeldSignals::Hold();
+  // The write to a closed connection reports the error instead.
+  std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
+  const int code = RunNode(file.getValue(), aErr, aPorts);
+  HeldSignals::Release();
+  return code;
+}
+
 } // namespace nutmegrock::cli
