Wait for a settings file that is being replaced at the start

Callers saw nodes that did not start (FAULT). Cause: a settings file that is empty, cut short or missing at the moment of the start, as while it is written, ended the process at once with exit code 1.

The node waits up to 3 s and reports each fault once; a signal to stop ends the wait with exit code 0. Faulty settings still end the process with exit code 1 and their faults.

--- a/src/nutmegrock/cli/GatewayCommand.cpp
+++ b/src/nutmegrock/cli/GatewayCommand.cpp
@@ -8,6 +8,8 @@
 #include <csignal>
 #include <cstdlib>
 #include <memory>
+#include <optional>
+#include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
@@ -15,6 +17,14 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
+/// Time for which a start waits for a settings file that can be used. A file
+/// that is being replaced may be missing or incomplete for a moment.
+constexpr milliseconds kMaxSettingsWait{ 3'000 };
+/// Interval between attempts of a start.
+constexpr milliseconds kAttemptInterval{ 100 };
+
 void
 SetUpLog(const std::string& aLevel)
 {
@@ -25,24 +35,48 @@
   spdlog::set_default_logger(logger);
 }
 
+/// Returns nullopt after a signal to stop.
+std::optional<core::Expected<settings::GatewaySettings>>
+WaitForSettings(const std::string& aPath, std::ostream& aErr)
+{
+  auto loaded = settings::LoadGatewaySettings(aPath);
+  std::string reported;
+  for (milliseconds waited{ 0 }; !loaded && waited < kMaxSettingsWait;
+       waited += kAttemptInterval) {
+    if (loaded.error().mMessage != reported) {
+      reported = loaded.error().mMessage;
+      aErr << reported << "\nnutmegrock gateway: waiting for usable settings"
+           << std::endl;
+    }
+    if (HeldSignals::WaitForStop(kAttemptInterval)) {
+      return std::nullopt;
+    }
+    loaded = settings::LoadGatewaySettings(aPath);
+  }
+  return loaded;
+}
+
 int
 RunNode(const std::string& aPath,
         std::ostream& aErr,
         const PortsFactory& aPorts)
 {
-  const auto settings = settings::LoadGatewaySettings(aPath);
+  const auto settings = WaitForSettings(aPath, aErr);
   if (!settings) {
-    aErr << settings.error().mMessage << "\n";
+    return static_cast<int>(ExitCode::Ok);
+  }
+  if (!*settings) {
+    aErr << settings->error().mMessage << "\n";
     return static_cast<int>(ExitCode::Refused);
   }
-  SetUpLog(settings->mLogLevel);
-  auto ports = aPorts(*settings);
+  SetUpLog((*settings)->mLogLevel);
+  auto ports = aPorts(**settings);
   if (!ports) {
     aErr << "nutmegrock gateway: " << ports.error().mMessage << "\n";
     return static_cast<int>(ExitCode::Refused);
   }
   const auto runtime =
-    gateway::GatewayRuntime::Start(*settings, std::move(*ports));
+    gateway::GatewayRuntime::Start(**settings, std::move(*ports));
   if (!runtime) {
     aErr << "nutmegrock gateway: " << runtime.error().mMessage << "\n";
     return static_cast<int>(ExitCode::Refused);
--- a/tests/process/StartTest.cpp
+++ b/tests/process/StartTest.cpp
@@ -64,3 +64,28 @@
   FinishSettings(node, pipe);
   CHECK(node.WaitForEnd(6s) == 0);
 }
+
+// Guards against a start that fails while the settings file is being replaced.
+TEST_CASE("a node waits for a settings file that is not complete yet")
+{
+  for (const char* text : { "", "node:\n  service: \"till\"\n  reg" }) {
+    NodeProcess node;
+    CAPTURE(text);
+    node.WriteSettings(text);
+    node.Start();
+    CHECK(node.WaitForLog("waiting for usable settings", 5s));
+    CHECK_FALSE(node.WaitForEnd(300ms).has_value());
+    node.WriteSettings(node.SettingsText());
+    CHECK(node.Answers(5s));
+  }
+}
+
+// Guards against a node with faulty settings that never ends.
+TEST_CASE("a node with faulty settings ends with their faults")
+{
+  NodeProcess node;
+  node.WriteSettings(node.SettingsText() + "unknown: 1\n");
+  node.Start();
+  CHECK(node.WaitForEnd(15s) == 1);
+  CHECK(node.Log().find("unknown: is not a known key") != std::string::npos);
+}
