Wait for an address that another socket holds

Callers saw nodes that did not start (FAULT). Cause: an address that is in use, by a predecessor in its last seconds or by an outgoing connection that was given the port, ended the start with exit code 1, and again at each restart.

Now the node looks every 100 ms whether its addresses are free, without listening, so that no caller is connected and then reset; SIGTERM ends the wait with exit code 0. The address for metrics is not needed to serve: the node starts without it and tries again.

Not changed: an address that is not of this machine is a fault of the settings and ends the process with exit code 1.

--- a/src/nutmegrock/cli/GatewayCommand.cpp
+++ b/src/nutmegrock/cli/GatewayCommand.cpp
@@ -3,6 +3,7 @@
 #include "cli/CommandLine.h"
 #include "cli/HeldSignals.h"
 #include "cli/LossySink.h"
+#include "gateway/BusyAddresses.h"
 #include "gateway/GatewayRuntime.h"
 
 #include <csignal>
@@ -25,6 +26,8 @@
 /// Interval between attempts of a start.
 constexpr milliseconds kAttemptInterval{ 100 };
 
+using RuntimePtr = std::unique_ptr<gateway::GatewayRuntime>;
+
 void
 SetUpLog(const std::string& aLevel)
 {
@@ -56,6 +59,46 @@
   return loaded;
 }
 
+/// Returns false after a signal to stop.
+bool
+WaitForAddresses(const settings::GatewayListenSettings& aListen)
+{
+  std::optional<core::Address> reported;
+  while (const auto busy = gateway::FindBusyAddress(aListen)) {
+    if (busy != reported) {
+      reported = busy;
+      spdlog::warn("event=address_busy address={}", busy->ToString());
+    }
+    if (HeldSignals::WaitForStop(kAttemptInterval)) {
+      return false;
+    }
+  }
+  if (reported) {
+    spdlog::info("event=addresses_free");
+  }
+  return true;
+}
+
+/// Starts the node as soon as its addresses are free. Returns null after a
+/// signal to stop.
+core::Expected<RuntimePtr>
+StartRuntime(const settings::GatewaySettings& aSettings,
+             const PortsFactory& aPorts)
+{
+  while (WaitForAddresses(aSettings.mListen)) {
+    auto ports = aPorts(aSettings);
+    if (!ports) {
+      return tl::make_unexpected(std::move(ports.error()));
+    }
+    auto runtime = gateway::GatewayRuntime::Start(aSettings, std::move(*ports));
+    // An address may have been taken since it was free.
+    if (runtime || !gateway::FindBusyAddress(aSettings.mListen)) {
+      return runtime;
+    }
+  }
+  return RuntimePtr();
+}
+
 int
 RunNode(const std::string& aPath,
         std::ostream& aErr,
@@ -70,17 +113,14 @@
     return static_cast<int>(ExitCode::Refused);
   }
   SetUpLog((*settings)->mLogLevel);
-  auto ports = aPorts(**settings);
-  if (!ports) {
-    aErr << "nutmegrock gateway: " << ports.error().mMessage << "\n";
-    return static_cast<int>(ExitCode::Refused);
-  }
-  const auto runtime =
-    gateway::GatewayRuntime::Start(**settings, std::move(*ports));
+  const auto runtime = StartRuntime(**settings, aPorts);
   if (!runtime) {
     aErr << "nutmegrock gateway: " << runtime.error().mMessage << "\n";
     return static_cast<int>(ExitCode::Refused);
   }
+  if (!*runtime) {
+    return static_cast<int>(ExitCode::Ok);
+  }
   HeldSignals::Release();
   const std::size_t cut = (*runtime)->Run(aPath);
   // Skips orderly destruction: a thread may wait for the store longer than the
--- a/src/nutmegrock/cli/GatewayCommand.h
+++ b/src/nutmegrock/cli/GatewayCommand.h
@@ -15,11 +15,12 @@
   const settings::GatewaySettings&)>;
 
 /// Runs `nutmegrock gateway --settings FILE`, a node that serves published
-/// routes. Waits up to 3 s for settings that can be used. After a signal to
-/// stop it ends the process with exit code 0 if no request was cut off, else 1.
-/// Returns 1 for bad settings or a failed start, 2 for wrong usage. Signals
-/// that arrive before the node handles them take effect then, if the caller has
-/// held them; see HeldSignals.
+/// routes. Waits up to 3 s for settings that can be used, and without limit for
+/// addresses that another socket holds. After a signal to stop it ends the
+/// process with exit code 0 if no request was cut off, else 1. Returns 1 for
+/// bad settings or a failed start, 2 for wrong usage. Signals that arrive
+/// before the node handles them take effect then, if the caller has held them;
+/// see HeldSignals.
 int
 RunGatewayCommand(const std::vector<std::string>& aArguments,
                   std::ostream& aOut,
--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -240,11 +240,6 @@
       [this](const proxy::ServerExchangePtr& aExchange) {
         return HandleReady(aExchange);
       } },
-    { mMetricsListener,
-      listen.mMetrics,
-      [this](const proxy::ServerExchangePtr& aExchange) {
-        return HandleMetrics(aExchange);
-      } },
   };
   for (const Listener& listener : listeners) {
     auto opened = Listen(listener.mAddress, listener.mHandler);
@@ -253,6 +248,7 @@
     }
     listener.mTarget = std::move(*opened);
   }
+  OpenMetrics();
   // Requests between nodes have passed the limits of the caller listener
   // already, and connections between nodes are closed by the side that opened
   // them.
@@ -263,6 +259,29 @@
   return true;
 }
 
+// The node can serve without this address.
+void
+GatewayRuntime::Components::OpenMetrics()
+{
+  const core::Address& address = mSettings.mListen.mMetrics;
+  auto opened =
+    Listen(address, [this](const proxy::ServerExchangePtr& aExchange) {
+      return HandleMetrics(aExchange);
+    });
+  if (opened) {
+    mMetricsListener = std::move(*opened);
+  }
+  if (mMetricsListener && mMetricsBusy) {
+    mLog.LogState(
+      fmt::format("event=address_free address={}", address.ToString()));
+  } else if (!mMetricsListener && !mMetricsBusy) {
+    mLog.LogState(fmt::format("event=address_busy address={} reason=\"{}\"",
+                              address.ToString(),
+                              opened.error().mMessage));
+  }
+  mMetricsBusy = !mMetricsListener;
+}
+
 core::Expected<bool>
 GatewayRuntime::Components::OpenPeers()
 {
@@ -576,7 +595,11 @@
     mNodeListener->Tick();
     mNoticeListener->Tick();
     mReadyListener->Tick();
-    mMetricsListener->Tick();
+    if (mMetricsListener) {
+      mMetricsListener->Tick();
+    } else {
+      OpenMetrics();
+    }
     SaveCosts(now);
   }
   if (mStopping) {
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -47,6 +47,9 @@
   core::Expected<bool> OpenListeners();
   core::Expected<HttpListenerPtr> Listen(const core::Address& aAddress,
                                          proxy::RequestHandler aHandler);
+  /// Does nothing but log if the address is in use; the next slow tick tries
+  /// again.
+  void OpenMetrics();
   core::Expected<bool> OpenPeers();
   core::Expected<bool> OpenMembership();
   void OpenRoutes();
@@ -113,7 +116,9 @@
   HttpListenerPtr mNodeListener;
   HttpListenerPtr mNoticeListener;
   HttpListenerPtr mReadyListener;
+  /// Null while its address is in use.
   HttpListenerPtr mMetricsListener;
+  bool mMetricsBusy = false;
   std::unique_ptr<transport::peer::PeerClient> mPeerClient;
   std::unique_ptr<transport::peer::PeerServer> mPeerServer;
   std::unique_ptr<routes::RouteSync> mRouteSync;
--- a/tests/process/StartTest.cpp
+++ b/tests/process/StartTest.cpp
@@ -1,10 +1,13 @@
 #include "tests/process/NodeProcess.h"
 
+#include <arpa/inet.h>
 #include <chrono>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <filesystem>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -14,6 +17,39 @@
 
 namespace {
 
+/// A listening socket at the address of a node.
+class Holder
+{
+public:
+  Holder(const core::Address& aAddress, int aType)
+    : mFd(socket(AF_INET, aType | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(aAddress.mPort);
+    inet_pton(AF_INET, aAddress.mIp.c_str(), &address.sin_addr);
+    REQUIRE(bind(mFd,
+                 reinterpret_cast<const sockaddr*>(&address),
+                 sizeof address) == 0);
+    if (aType == SOCK_STREAM) {
+      REQUIRE(listen(mFd, 1) == 0);
+    }
+  }
+  Holder(const Holder&) = delete;
+  Holder& operator=(const Holder&) = delete;
+  ~Holder() { Release(); }
+  void Release()
+  {
+    if (mFd >= 0) {
+      close(mFd);
+      mFd = -1;
+    }
+  }
+
+private:
+  int mFd;
+};
+
 /// Starts a node and returns while it reads its settings, before it handles
 /// signals; they come from a pipe, whose end for writing is returned.
 int
@@ -65,6 +101,60 @@
   CHECK(node.WaitForEnd(6s) == 0);
 }
 
+// Guards against a start that fails because its predecessor, or an outgoing
+// connection, still holds an address.
+TEST_CASE("a node waits for an address that is in use")
+{
+  struct Case
+  {
+    core::Address (NodeProcess::*mAddress)() const;
+    int mType;
+  };
+  const Case cases[] = {
+    { &NodeProcess::Caller, SOCK_STREAM },
+    { &NodeProcess::Peer, SOCK_STREAM },
+    { &NodeProcess::Peer, SOCK_DGRAM },
+  };
+  for (const Case& held : cases) {
+    NodeProcess node;
+    const core::Address address = (node.*held.mAddress)();
+    CAPTURE(address.ToString());
+    CAPTURE(held.mType);
+    Holder holder(address, held.mType);
+    node.Start();
+    CHECK(
+      node.WaitForLog("event=address_busy address=" + address.ToString(), 5s));
+    CHECK_FALSE(node.WaitForEnd(300ms).has_value());
+    holder.Release();
+    CHECK(node.Answers(5s));
+  }
+}
+
+// Guards against a node that cannot be stopped while it waits for an address.
+TEST_CASE("a node that waits for an address can be stopped")
+{
+  NodeProcess node;
+  const Holder holder(node.Caller(), SOCK_STREAM);
+  node.Start();
+  CHECK(node.WaitForLog("event=address_busy", 5s));
+  node.Signal(SIGTERM);
+  CHECK(node.WaitForEnd(2s) == 0);
+}
+
+// Guards against a node that does not serve because its metrics cannot be read.
+TEST_CASE("a node serves while its address for metrics is in use")
+{
+  NodeProcess node;
+  Holder holder(node.Metrics(), SOCK_STREAM);
+  node.Start();
+  CHECK(node.Answers(5s));
+  CHECK(node.WaitForLog(
+    "event=address_busy address=" + node.Metrics().ToString(), 2s));
+  holder.Release();
+  CHECK(node.WaitForLog(
+    "event=address_free address=" + node.Metrics().ToString(), 5s));
+}
+
 // Guards against a start that fails while the settings file is being replaced.
 TEST_CASE("a node waits for a settings file that is not complete yet")
 {
