End a planned stop with exit code 0 also if requests are cut off

Callers saw processes that ended by themselves (FAULT). Cause: `gateway` returned exit code 1 after a stop by SIGTERM if calls of other nodes were still at work at its backend server at the end of the grace time. Supervisors take that for a failure of the process.

The number of requests cut off stays in the last line of the log.

--- a/src/nutmegrock/cli/GatewayCommand.cpp
+++ b/src/nutmegrock/cli/GatewayCommand.cpp
@@ -122,10 +122,10 @@
     return static_cast<int>(ExitCode::Ok);
   }
   HeldSignals::Release();
-  const std::size_t cut = (*runtime)->Run(aPath);
+  (*runtime)->Run(aPath);
   // Skips orderly destruction: a thread may wait for the store longer than the
   // platform allows for a process to end, and no state here needs it.
-  std::_Exit(static_cast<int>(cut == 0 ? ExitCode::Ok : ExitCode::Refused));
+  std::_Exit(static_cast<int>(ExitCode::Ok));
 }
 
 } // namespace
--- a/src/nutmegrock/cli/GatewayCommand.h
+++ b/src/nutmegrock/cli/GatewayCommand.h
@@ -17,10 +17,10 @@
 /// Runs `nutmegrock gateway --settings FILE`, a node that serves published
 /// routes. Waits up to 3 s for settings that can be used, and without limit for
 /// addresses that another socket holds. After a signal to stop it ends the
-/// process with exit code 0 if no request was cut off, else 1. Returns 1 for
-/// bad settings or a failed start, 2 for wrong usage. Signals that arrive
-/// before the node handles them take effect then, if the caller has held them;
-/// see HeldSignals.
+/// process with exit code 0; requests that were cut off are in the last log
+/// line. Returns 1 for bad settings or a failed start, 2 for wrong usage.
+/// Signals that arrive before the node handles them take effect then, if the
+/// caller has held them; see HeldSignals.
 int
 RunGatewayCommand(const std::vector<std::string>& aArguments,
                   std::ostream& aOut,
