Count how the run that made a nested call was told

Whether real clocks and scheduling keep nodes from telling the run of a call by its deadline could not be seen in metrics or logs. A kind of request whose calls lose its rank would be served less than others (STARVED).

--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -165,6 +165,14 @@
     return;
   }
   mParent = mEntry.mComponents.mRuns.OnCall(mArrived, mRoute->mName, *timeout);
+  mEntry.mComponents.mRegistry
+    .CounterOf("nutmegrock_nested_calls_total",
+               { { "route", mRoute->mName },
+                 { "parent",
+                   !mParent               ? "unknown"
+                   : mParent->mIdentified ? "identified"
+                                          : "attributed" } })
+    .Add();
   if (!mParent) {
     return;
   }
