--- a/tests/adapter/RowStoreTest.cpp
+++ b/tests/adapter/RowStoreTest.cpp
@@ -142,3 +142,26 @@
   }
   CHECK(active.Version() == 2);
 }
+
+// Guards against a watch that never gets past a value which cannot be read, and
+// against taking a row that is present for a deleted one.
+TEST_CASE("a value that cannot be read does not hide the next one")
+{
+  const std::string bad =
+    R"({"key":"config","part":"","value":"{\"version\":\"r9\"}","ver":11})";
+  const std::string good =
+    R"({"key":"config","part":"","value":"Mg==","deleted":false,"ver":12})";
+  ScriptedServer server(
+    { { MakeResponse("200 OK", R"({"rows":[)" + bad + R"(],"ver":11})") },
+      { MakeResponse("200 OK",
+                     R"({"rows":[)" + bad + "," + good + R"(],"ver":12})") },
+      { MakeResponse("200 OK",
+                     R"({"rows":[{"key":"config","part":"","deleted":true,)"
+                     R"("ver":13}],"ver":13})") } });
+  const auto store = *RowStore::Make(server.Url());
+  CHECK(store->Read() == routes::StoredRoutes{ "", 11 });
+  CHECK(store->WaitForChange(11, std::chrono::milliseconds(10)) ==
+        routes::StoredRoutes{ "2", 12 });
+  CHECK(store->WaitForChange(12, std::chrono::milliseconds(10)) ==
+        routes::StoredRoutes{ "", 13 });
+}
