--- a/tests/adapter/RouteDocumentTest.cpp
+++ b/tests/adapter/RouteDocumentTest.cpp
@@ -83,3 +83,99 @@
     CHECK(source.error().mMessage.find(wrong.mPlace) != std::string::npos);
   }
 }
+
+// Guards against a document that all nodes refuse, and no version of which is
+// in force any more, because a number is written in another notation.
+TEST_CASE("numbers are read in any notation")
+{
+  for (const char* number : { "5000", "5000.0", "5e3", "5.0E+3" }) {
+    CAPTURE(number);
+    const auto source = DecodeRouteDocument(
+      Replaced("\"timeoutMs\":5000", "\"timeoutMs\":" + std::string(number)));
+    REQUIRE(source.has_value());
+    CHECK(source->mRoutes[1].mTimeout == std::chrono::milliseconds(5000));
+  }
+  const auto source =
+    DecodeRouteDocument(Replaced("\"priority\":2", "\"priority\":2.0"));
+  REQUIRE(source.has_value());
+  CHECK(source->mRoutes[1].mPriority == 2);
+}
+
+// Guards against refusing a split with weights that are fractions, and against
+// a cycle of billions of steps.
+TEST_CASE("weights are fractions or of any size")
+{
+  using Targets = std::vector<routes::RouteTarget>;
+  struct Case
+  {
+    const char* mFirst;
+    const char* mSecond;
+    Targets mTargets;
+  };
+  const Case cases[] = {
+    { "0.9", "0.1", { { "a", 9'000 }, { "b", 1'000 } } },
+    { "90.0", "10.0", { { "a", 90 }, { "b", 10 } } },
+    { "3000000000", "1000000000", { { "a", 7'500 }, { "b", 2'500 } } },
+    { "1e300", "1", { { "a", 10'000 }, { "b", 1 } } },
+    { "0", "0.5", { { "b", 10'000 } } },
+  };
+  for (const Case& expected : cases) {
+    CAPTURE(expected.mFirst);
+    const std::string first = std::string("\"weight\":") + expected.mFirst;
+    const std::string second = std::string("\"weight\":") + expected.mSecond;
+    std::string text = Replaced("\"weight\":90", first);
+    text.replace(text.find("\"weight\":10}"), 11, second);
+    const auto source = DecodeRouteDocument(text);
+    REQUIRE(source.has_value());
+    CHECK(source->mRoutes[1].mTargets == expected.mTargets);
+    CHECK(routes::RouteSet::Create(*source).has_value());
+  }
+  for (const char* weight : { "-1", "-0.5", "\"90\"", "1e999" }) {
+    CAPTURE(weight);
+    CHECK(!DecodeRouteDocument(
+             Replaced("\"weight\":90", "\"weight\":" + std::string(weight)))
+             .has_value());
+  }
+}
+
+// Guards against refusing a document for an optional field without a value.
+TEST_CASE("optional fields may be missing, null or unknown")
+{
+  const std::pair<const char*, const char*> changes[] = {
+    { "\"targetLatencyMs\":1500", "\"targetLatencyMs\":null" },
+    { "\"priority\":0,", "" },
+    { "\"split\"", "\"service\":null,\"split\"" },
+    { "\"split\"", "\"service\":\"\",\"split\"" },
+    { "\"service\":\"a\",\"max", "\"service\":\"a\",\"split\":null,\"max" },
+    { "\"limits\"", "\"limits\":null,\"other\"" },
+    { "\"healthPath\":\"/health\",", "" },
+    { "\"kind\":\"safe\"", "\"kind\":\"safe\",\"new\":{\"a\":[1]}" },
+    { "\"r7\"", "\"r007\"" },
+  };
+  for (const auto& [from, to] : changes) {
+    CAPTURE(to);
+    auto source = DecodeRouteDocument(Replaced(from, to));
+    REQUIRE(source.has_value());
+    CHECK(source->mVersion == 7);
+    CHECK(source->mRoutes[1].mTargets.size() == 2);
+    CHECK(routes::RouteSet::Create(std::move(*source)).has_value());
+  }
+}
+
+// Guards against refusing a document in which two hosts have a route of the
+// same name.
+TEST_CASE("routes of different hosts may have the same name")
+{
+  auto source =
+    DecodeRouteDocument(Replaced("\"name\":\"r-2\"", "\"name\":\"r-1\""));
+  REQUIRE(source.has_value());
+  const auto set = routes::RouteSet::Create(std::move(*source));
+  REQUIRE(set.has_value());
+  const routes::Route* first = (*set)->Find("x.example", "/p/1");
+  const routes::Route* second = (*set)->Find("y.example", "/q/1");
+  REQUIRE(first != nullptr);
+  REQUIRE(second != nullptr);
+  CHECK(first->mName == "r-1@x.example/p/");
+  CHECK((*set)->FindByName(first->mName) == first);
+  CHECK((*set)->FindByName(second->mName) == second);
+}
