Find the other nodes soon after an outage of the store

Callers saw: after an outage of the store during which all nodes had started anew, nodes said that they were ready and refused requests with 503, since they did not know each other.

Cause: the thread that writes and reads the rows of nodes backs off up to 30 s times 1.5, while the watch of the routes notices the store within 1.5 s and the readiness check asked for routes only. While the store refused only writes, a lone node did not read rows either.

Fix: the watch reports each return of the store, and the rows are tried again within 0.3 s at random. A node that knows no other one waits at most 4 s times 1.5, and reads rows also while its own cannot be written. It is ready when it knows another node or has read the rows. The nodes report at their own times, as their watches back off; on 429 they back off as before.

--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -315,6 +315,9 @@
                          std::move(aCallback));
   };
   hooks.mLog = [](const std::string& aLine) { spdlog::info("{}", aLine); };
+  hooks.mOnStoreRegained = [this] {
+    boost::asio::post(mIo, [this] { mMembership->OnStoreRegained(); });
+  };
   mRouteSync = std::make_unique<routes::RouteSync>(
     mPorts.mRoutes, mPorts.mDecodeRoutes, mRoutes, std::move(hooks));
 }
--- a/src/nutmegrock/gateway/GatewayControl.cpp
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -90,6 +90,8 @@
     aExchange->SendResponse(503, kText, "stopping\n");
   } else if (mRoutes.Version() == 0) {
     aExchange->SendResponse(503, kText, "no routes yet\n");
+  } else if (!mMembership->HasJoined()) {
+    aExchange->SendResponse(503, kText, "no other nodes known yet\n");
   } else {
     aExchange->SendResponse(200, kText, "ready\n");
   }
--- a/src/nutmegrock/membership/udp/MembershipService.cpp
+++ b/src/nutmegrock/membership/udp/MembershipService.cpp
@@ -67,6 +67,8 @@
   core::Expected<std::string> HandleControl(std::string_view aMethod,
                                             std::string_view aArgument);
   void NotifyVersion(std::uint64_t aVersion);
+  void OnStoreRegained();
+  bool HasJoined() const;
   void Leave();
   const core::Address& LocalAddress() const { return mSettings.mOwn.mAddress; }
   const MembershipCounters& Counters() const { return mCounters; }
@@ -403,6 +405,24 @@
   });
 }
 
+void
+MembershipService::Impl::OnStoreRegained()
+{
+  if (mRows) {
+    mRows->Retry();
+  }
+}
+
+bool
+MembershipService::Impl::HasJoined() const
+{
+  if (!mRows || mRows->HasRead()) {
+    return true;
+  }
+  const std::lock_guard lock(mMutex);
+  return !mMembership->Table().Present().empty();
+}
+
 void
 MembershipService::Impl::Leave()
 {
@@ -475,6 +495,18 @@
   mImpl->NotifyVersion(aVersion);
 }
 
+void
+MembershipService::OnStoreRegained()
+{
+  mImpl->OnStoreRegained();
+}
+
+bool
+MembershipService::HasJoined() const
+{
+  return mImpl->HasJoined();
+}
+
 void
 MembershipService::Leave()
 {
--- a/src/nutmegrock/membership/udp/MembershipService.h
+++ b/src/nutmegrock/membership/udp/MembershipService.h
@@ -81,6 +81,11 @@
                                             std::string_view aArgument);
   /// Notifies 4 random members of a profile version.
   void NotifyVersion(std::uint64_t aVersion);
+  /// Reports that the store answers again, so that a node which waits to find
+  /// the others does so soon. Does not block.
+  void OnStoreRegained();
+  /// True if another member is present, or none was found in the store.
+  bool HasJoined() const;
   /// Disseminates the state Left and removes the seed row. Blocks for about
   /// half a second, and for at most 2 s while the store is unavailable.
   void Leave();
--- a/src/nutmegrock/membership/udp/SeedRows.cpp
+++ b/src/nutmegrock/membership/udp/SeedRows.cpp
@@ -18,6 +18,11 @@
 /// 3,800 nodes the maximum keeps the attempts at 127/s.
 constexpr std::chrono::milliseconds kInitialBackOff = 500ms;
 constexpr std::chrono::milliseconds kMaxBackOff = 30s;
+/// Maximum while no other member is known: this node cannot serve until it
+/// finds one.
+constexpr std::chrono::milliseconds kMaxBackOffAlone = 4s;
+/// Maximum delay of Retry(), which all nodes call within a few seconds.
+constexpr std::chrono::milliseconds kMaxRetryDelay = 300ms;
 
 /// Mean interval between reads while no other member is known.
 constexpr std::chrono::milliseconds kReadIntervalAlone = 5s;
@@ -83,6 +88,16 @@
   mWake.notify_all();
 }
 
+void
+SeedRows::Retry()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mRetry = true;
+  }
+  mWake.notify_all();
+}
+
 void
 SeedRows::Leave(std::chrono::milliseconds aTimeout)
 {
@@ -125,9 +140,12 @@
   // nodes that start together at least one finds the other.
   bool success = mWritten || WriteOwn();
   const auto now = Clock::now();
-  if (success &&
-      (now >= mNextRead || (now >= mNextReadAlone && mHooks.mMembers() == 0))) {
-    success = ReadSeeds();
+  const bool alone = mHooks.mMembers() == 0;
+  // The store may refuse only writes, and for long.
+  const bool read_alone =
+    alone && now >= mNextReadAlone && (success || mBackOff > 0ms);
+  if ((success && now >= mNextRead) || read_alone) {
+    success = ReadSeeds() && success;
   }
   if (success && now >= mSettledAt && !mNextRegionRead) {
     const std::chrono::duration<double> spread(
@@ -143,8 +161,10 @@
   }
   aLock.lock();
   RunRemovals(aLock);
-  mBackOff =
-    success ? 0ms : std::clamp(mBackOff * 2, kInitialBackOff, kMaxBackOff);
+  mBackOff = success ? 0ms
+                     : std::clamp(mBackOff * 2,
+                                  kInitialBackOff,
+                                  alone ? kMaxBackOffAlone : kMaxBackOff);
   const std::chrono::duration<double, std::milli> retry =
     mBackOff * (0.5 + mRandom.Unit());
   // Wakes up regularly, since a node that lost all other members reads again
@@ -156,8 +176,15 @@
             : Clock::now() +
                 std::chrono::duration_cast<std::chrono::milliseconds>(retry);
   mWake.wait_until(aLock, until, [this] {
-    return mStopping || mLeaving || !mRemovals.empty();
+    return mStopping || mLeaving || mRetry || !mRemovals.empty();
   });
+  if (std::exchange(mRetry, false) && mBackOff > 0ms) {
+    mBackOff = 0ms;
+    mWake.wait_for(aLock,
+                   std::chrono::duration<double, std::milli>(kMaxRetryDelay) *
+                     mRandom.Unit(),
+                   [this] { return mStopping || mLeaving; });
+  }
 }
 
 void
@@ -211,6 +238,7 @@
   }
   mNextRead = Clock::now() + Jittered(kReadInterval);
   mNextReadAlone = Clock::now() + Jittered(kReadIntervalAlone);
+  mHasRead = true;
   // A node alone in its region knows no other member that could read the next.
   const bool others = ReportRows(rows);
   return others || ReadNextRegion();
--- a/src/nutmegrock/membership/udp/SeedRows.h
+++ b/src/nutmegrock/membership/udp/SeedRows.h
@@ -7,6 +7,7 @@
 #include "membership/udp/MembershipCounters.h"
 #include "store/TableService.h"
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <functional>
@@ -70,6 +71,11 @@
 
   /// Removes the row of a dead member.
   void Remove(const Member& aMember);
+  /// Reports that the store answers other calls again: an attempt that waits
+  /// for its backoff is made soon. Does not block.
+  void Retry();
+  /// True if the rows of other nodes have been read at least once.
+  bool HasRead() const { return mHasRead; }
   /// Removes the row of this node. The thread ends afterwards, at the latest
   /// after aTimeout.
   void Leave(std::chrono::milliseconds aTimeout);
@@ -120,7 +126,9 @@
 
   std::mutex mMutex;
   std::condition_variable mWake;
+  std::atomic<bool> mHasRead{ false };
   bool mStopping = false;
+  bool mRetry = false;
   bool mLeaving = false;
   bool mEnded = false;
   Clock::time_point mLeaveUntil;
--- a/src/nutmegrock/routes/RouteSync.cpp
+++ b/src/nutmegrock/routes/RouteSync.cpp
@@ -164,6 +164,9 @@
     mHooks.mLog(stored ? "event=store_regained"
                        : fmt::format("event=store_lost reason=\"{}\"",
                                      stored.error().mMessage));
+    if (stored && mHooks.mOnStoreRegained) {
+      mHooks.mOnStoreRegained();
+    }
   }
   if (!stored) {
     return false;
--- a/src/nutmegrock/routes/RouteSync.h
+++ b/src/nutmegrock/routes/RouteSync.h
@@ -33,6 +33,9 @@
     std::function<void(const core::Address&, PullCallback)> mPull;
     /// Logs one line for each state change.
     std::function<void(const std::string&)> mLog;
+    /// Called on the watch's thread when the store answers for the first time
+    /// or again after a failure; may be empty.
+    std::function<void()> mOnStoreRegained = {};
   };
 
   /// Control request handled by HandlePull().
--- a/tests/membership/FakeTable.h
+++ b/tests/membership/FakeTable.h
@@ -52,7 +52,7 @@
   {
     const std::lock_guard lock(mMutex);
     ++mWrites;
-    if (mDown) {
+    if (mDown || mRefuseWrites) {
       return Unavailable();
     }
     const auto found = mRows.find(aKey);
@@ -88,6 +88,7 @@
   }
 
   std::atomic<bool> mDown{ false };
+  std::atomic<bool> mRefuseWrites{ false };
   std::atomic<int> mScans{ 0 };
   /// Writes take effect but report an error.
   std::atomic<bool> mLoseResponses{ false };
--- a/tests/membership/MembershipServiceTest.cpp
+++ b/tests/membership/MembershipServiceTest.cpp
@@ -204,10 +204,14 @@
     CHECK(
       Eventually([&] { return one.mService->Counters().mStoreFailed > 0; }));
     CHECK(one.Alive() == 1);
+    // Guards against a node that gets callers and cannot serve them.
+    CHECK_FALSE(one.mService->HasJoined());
     table->mDown = false;
     // Node two is in another region, so it is found only through the ring of
     // regions.
     CHECK(Eventually([&] { return one.Alive() == 2 && two.Alive() == 2; }));
+    CHECK(one.mService->HasJoined());
+    CHECK(two.mService->HasJoined());
     const auto view = one.mService->View();
     const std::string key =
       SeedRows::KeyOf(*view->Find({ 0x1000000000000000ULL }));
--- a/tests/membership/SeedRowsTest.cpp
+++ b/tests/membership/SeedRowsTest.cpp
@@ -202,4 +202,36 @@
       CHECK(fixture.mTable->Has("nodes/khomas/0000000000000042") == down);
     }
   }
+
+  // Guards against nodes that do not know each other for most of a minute after
+  // the store is back, since each waits for the end of its own backoff.
+  TEST_CASE("a report that the store answers again ends the backoff")
+  {
+    Fixture fixture;
+    fixture.mMembers = 3;
+    fixture.mTable->mDown = true;
+    fixture.Start();
+    // The next attempt would follow after 2 to 6 s.
+    REQUIRE(fixture.Eventually([&] { return fixture.mTable->mWrites == 4; }));
+    fixture.mTable->mDown = false;
+    fixture.mRows->Retry();
+    std::this_thread::sleep_for(1s);
+    CHECK(fixture.mTable->Has("nodes/khomas/0000000000000042"));
+  }
+
+  // Guards against a node that finds no other one while the store refuses only
+  // writes.
+  TEST_CASE("a lone node reads rows while its own cannot be written")
+  {
+    Fixture fixture;
+    fixture.mTable->Put("nodes/khomas/0000000000000078", "10.0.0.2:7002");
+    fixture.mTable->mRefuseWrites = true;
+    fixture.Start();
+    CHECK(fixture.Eventually([&] { return fixture.mRows->HasRead(); }));
+    CHECK(fixture.Found() == std::set<std::string>{ "10.0.0.2:7002" });
+    // The row is written as soon as that is possible.
+    fixture.mTable->mRefuseWrites = false;
+    CHECK(fixture.Eventually(
+      [&] { return fixture.mTable->Has("nodes/khomas/0000000000000042"); }));
+  }
 }
--- a/tests/routes/RouteSyncTest.cpp
+++ b/tests/routes/RouteSyncTest.cpp
@@ -188,3 +188,28 @@
   CHECK(pulls == 3);
   CHECK(active.Version() == 4);
 }
+
+// Guards against parts of a node that do not notice for long that the store is
+// back, although its watch does.
+TEST_CASE("each return of the store is reported once")
+{
+  const auto store = std::make_shared<ScriptedStore>();
+  const auto down = core::Fail(core::ErrorKind::StoreUnavailable, "down");
+  store->mResponses.emplace_back(down);
+  store->mResponses.emplace_back(StoredRoutes{ "3", 10 });
+  store->mResponses.emplace_back(StoredRoutes{ "", 11 });
+  store->mResponses.emplace_back(down);
+  store->mResponses.emplace_back(down);
+  store->mResponses.emplace_back(StoredRoutes{ "7", 13 });
+  ActiveRoutes active;
+  std::atomic<int> regained{ 0 };
+  RouteSync sync(store,
+                 DecodeNumber,
+                 active,
+                 { [](const core::Address&, const RouteSync::PullCallback&) {},
+                   [](const std::string&) {},
+                   [&regained] { ++regained; } });
+  sync.Start();
+  CHECK(WaitFor([&] { return active.Version() == 7; }));
+  CHECK(regained == 2);
+}
