Apply changed bounds, seeds and store address while a node runs

Callers saw: after the settings file had named another address of the store, no later version of the routes was in force at the running nodes.

Cause: a reload applied the log level only and reported every other change as needs_restart=true, without the keys.

A changed stop_s and drain_ms were not measured with processes.

Fix: the row store replaces its clients, the watch reads the whole document again since the history may be another one, and the row of the node is written again. A wait in progress at the old address ends by itself. Bounds and seeds are replaced; only identity and listen addresses need a restart, and a reload names those keys.

--- a/src/nutmegrock/announce/LocalServer.h
+++ b/src/nutmegrock/announce/LocalServer.h
@@ -67,6 +67,11 @@
 public:
   explicit LocalServer(LocalServerSettings aSettings);
 
+  /// Replaces mLeaveGracePeriod; a leave in progress follows it too.
+  void SetLeaveGracePeriod(core::Duration aPeriod)
+  {
+    mSettings.mLeaveGracePeriod = aPeriod;
+  }
   /// Processes a heartbeat. Returns true if the phase or identity changed.
   /// Fails with BadRequest when it cannot be from this server, and with
   /// VersionConflict when a later start or a later heartbeat is already known;
@@ -133,7 +138,7 @@
   /// Returns true if the latest announcement may be used.
   bool IsUsable(core::TimePoint aNow) const;
 
-  const LocalServerSettings mSettings;
+  LocalServerSettings mSettings;
   std::optional<Announcement> mLatest;
   core::TimePoint mLastHeartbeatAt;
   std::optional<core::TimePoint> mLeavingSince;
--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayComponents.h"
 
+#include "gateway/BoundedSettings.h"
 #include "gateway/InboundCall.h"
 #include "gateway/RouterDefaults.h"
 #include "gateway/SimpleRequest.h"
@@ -31,14 +32,6 @@
 /// Timeout of a request for another node's routes. Short, since the connection
 /// may have gone silent, and the next request uses a new one.
 constexpr milliseconds kRoutesTimeout{ 1'000 };
-/// Share of the platform's limit on retries that is used, so that rounding and
-/// uneven load between nodes stay within the limit.
-constexpr double kRetryRatioShare = 0.85;
-/// The extra retries apply to each service, and retries of upstream hops add to
-/// them.
-constexpr double kRetryExtraShare = 0.4;
-/// Share of the drain time during which requests in transit still start.
-constexpr double kDrainShare = 0.4;
 /// Time after which a health check without a complete response is cancelled.
 constexpr milliseconds kProbeTimeout{ 2'000 };
 /// Threads for the store client; at most three calls run concurrently.
@@ -55,16 +48,6 @@
     .count();
 }
 
-retry::RetryAllowanceSettings
-AllowanceFor(const settings::GatewayBounds& aBounds)
-{
-  retry::RetryAllowanceSettings settings;
-  settings.mRatio = aBounds.mRetryRatio * kRetryRatioShare;
-  settings.mExtraRetries = aBounds.mRetryExtra * kRetryExtraShare;
-  settings.mWindow = aBounds.mRetryWindow;
-  return settings;
-}
-
 /// Slots of the serving members by availability zone.
 std::vector<overload::ZoneSlots>
 SlotsByZone(const std::vector<membership::MemberPtr>& aMembers)
@@ -96,7 +79,7 @@
   , mRuns(mGraph)
   , mAdmission(mCosts, mLoads)
   , mSheddingLog([this](std::string_view aLine) { mLog.LogState(aLine); })
-  , mAllowance(AllowanceFor(mSettings.mBounds))
+  , mAllowance(AllowanceOf(mSettings.mBounds))
 {
 }
 
@@ -180,9 +163,7 @@
   serving.mServer.mNodeStart = core::Clock::now();
   serving.mServer.mNodeStartMs = WallClockMs();
   serving.mServer.mCheckTimeout = kProbeTimeout;
-  serving.mServer.mLeaveGracePeriod =
-    std::chrono::duration_cast<core::Duration>(mSettings.mBounds.mDrain *
-                                               kDrainShare);
+  serving.mServer.mLeaveGracePeriod = LeaveGracePeriodOf(mSettings.mBounds);
   mServing = std::make_unique<Serving>(serving, *mShared);
   EntrySettings entry;
   entry.mSelf = mSelf;
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -81,10 +81,11 @@
   void StartStopping();
   void TickStopping(core::TimePoint aNow);
   void ReloadSettings(std::string_view aCause);
+  void ApplySettings(const settings::GatewaySettings& aLoaded);
   void CheckSettingsFile(core::TimePoint aNow);
   std::size_t InFlight() const;
 
-  const settings::GatewaySettings mSettings;
+  settings::GatewaySettings mSettings;
   Ports mPorts;
   const core::Incarnation mSelf;
   boost::asio::io_context mIo{ 1 };
--- a/src/nutmegrock/gateway/GatewayControl.cpp
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -1,4 +1,5 @@
 // The components of a running node that handle control requests and signals.
+#include "gateway/BoundedSettings.h"
 #include "gateway/GatewayComponents.h"
 #include "gateway/SimpleRequest.h"
 #include "proxy/MessageText.h"
@@ -264,13 +265,35 @@
                               loaded.error().mMessage));
     return;
   }
-  spdlog::set_level(spdlog::level::from_str(loaded->mLogLevel));
-  settings::GatewaySettings compared = *loaded;
-  compared.mLogLevel = mSettings.mLogLevel;
+  ApplySettings(*loaded);
+  const auto keys = settings::KeysThatNeedRestart(mSettings, *loaded);
   mLog.LogState(
     fmt::format("event=reload cause=\"{}\" result=applied needs_restart={}",
                 aCause,
-                !(compared == mSettings)));
+                keys.empty() ? "-" : fmt::to_string(fmt::join(keys, ","))));
+}
+
+void
+GatewayRuntime::Components::ApplySettings(
+  const settings::GatewaySettings& aLoaded)
+{
+  mSettings.mLogLevel = aLoaded.mLogLevel;
+  spdlog::set_level(spdlog::level::from_str(mSettings.mLogLevel));
+  if (aLoaded.mBounds != mSettings.mBounds) {
+    mSettings.mBounds = aLoaded.mBounds;
+    mAllowance.SetSettings(AllowanceOf(mSettings.mBounds));
+    mServing->SetLeaveGracePeriod(LeaveGracePeriodOf(mSettings.mBounds));
+  }
+  if (aLoaded.mSeeds != mSettings.mSeeds) {
+    mSettings.mSeeds = aLoaded.mSeeds;
+    mMembership->SetSeeds(mSettings.mSeeds);
+  }
+  if (aLoaded.mStore != mSettings.mStore && mPorts.mSetStore &&
+      mPorts.mSetStore(aLoaded.mStore)) {
+    mSettings.mStore = aLoaded.mStore;
+    mRouteSync->Restart();
+    mMembership->OnStoreChanged();
+  }
 }
 
 } // namespace nutmegrock::gateway
--- a/src/nutmegrock/gateway/Ports.h
+++ b/src/nutmegrock/gateway/Ports.h
@@ -42,6 +42,9 @@
   std::string mReadyPath = "/ready";
   std::shared_ptr<store::TableService> mTable;
   std::shared_ptr<routes::RouteStore> mRoutes;
+  /// Moves mTable and mRoutes to another address of the store. Fails with
+  /// InvalidSettings.
+  std::function<core::Expected<bool>(const std::string&)> mSetStore;
   routes::RouteDecoder mDecodeRoutes;
   /// Fails with NotFound for a request that is not a notice, and with
   /// BadRequest for an invalid one.
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -90,6 +90,11 @@
   bool OnLeave(const std::string& aId, std::int64_t aStartedMs);
   /// A health check of the backend server has ended; see LocalServer.
   bool OnHealthy(const ServerHealth& aHealth);
+  /// See announce::LocalServer.
+  void SetLeaveGracePeriod(core::Duration aPeriod)
+  {
+    mServer.SetLeaveGracePeriod(aPeriod);
+  }
   void OnCheckSent(core::TimePoint aNow) { mServer.OnCheckSent(aNow); }
   /// Services that runs of the local backend server call, as far as known.
   overload::DownstreamServices KnownDownstream() const;
--- a/src/nutmegrock/membership/Membership.cpp
+++ b/src/nutmegrock/membership/Membership.cpp
@@ -55,6 +55,13 @@
   mGossip.Add(Own()->mIncarnation);
 }
 
+void
+Membership::SetSeeds(const std::vector<core::Address>& aSeeds)
+{
+  mSeeds.clear();
+  AddSeeds(aSeeds);
+}
+
 void
 Membership::AddSeeds(const std::vector<core::Address>& aSeeds)
 {
--- a/src/nutmegrock/membership/Membership.h
+++ b/src/nutmegrock/membership/Membership.h
@@ -56,6 +56,8 @@
   /// Adds addresses that are pinged often while no other member is known and
   /// now and then afterwards. The address of this node is left out.
   void AddSeeds(const std::vector<core::Address>& aSeeds);
+  /// Replaces these addresses.
+  void SetSeeds(const std::vector<core::Address>& aSeeds);
   /// Pings more addresses once, such as those of newly read seed rows.
   Actions PingAddresses(core::TimePoint aNow,
                         const std::vector<core::Address>& aAddresses);
--- a/src/nutmegrock/membership/udp/MembershipService.cpp
+++ b/src/nutmegrock/membership/udp/MembershipService.cpp
@@ -68,7 +68,9 @@
                                             std::string_view aArgument);
   void NotifyVersion(std::uint64_t aVersion);
   void OnStoreRegained();
+  void OnStoreChanged();
   bool HasJoined() const;
+  void SetSeeds(const std::vector<core::Address>& aSeeds);
   void Leave();
   const core::Address& LocalAddress() const { return mSettings.mOwn.mAddress; }
   const MembershipCounters& Counters() const { return mCounters; }
@@ -139,7 +141,7 @@
                                              mSettings.mOwn,
                                              mHooks.mProfileVersion,
                                              mSettings.mOwn.mIncarnation.mBits);
-  mMembership->AddSeeds(mSettings.mSeeds);
+  mMembership->SetSeeds(mSettings.mSeeds);
   mView = mMembership->View();
   return true;
 }
@@ -413,6 +415,14 @@
   }
 }
 
+void
+MembershipService::Impl::OnStoreChanged()
+{
+  if (mRows) {
+    mRows->Rewrite();
+  }
+}
+
 bool
 MembershipService::Impl::HasJoined() const
 {
@@ -423,6 +433,13 @@
   return !mMembership->Table().Present().empty();
 }
 
+void
+MembershipService::Impl::SetSeeds(const std::vector<core::Address>& aSeeds)
+{
+  const std::lock_guard lock(mMutex);
+  mMembership->SetSeeds(aSeeds);
+}
+
 void
 MembershipService::Impl::Leave()
 {
@@ -501,12 +518,24 @@
   mImpl->OnStoreRegained();
 }
 
+void
+MembershipService::OnStoreChanged()
+{
+  mImpl->OnStoreChanged();
+}
+
 bool
 MembershipService::HasJoined() const
 {
   return mImpl->HasJoined();
 }
 
+void
+MembershipService::SetSeeds(const std::vector<core::Address>& aSeeds)
+{
+  mImpl->SetSeeds(aSeeds);
+}
+
 void
 MembershipService::Leave()
 {
--- a/src/nutmegrock/membership/udp/MembershipService.h
+++ b/src/nutmegrock/membership/udp/MembershipService.h
@@ -84,8 +84,12 @@
   /// Reports that the store answers again, so that a node which waits to find
   /// the others does so soon. Does not block.
   void OnStoreRegained();
+  /// Reports that the store has another address.
+  void OnStoreChanged();
   /// True if another member is present, or none was found in the store.
   bool HasJoined() const;
+  /// Replaces the seeds of the settings.
+  void SetSeeds(const std::vector<core::Address>& aSeeds);
   /// Disseminates the state Left and removes the seed row. Blocks for about
   /// half a second, and for at most 2 s while the store is unavailable.
   void Leave();
--- a/src/nutmegrock/membership/udp/SeedRows.cpp
+++ b/src/nutmegrock/membership/udp/SeedRows.cpp
@@ -98,6 +98,17 @@
   mWake.notify_all();
 }
 
+void
+SeedRows::Rewrite()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mRewrite = true;
+    mRetry = true;
+  }
+  mWake.notify_all();
+}
+
 void
 SeedRows::Leave(std::chrono::milliseconds aTimeout)
 {
@@ -135,6 +146,7 @@
 void
 SeedRows::RunOnce(std::unique_lock<std::mutex>& aLock)
 {
+  mWritten = mWritten && !std::exchange(mRewrite, false);
   aLock.unlock();
   // The row of this node is written before others are read, so that of two
   // nodes that start together at least one finds the other.
--- a/src/nutmegrock/membership/udp/SeedRows.h
+++ b/src/nutmegrock/membership/udp/SeedRows.h
@@ -74,6 +74,9 @@
   /// Reports that the store answers other calls again: an attempt that waits
   /// for its backoff is made soon. Does not block.
   void Retry();
+  /// Writes the row of this node again and reads the others; call it when the
+  /// store has another address. Does not block.
+  void Rewrite();
   /// True if the rows of other nodes have been read at least once.
   bool HasRead() const { return mHasRead; }
   /// Removes the row of this node. The thread ends afterwards, at the latest
@@ -129,6 +132,7 @@
   std::atomic<bool> mHasRead{ false };
   bool mStopping = false;
   bool mRetry = false;
+  bool mRewrite = false;
   bool mLeaving = false;
   bool mEnded = false;
   Clock::time_point mLeaveUntil;
--- a/src/nutmegrock/retry/RetryAllowance.cpp
+++ b/src/nutmegrock/retry/RetryAllowance.cpp
@@ -9,6 +9,15 @@
 {
 }
 
+void
+RetryAllowance::SetSettings(const RetryAllowanceSettings& aSettings)
+{
+  if (aSettings.mWindow != mSettings.mWindow) {
+    mServices.clear();
+  }
+  mSettings = aSettings;
+}
+
 std::int64_t
 RetryAllowance::BucketNumberOf(core::TimePoint aNow) const
 {
--- a/src/nutmegrock/retry/RetryAllowance.h
+++ b/src/nutmegrock/retry/RetryAllowance.h
@@ -35,6 +35,9 @@
 public:
   explicit RetryAllowance(RetryAllowanceSettings aSettings = {});
 
+  /// Replaces the settings. With another window, what was counted before is
+  /// dropped.
+  void SetSettings(const RetryAllowanceSettings& aSettings);
   /// Number of nodes that share the additional retries.
   void SetNodes(std::size_t aNodes) { mNodes = aNodes; }
   /// A request for the service arrived. aRetryShare is the probability that it
@@ -63,7 +66,7 @@
   std::int64_t BucketNumberOf(core::TimePoint aNow) const;
   Bucket& BucketOf(core::TimePoint aNow, std::string_view aService);
 
-  const RetryAllowanceSettings mSettings;
+  RetryAllowanceSettings mSettings;
   std::size_t mNodes = 1;
   std::map<std::string, Window, std::less<>> mServices;
 };
--- a/src/nutmegrock/routes/RouteSync.cpp
+++ b/src/nutmegrock/routes/RouteSync.cpp
@@ -111,11 +111,21 @@
   mThread = std::thread([this] { Run(); });
 }
 
+void
+RouteSync::Restart()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mRestart = true;
+  }
+  mWake.notify_all();
+}
+
 void
 RouteSync::Pause(milliseconds aTime)
 {
   std::unique_lock lock(mMutex);
-  mWake.wait_for(lock, aTime, [this] { return mStopping; });
+  mWake.wait_for(lock, aTime, [this] { return mStopping || mRestart; });
 }
 
 milliseconds
@@ -135,6 +145,10 @@
       if (mStopping) {
         return;
       }
+      if (std::exchange(mRestart, false)) {
+        mCursor = 0;
+        backoff = milliseconds(0);
+      }
     }
     if (RunOnce()) {
       backoff = milliseconds(0);
--- a/src/nutmegrock/routes/RouteSync.h
+++ b/src/nutmegrock/routes/RouteSync.h
@@ -53,6 +53,9 @@
 
   /// Reads from the store immediately.
   void Start();
+  /// Reads the whole document next, at the latest when the present wait at the
+  /// store ends; call it when the store has another address.
+  void Restart();
   /// Sets the rank of this node among all members, which decides how long its
   /// next watch waits at the store; see WatchWait().
   void SetRank(std::size_t aRank) { mRank = aRank; }
@@ -91,6 +94,7 @@
   std::mutex mMutex;
   std::condition_variable mWake;
   bool mStopping = false;
+  bool mRestart = false;
   std::thread mThread;
 };
 
--- a/src/nutmegrock/settings/GatewaySettings.cpp
+++ b/src/nutmegrock/settings/GatewaySettings.cpp
@@ -92,6 +92,35 @@
   return settings;
 }
 
+std::vector<std::string>
+KeysThatNeedRestart(const GatewaySettings& aRunning,
+                    const GatewaySettings& aLoaded)
+{
+  std::vector<std::string> keys;
+  const auto compare =
+    [&](const char* aKey, const auto& aLeft, const auto& aRight) {
+      if (aLeft != aRight) {
+        keys.emplace_back(aKey);
+      }
+    };
+  compare("node.service", aRunning.mService, aLoaded.mService);
+  compare("node.region", aRunning.mRegion, aLoaded.mRegion);
+  compare("node.availability_zone",
+          aRunning.mAvailabilityZone,
+          aLoaded.mAvailabilityZone);
+  compare(
+    "node.backend_server", aRunning.mBackendServer, aLoaded.mBackendServer);
+  const GatewayListenSettings& running = aRunning.mListen;
+  const GatewayListenSettings& loaded = aLoaded.mListen;
+  compare("listen.caller", running.mCaller, loaded.mCaller);
+  compare("listen.nodes", running.mNodes, loaded.mNodes);
+  compare("listen.peer", running.mPeer, loaded.mPeer);
+  compare("listen.notices", running.mNotices, loaded.mNotices);
+  compare("listen.ready", running.mReady, loaded.mReady);
+  compare("listen.metrics", running.mMetrics, loaded.mMetrics);
+  return keys;
+}
+
 core::Expected<GatewaySettings>
 LoadGatewaySettings(const std::string& aPath)
 {
--- a/src/nutmegrock/settings/GatewaySettings.h
+++ b/src/nutmegrock/settings/GatewaySettings.h
@@ -68,6 +68,12 @@
 core::Expected<GatewaySettings>
 ParseGatewaySettings(const std::string& aYaml, const std::string& aName);
 
+/// Keys with different values that a running node cannot change: its identity
+/// and its addresses.
+std::vector<std::string>
+KeysThatNeedRestart(const GatewaySettings& aRunning,
+                    const GatewaySettings& aLoaded);
+
 /// Reads a settings file. Fails with InvalidSettings.
 core::Expected<GatewaySettings>
 LoadGatewaySettings(const std::string& aPath);
--- a/tests/adapter/RowStoreTest.cpp
+++ b/tests/adapter/RowStoreTest.cpp
@@ -165,3 +165,17 @@
   CHECK(store->WaitForChange(12, std::chrono::milliseconds(10)) ==
         routes::StoredRoutes{ "", 13 });
 }
+
+// Guards against a node that goes on with a store that has moved.
+TEST_CASE("calls go to the new address of the store")
+{
+  ScriptedServer before({ { MakeResponse("200 OK", RowsOf("MQ==", 10)) } });
+  ScriptedServer after({ { MakeResponse("200 OK", RowsOf("Mg==", 4)) },
+                         { MakeResponse("200 OK", R"({"ver":5})") } });
+  const auto store = *RowStore::Make(before.Url());
+  CHECK(store->Read() == routes::StoredRoutes{ "1", 10 });
+  CHECK(!store->SetUrl("nonsense").has_value());
+  CHECK(store->SetUrl(after.Url()).has_value());
+  CHECK(store->Read() == routes::StoredRoutes{ "2", 4 });
+  CHECK(store->Remove("nodes/r/1").has_value());
+}
--- a/tests/announce/LocalServerTest.cpp
+++ b/tests/announce/LocalServerTest.cpp
@@ -264,3 +264,15 @@
   CHECK(server.CanStartWork(kStart + std::chrono::seconds(11)));
   CHECK(!server.CanStartWork(kStart + std::chrono::seconds(13)));
 }
+
+// Guards against a changed time to drain that a running node does not follow.
+TEST_CASE("a changed grace period holds for a leave in progress")
+{
+  LocalServer server = MakeServer();
+  REQUIRE(server.OnHeartbeat(kStart, MakeHeartbeat("a", 100, 1)));
+  CHECK(server.OnLeave(kStart, "a", 100));
+  const core::TimePoint later = kStart + milliseconds(500);
+  CHECK(server.CanStartWork(later));
+  server.SetLeaveGracePeriod(milliseconds(400));
+  CHECK(!server.CanStartWork(later));
+}
--- a/tests/membership/MembershipServiceTest.cpp
+++ b/tests/membership/MembershipServiceTest.cpp
@@ -221,6 +221,18 @@
     CHECK_FALSE(table->Has(key));
   }
 
+  // Guards against seeds that are added to the settings and not used until the
+  // node is started again.
+  TEST_CASE("a node joins through seeds that are set while it runs")
+  {
+    Group group;
+    auto& one = group.Add({}, nullptr);
+    auto& two = group.Add({}, nullptr);
+    CHECK(one.Alive() == 1);
+    one.mService->SetSeeds({ two.mService->LocalAddress() });
+    CHECK(Eventually([&] { return one.Alive() == 2 && two.Alive() == 2; }));
+  }
+
   TEST_CASE("an invalid record is rejected at the start")
   {
     MembershipServiceSettings settings;
--- a/tests/membership/SeedRowsTest.cpp
+++ b/tests/membership/SeedRowsTest.cpp
@@ -234,4 +234,16 @@
     CHECK(fixture.Eventually(
       [&] { return fixture.mTable->Has("nodes/khomas/0000000000000042"); }));
   }
+
+  // Guards against a node that the others do not find in a store that moved.
+  TEST_CASE("the own row is written again when the store has changed")
+  {
+    Fixture fixture;
+    fixture.Start();
+    const std::string own = "nodes/khomas/0000000000000042";
+    REQUIRE(fixture.Eventually([&] { return fixture.mReads > 0; }));
+    REQUIRE(fixture.mTable->Remove(own));
+    fixture.mRows->Rewrite();
+    CHECK(fixture.Eventually([&] { return fixture.mTable->Has(own); }));
+  }
 }
--- a/tests/retry/RetryAllowanceTest.cpp
+++ b/tests/retry/RetryAllowanceTest.cpp
@@ -73,3 +73,23 @@
         doctest::Approx(2));
   CHECK(allowance.Remaining(kStart, "tracker") == doctest::Approx(2));
 }
+
+// Guards against bounds that change while a node runs and are not followed, and
+// against granting a window's retries twice because of the change.
+TEST_CASE("changed settings apply from the next retry on")
+{
+  RetryAllowanceSettings settings;
+  settings.mExtraRetries = 2;
+  RetryAllowance allowance(settings);
+  CHECK(allowance.Take(kStart, "a"));
+  CHECK(allowance.Take(kStart, "a"));
+  CHECK(!allowance.Take(kStart, "a"));
+  settings.mExtraRetries = 3;
+  allowance.SetSettings(settings);
+  CHECK(allowance.Take(kStart, "a"));
+  CHECK(!allowance.Take(kStart, "a"));
+  settings.mWindow = std::chrono::seconds(5);
+  allowance.SetSettings(settings);
+  allowance.OnRequest(kStart, "a", 0);
+  CHECK(allowance.Remaining(kStart, "a") > 0);
+}
--- a/tests/routes/RouteSyncTest.cpp
+++ b/tests/routes/RouteSyncTest.cpp
@@ -213,3 +213,25 @@
   CHECK(WaitFor([&] { return active.Version() == 7; }));
   CHECK(regained == 2);
 }
+
+// Guards against waiting for changes after a position in the history of another
+// store.
+TEST_CASE("a restarted watch reads the whole document")
+{
+  const auto store = std::make_shared<ScriptedStore>();
+  store->mResponses.emplace_back(StoredRoutes{ "3", 10 });
+  ActiveRoutes active;
+  RouteSync sync(store,
+                 DecodeNumber,
+                 active,
+                 { [](const core::Address&, const RouteSync::PullCallback&) {},
+                   [](const std::string&) {} });
+  sync.Start();
+  CHECK(WaitFor([&] { return active.Version() == 3; }));
+  CHECK(store->mReads == 1);
+  sync.Restart();
+  CHECK(WaitFor([&] {
+    const std::lock_guard lock(store->mMutex);
+    return store->mReads == 2;
+  }));
+}
--- a/tests/settings/GatewaySettingsTest.cpp
+++ b/tests/settings/GatewaySettingsTest.cpp
@@ -63,3 +63,22 @@
     CHECK(settings.error().mMessage.find(wrong.mError) != std::string::npos);
   }
 }
+
+// Guards against a changed file that a running node only reports, without the
+// keys that it could not apply.
+TEST_CASE("only identity and addresses need a restart, and are named")
+{
+  const auto running = *ParseGatewaySettings(kYaml, "node.yaml");
+  auto loaded = running;
+  loaded.mStore = "http://10.200.1.8:8309";
+  loaded.mBounds.mStop = std::chrono::seconds(9);
+  loaded.mSeeds = { { "10.1.0.9", 7620 } };
+  loaded.mLogLevel = "warn";
+  CHECK(KeysThatNeedRestart(running, loaded).empty());
+  loaded.mListen.mReady.mPort = 1;
+  loaded.mService = "counter";
+  CHECK(KeysThatNeedRestart(running, loaded) ==
+        std::vector<std::string>{ "node.service", "listen.ready" });
+  loaded = {};
+  CHECK(KeysThatNeedRestart(running, loaded).size() == 10);
+}
