--- a/src/nutmegrock/membership/udp/MembershipService.cpp
+++ b/src/nutmegrock/membership/udp/MembershipService.cpp
@@ -67,6 +67,10 @@
   core::Expected<std::string> HandleControl(std::string_view aMethod,
                                             std::string_view aArgument);
   void NotifyVersion(std::uint64_t aVersion);
+  void OnStoreRegained();
+  void OnStoreChanged();
+  bool HasJoined() const;
+  void SetSeeds(const std::vector<core::Address>& aSeeds);
   void Leave();
   const core::Address& LocalAddress() const { return mSettings.mOwn.mAddress; }
   const MembershipCounters& Counters() const { return mCounters; }
@@ -137,7 +141,7 @@
                                              mSettings.mOwn,
                                              mHooks.mProfileVersion,
                                              mSettings.mOwn.mIncarnation.mBits);
-  mMembership->AddSeeds(mSettings.mSeeds);
+  mMembership->SetSeeds(mSettings.mSeeds);
   mView = mMembership->View();
   return true;
 }
@@ -403,6 +407,39 @@
   });
 }
 
+void
+MembershipService::Impl::OnStoreRegained()
+{
+  if (mRows) {
+    mRows->Retry();
+  }
+}
+
+void
+MembershipService::Impl::OnStoreChanged()
+{
+  if (mRows) {
+    mRows->Rewrite();
+  }
+}
+
+bool
+MembershipService::Impl::HasJoined() const
+{
+  if (!mRows || mRows->HasRead()) {
+    return true;
+  }
+  const std::lock_guard lock(mMutex);
+  return !mMembership->Table().Present().empty();
+}
+
+void
+MembershipService::Impl::SetSeeds(const std::vector<core::Address>& aSeeds)
+{
+  const std::lock_guard lock(mMutex);
+  mMembership->SetSeeds(aSeeds);
+}
+
 void
 MembershipService::Impl::Leave()
 {
@@ -475,6 +512,30 @@
   mImpl->NotifyVersion(aVersion);
 }
 
+void
+MembershipService::OnStoreRegained()
+{
+  mImpl->OnStoreRegained();
+}
+
+void
+MembershipService::OnStoreChanged()
+{
+  mImpl->OnStoreChanged();
+}
+
+bool
+MembershipService::HasJoined() const
+{
+  return mImpl->HasJoined();
+}
+
+void
+MembershipService::SetSeeds(const std::vector<core::Address>& aSeeds)
+{
+  mImpl->SetSeeds(aSeeds);
+}
+
 void
 MembershipService::Leave()
 {
