Read a store without history at intervals

Callers of a large deployment could get an old version: while the store has no history, its nodes use up the calls that it accepts, and those beyond get 429.

Cause: after a 410 the watch reads the whole document and waits again at once, so a store that goes on with 410 was called without any pause.

Evidence: the new test failed before (more than 6 reads in 1.5 s).

Fix: from the second 410 without a successful wait in between, the node pauses for as long as it would wait at the store, by its rank.

--- a/src/nutmegrock/routes/RouteSync.cpp
+++ b/src/nutmegrock/routes/RouteSync.cpp
@@ -171,6 +171,10 @@
   if (!stored && stored.error().mKind == core::ErrorKind::NotFound) {
     mHooks.mLog(fmt::format("event=store_history_gone cursor={}", mCursor));
     mCursor = 0;
+    // Without any history the store is read as often as it would be watched.
+    if (std::exchange(mHistoryGone, true)) {
+      Pause(Between(min_wait, wait));
+    }
     return true;
   }
   if (mStoreReachable != stored.has_value()) {
@@ -186,6 +190,7 @@
     return false;
   }
   const bool watching = mCursor != 0;
+  mHistoryGone = mHistoryGone && !watching;
   mCursor = stored->mCursor;
   if (!stored->mDocument.empty()) {
     mShared->Activate(stored->mDocument, "store");
--- a/src/nutmegrock/routes/RouteSync.h
+++ b/src/nutmegrock/routes/RouteSync.h
@@ -88,6 +88,9 @@
   std::shared_ptr<Shared> mShared;
   /// Used only by the thread. 0: read the whole document next.
   std::uint64_t mCursor = 0;
+  /// True from a lost history to the next successful wait; used only by the
+  /// thread.
+  bool mHistoryGone = false;
   std::mt19937_64 mRandom{ std::random_device{}() };
   std::atomic<bool> mStoreReachable{ false };
   std::atomic<std::size_t> mRank{ kInitialRank };
--- a/tests/routes/RouteSyncTest.cpp
+++ b/tests/routes/RouteSyncTest.cpp
@@ -235,3 +235,44 @@
     return store->mReads == 2;
   }));
 }
+
+namespace {
+
+/// Has no history: every wait fails at once.
+class ForgetfulStore final : public RouteStore
+{
+public:
+  core::Expected<StoredRoutes> Read() override
+  {
+    const int reads = ++mReads;
+    return StoredRoutes{ std::to_string(reads), 10 };
+  }
+  core::Expected<StoredRoutes> WaitForChange(std::uint64_t,
+                                             std::chrono::milliseconds) override
+  {
+    return core::Fail(core::ErrorKind::NotFound, "gone");
+  }
+
+  std::atomic<int> mReads{ 0 };
+};
+
+} // namespace
+
+// Guards against using up the calls that the store accepts while it has no
+// history, which keeps all nodes from following.
+TEST_CASE("a store without history is read at intervals")
+{
+  const auto store = std::make_shared<ForgetfulStore>();
+  ActiveRoutes active;
+  RouteSync sync(store,
+                 DecodeNumber,
+                 active,
+                 { [](const core::Address&, const RouteSync::PullCallback&) {},
+                   [](const std::string&) {} });
+  sync.SetRank(0);
+  sync.Start();
+  CHECK(WaitFor([&] { return active.Version() == 2; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
+  CHECK(store->mReads >= 3);
+  CHECK(store->mReads <= 6);
+}
