--- a/tests/adapter/NoticesTest.cpp
+++ b/tests/adapter/NoticesTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/Notices.h"
 
+#include <cpprest/json.h>
 #include <doctest/doctest.h>
 
 using namespace nutmegrock;
@@ -90,6 +91,61 @@
   }
 }
 
+// Guards against an incomplete heartbeat of another writer taking the place of
+// the server: its later start made all heartbeats of that server late.
+TEST_CASE(
+  "a heartbeat that lacks a field or has one of another type is refused")
+{
+  for (const std::string name : { "service",
+                                  "address",
+                                  "zone",
+                                  "version",
+                                  "slots",
+                                  "state",
+                                  "coldRemainingMs",
+                                  "sequence" }) {
+    CAPTURE(name);
+    for (const std::string value :
+         { "", "null", "true", "[1]", "{}", "-1", "1.5", "\"\"" }) {
+      CAPTURE(value);
+      auto body = web::json::value::parse(kBody);
+      const bool is_text = body.at(name).is_string();
+      if (is_text && value == "\"\"") {
+        continue;
+      }
+      body.erase(name);
+      if (!value.empty()) {
+        body[name] = web::json::value::parse(value);
+      }
+      const auto notice = DecodeNotice({ "POST", kTarget, body.serialize() });
+      REQUIRE(!notice.has_value());
+      CHECK(notice.error().mKind == core::ErrorKind::BadRequest);
+    }
+  }
+}
+
+// Guards against a start of another type being read as 0, which a leave gives
+// for any start of the server.
+TEST_CASE("a notice whose start has another type is refused")
+{
+  for (const std::string value :
+       { "null", "\"1700000000000\"", "-1", "1.5", "[]", "1e30" }) {
+    CAPTURE(value);
+    auto body = web::json::value::parse(kBody);
+    body["born"] = web::json::value::parse(value);
+    for (const std::string& target : { kTarget, kLeave }) {
+      const auto notice = DecodeNotice({ "POST", target, body.serialize() });
+      REQUIRE(!notice.has_value());
+      CHECK(notice.error().mKind == core::ErrorKind::BadRequest);
+    }
+  }
+  CHECK(!DecodeNotice({ "POST", kLeave, "[1]" }).has_value());
+  // One that does not tell its start is read.
+  auto body = web::json::value::parse(kBody);
+  body.erase("born");
+  CHECK(DecodeNotice({ "POST", kTarget, body.serialize() }).has_value());
+}
+
 // Guards against one notice of another writer ending the process: an exception
 // from decoding its target reached the event loop.
 TEST_CASE("a notice whose target cannot be decoded is refused")
