Take in a leave of a server known from a health check

Cause: a health check does not tell when a server started, and OnLeave() compared that unknown start, 0, with the one of the leave.

A leave counts now for its start and those before, an unknown one leaves with any, and a leave without a start counts for all starts up to the present. The next start under the same identity is later than that and is used.

--- a/src/nutmegrock/announce/LocalServer.cpp
+++ b/src/nutmegrock/announce/LocalServer.cpp
@@ -151,14 +151,28 @@
   return !same_run || Phase(aNow) != before;
 }
 
+std::int64_t
+LocalServer::WallClockMs(core::TimePoint aNow) const
+{
+  return mSettings.mNodeStartMs +
+         std::chrono::duration_cast<std::chrono::milliseconds>(
+           aNow - mSettings.mNodeStart)
+           .count();
+}
+
 bool
 LocalServer::OnLeave(core::TimePoint aNow,
                      const std::string& aId,
                      std::int64_t aStartedMs)
 {
+  // Of a server that only a health check has identified, the start is unknown.
   const bool present = mLatest && mLatest->mId == aId &&
-                       (aStartedMs == 0 || aStartedMs == mLatest->mStartedMs);
-  const std::int64_t started = present ? mLatest->mStartedMs : aStartedMs;
+                       (aStartedMs == 0 || aStartedMs >= mLatest->mStartedMs);
+  std::int64_t started = aStartedMs;
+  if (started == 0) {
+    started = present && mLatest->mStartedMs != 0 ? mLatest->mStartedMs
+                                                  : WallClockMs(aNow);
+  }
   const auto found = mDeparted.find(aId);
   if (found == mDeparted.end()) {
     if (mDeparted.size() >= kMaxDeparted) {
--- a/src/nutmegrock/announce/LocalServer.h
+++ b/src/nutmegrock/announce/LocalServer.h
@@ -76,7 +76,8 @@
   /// Records that the given start of that identity has left or is about to
   /// leave; aStartedMs as in Announcement. Returns true if the phase changed.
   /// An unknown identity is remembered too, so that a heartbeat still in
-  /// transit does not bring it back.
+  /// transit does not bring it back. Without a known start, all starts up to
+  /// the present have left.
   bool OnLeave(core::TimePoint aNow,
                const std::string& aId,
                std::int64_t aStartedMs);
@@ -130,6 +131,8 @@
   /// Returns the confirmation after a heartbeat of the known or another run.
   Confirmation ConfirmationAfter(core::TimePoint aNow,
                                  const Announcement& aAnnouncement) const;
+  /// Wall-clock time in milliseconds since 1970.
+  std::int64_t WallClockMs(core::TimePoint aNow) const;
   /// Returns true if the latest announcement may be used.
   bool IsUsable(core::TimePoint aNow) const;
 
--- a/tests/announce/LocalServerTest.cpp
+++ b/tests/announce/LocalServerTest.cpp
@@ -126,6 +126,46 @@
   CHECK(server.OnHeartbeat(kStart, MakeHeartbeat("a", 200, 1)).has_value());
 }
 
+// Guards against a leave that is acknowledged and ignored after a restart of
+// the node: a health check does not tell when the server started.
+TEST_CASE("a server known from a health check leaves")
+{
+  for (const std::int64_t started : { std::int64_t{ 0 }, kStartMs - 5'000 }) {
+    CAPTURE(started);
+    LocalServer server = MakeServer(kStart);
+    REQUIRE(server.OnHealthy(kStart, "a", 10));
+    CHECK(server.OnLeave(kStart, "a", started));
+    CHECK(server.Phase(kStart) == ServerPhase::Leaving);
+    CHECK(server.CanStartWork(kStart + milliseconds(700)));
+    CHECK(!server.CanStartWork(kStart + milliseconds(900)));
+    // Neither a check that was sent before nor a late heartbeat brings it back.
+    const core::TimePoint later = kStart + std::chrono::seconds(1);
+    CHECK(!server.OnHealthy(later, "a", 10));
+    CHECK(!server.OnHeartbeat(later, MakeHeartbeat("a", kStartMs - 5'000, 7))
+             .has_value());
+    CHECK(server.Phase(later) == ServerPhase::Leaving);
+    CHECK(!server.CanStartWork(later));
+    // Its next start under the same identity serves.
+    CHECK(server.OnHeartbeat(later, MakeHeartbeat("a", kStartMs + 500, 1))
+            .has_value());
+    CHECK(server.CanStartWork(later));
+  }
+}
+
+// Guards against a leave that ends a later start of the same identity, and one
+// that is ignored because the start that leaves was not known yet.
+TEST_CASE("a leave counts for its start and those before")
+{
+  LocalServer server = MakeServer();
+  REQUIRE(server.OnHeartbeat(kStart, MakeHeartbeat("a", 200, 1)));
+  CHECK(!server.OnLeave(kStart, "a", 100));
+  CHECK(server.CanStartWork(kStart));
+  CHECK(server.OnLeave(kStart, "a", 300));
+  CHECK(server.Phase(kStart) == ServerPhase::Leaving);
+  CHECK(!server.OnHeartbeat(kStart, MakeHeartbeat("a", 300, 1)).has_value());
+  CHECK(server.OnHeartbeat(kStart, MakeHeartbeat("a", 301, 1)).has_value());
+}
+
 // Guards against a server that has left and is used again after its node was
 // restarted: its last heartbeats can arrive seconds late, and nothing else is
 // known.
