Keep a proven server when another one's heartbeat arrives

Callers were never served: a heartbeat of another writer with another id and a later start displaced the only server of a service. Its own heartbeats counted as late and its 421 answers as refusals of a busy server, so all requests were refused for good.

Cause: the latest start won, and neither a health check nor an answer could contradict it.

ServerState is now one table of state and event. A 421 makes a check due at once, and so does a late heartbeat of a server that may be there after all. A check without a load identifies the server, too. A failing check takes the server's identity, if it tells it.

--- a/src/nutmegrock/announce/LocalServer.cpp
+++ b/src/nutmegrock/announce/LocalServer.cpp
@@ -34,13 +34,16 @@
 }
 
 bool
-LocalServer::IsStale(const Announcement& aAnnouncement) const
+LocalServer::HasLeft(const Announcement& aAnnouncement) const
 {
   const auto departed = mDeparted.find(aAnnouncement.mId);
-  if (departed != mDeparted.end() &&
-      aAnnouncement.mStartedMs <= departed->second) {
-    return true;
-  }
+  return departed != mDeparted.end() &&
+         aAnnouncement.mStartedMs <= departed->second;
+}
+
+bool
+LocalServer::IsLate(const Announcement& aAnnouncement) const
+{
   if (!mLatest) {
     return false;
   }
@@ -60,18 +63,30 @@
           mLatest->mStartedMs == aAnnouncement.mStartedMs);
 }
 
-LocalServer::Confirmation
-LocalServer::ConfirmationAfter(core::TimePoint aNow,
-                               const Announcement& aAnnouncement) const
+ServerState
+LocalServer::StateAfterHeartbeat(core::TimePoint aNow,
+                                 const Announcement& aAnnouncement) const
 {
-  if (IsKnownRun(aAnnouncement) &&
-      (mConfirmation == Confirmation::Confirmed ||
-       mLatest->mSequence == aAnnouncement.mSequence)) {
+  const bool is_old = MayHaveLeft(aNow, aAnnouncement);
+  // A start that has left without telling its time is not this one.
+  const bool is_next = mState == ServerState::Leaving &&
+                       mLatest->mStartedMs != aAnnouncement.mStartedMs;
+  if (!IsKnownRun(aAnnouncement) || is_next) {
+    if (is_old) {
+      return ServerState::Pending;
+    }
+    // The other server was in use until now; a health check decides.
+    return mLatest && mLatest->mId != aAnnouncement.mId &&
+               Phase(aNow) == ServerPhase::Serving
+             ? ServerState::Doubted
+             : ServerState::Announced;
+  }
+  if (mLatest->mSequence == aAnnouncement.mSequence) {
     // A repeated heartbeat tells nothing new.
-    return mConfirmation;
+    return mState;
   }
-  return MayHaveLeft(aNow, aAnnouncement) ? Confirmation::Pending
-                                          : Confirmation::Confirmed;
+  return StateAfter(
+    mState, is_old ? ServerEvent::OldHeartbeat : ServerEvent::Heartbeat);
 }
 
 bool
@@ -88,12 +103,16 @@
 bool
 LocalServer::IsUsable(core::TimePoint aNow) const
 {
-  switch (mConfirmation) {
-    case Confirmation::Confirmed:
+  switch (mState) {
+    case ServerState::Announced:
+    case ServerState::Proven:
+    case ServerState::Doubted:
       return true;
-    case Confirmation::Rejected:
+    case ServerState::Absent:
+    case ServerState::Rejected:
+    case ServerState::Leaving:
       return false;
-    case Confirmation::Pending:
+    case ServerState::Pending:
       break;
   }
   return mChecks >= mSettings.mMaxChecks &&
@@ -101,8 +120,7 @@
 }
 
 core::Expected<bool>
-LocalServer::OnHeartbeat(core::TimePoint aNow,
-                         const Announcement& aAnnouncement)
+LocalServer::CheckOrigin(const Announcement& aAnnouncement) const
 {
   if (aAnnouncement.mService != mSettings.mService ||
       aAnnouncement.mAddress != mSettings.mAddress) {
@@ -120,7 +138,21 @@
     return core::Fail(core::ErrorKind::BadRequest,
                       "a heartbeat needs an identity and at least one slot");
   }
-  if (IsStale(aAnnouncement)) {
+  return true;
+}
+
+core::Expected<bool>
+LocalServer::OnHeartbeat(core::TimePoint aNow,
+                         const Announcement& aAnnouncement)
+{
+  if (auto origin = CheckOrigin(aAnnouncement); !origin) {
+    return origin;
+  }
+  const bool has_left = HasLeft(aAnnouncement);
+  if (has_left || IsLate(aAnnouncement)) {
+    if (!has_left) {
+      OnLate(aNow, aAnnouncement);
+    }
     return core::Fail(
       core::ErrorKind::VersionConflict,
       fmt::format("heartbeat {} of {} is older than what is known",
@@ -128,27 +160,86 @@
                   aAnnouncement.mId));
   }
   const ServerPhase before = Phase(aNow);
+  if (mLatest && mLatest->mId != aAnnouncement.mId &&
+      mState == ServerState::Proven && before == ServerPhase::Serving) {
+    SetCandidate(aNow, aAnnouncement);
+    return false;
+  }
   const bool same_run = mLatest && mLatest->mId == aAnnouncement.mId &&
                         mLatest->mStartedMs == aAnnouncement.mStartedMs;
-  const bool was_leaving = same_run && mLeavingSince.has_value();
-  const Confirmation confirmation = ConfirmationAfter(aNow, aAnnouncement);
-  if (confirmation == Confirmation::Pending &&
-      (mConfirmation != Confirmation::Pending || !IsKnownRun(aAnnouncement))) {
-    mChecks = 0;
-    mCheckedAt = {};
-  }
-  mConfirmation = confirmation;
+  const ServerState state = StateAfterHeartbeat(aNow, aAnnouncement);
+  const bool is_open =
+    state == ServerState::Pending || state == ServerState::Doubted;
+  if (is_open && (state != mState || !IsKnownRun(aAnnouncement))) {
+    RestartChecks();
+  }
+  Use(aNow, aAnnouncement, state);
+  return !same_run || Phase(aNow) != before;
+}
+
+void
+LocalServer::OnLate(core::TimePoint aNow, const Announcement& aAnnouncement)
+{
+  if (mLatest->mId != aAnnouncement.mId) {
+    if (mState != ServerState::Proven || Phase(aNow) == ServerPhase::Absent) {
+      SetCandidate(aNow, aAnnouncement);
+    }
+    return;
+  }
+  // Only a health check can tell whether the server is still there.
+  const bool is_rejected = mState == ServerState::Rejected;
+  if (is_rejected ||
+      aNow - mLastHeartbeatAt > mSettings.mHeartbeatLifetime / 2) {
+    mState = StateAfter(mState,
+                        is_rejected ? ServerEvent::OldHeartbeat
+                                    : ServerEvent::Contradicted);
+    RestartChecks();
+  }
+}
+
+void
+LocalServer::SetCandidate(core::TimePoint aNow,
+                          const Announcement& aAnnouncement)
+{
+  const bool known = mCandidate && mCandidate->mId == aAnnouncement.mId &&
+                     mCandidate->mStartedMs == aAnnouncement.mStartedMs;
+  if (!known) {
+    mCandidateAt = aNow;
+    RestartChecks();
+  }
+  mCandidate = aAnnouncement;
+}
+
+void
+LocalServer::Use(core::TimePoint aNow,
+                 const Announcement& aAnnouncement,
+                 ServerState aState)
+{
   mLatest = aAnnouncement;
   mLastHeartbeatAt = aNow;
+  mState = aState;
   if (aAnnouncement.mDraining) {
-    if (!was_leaving) {
-      mLeavingSince = aNow;
-    }
-  } else if (!was_leaving) {
-    // A leave is final for one start of a server.
-    mLeavingSince.reset();
+    StartLeaving(aNow);
+  }
+  // Another server that was about to be replaced is not known any more.
+  mCandidate.reset();
+}
+
+void
+LocalServer::UseCandidate(core::TimePoint aNow, ServerState aState)
+{
+  const Announcement announcement = *mCandidate;
+  Use(aNow, announcement, aState);
+}
+
+void
+LocalServer::StartLeaving(core::TimePoint aNow)
+{
+  if (mState != ServerState::Leaving) {
+    mLeavingSince = aNow;
+    mLeftInUse = IsUsable(aNow);
+    mState = StateAfter(mState, ServerEvent::Left);
   }
-  return !same_run || Phase(aNow) != before;
 }
 
 std::int64_t
@@ -160,6 +251,13 @@
            .count();
 }
 
+void
+LocalServer::RestartChecks()
+{
+  mChecks = 0;
+  mCheckedAt = {};
+}
+
 bool
 LocalServer::OnLeave(core::TimePoint aNow,
                      const std::string& aId,
@@ -182,10 +280,13 @@
   } else {
     found->second = std::max(found->second, started);
   }
-  if (!present || mLeavingSince) {
+  if (mCandidate && HasLeft(*mCandidate)) {
+    mCandidate.reset();
+  }
+  if (!present || mState == ServerState::Leaving) {
     return false;
   }
-  mLeavingSince = aNow;
+  StartLeaving(aNow);
   return true;
 }
 
@@ -196,11 +297,26 @@
 {
   const ServerPhase before = Phase(aNow);
   if (mLatest && mLatest->mId == aId) {
-    mConfirmation = Confirmation::Confirmed;
+    mState = StateAfter(mState, ServerEvent::Identified);
+    mCandidate.reset();
+    mLastHeartbeatAt = aNow;
     return Phase(aNow) != before;
   }
-  if ((mLatest && mConfirmation == Confirmation::Confirmed) || aId.empty() ||
-      aSlots == 0 || mDeparted.count(aId) > 0) {
+  if (mCandidate && mCandidate->mId == aId) {
+    UseCandidate(aNow, ServerState::Proven);
+    return true;
+  }
+  if (aId.empty() || mDeparted.count(aId) > 0 ||
+      mState == ServerState::Leaving) {
+    return false;
+  }
+  if (mState == ServerState::Announced || mState == ServerState::Proven) {
+    // This answer may be late; a further check decides.
+    mState = StateAfter(mState, ServerEvent::Contradicted);
+    RestartChecks();
+    return false;
+  }
+  if (aSlots == 0) {
     return false;
   }
   Announcement announcement;
@@ -208,28 +324,77 @@
   announcement.mService = mSettings.mService;
   announcement.mAddress = mSettings.mAddress;
   announcement.mSlots = aSlots;
-  mLatest = std::move(announcement);
-  mLastHeartbeatAt = aNow;
-  mLeavingSince.reset();
-  mConfirmation = Confirmation::Confirmed;
+  Use(aNow, announcement, ServerState::Proven);
   return true;
 }
 
 bool
-LocalServer::OnUnhealthy()
+LocalServer::OnUnhealthy(core::TimePoint aNow, const std::string& aId)
 {
-  if (!mLatest || mConfirmation != Confirmation::Pending || mLeavingSince) {
+  if (mCandidate && !aId.empty()) {
+    if (mCandidate->mId == aId && !MayHaveLeft(aNow, *mCandidate)) {
+      UseCandidate(aNow, ServerState::Proven);
+      return true;
+    }
+    mCandidate.reset();
+  }
+  const ServerState before = mState;
+  mState = StateAfter(mState, ServerEvent::Failing);
+  return mState != before;
+}
+
+void
+LocalServer::OnAnswer(core::TimePoint aSent)
+{
+  mState = StateAfter(mState, ServerEvent::Identified);
+  if (mCandidate && aSent > mCandidateAt) {
+    mCandidate.reset();
+  }
+}
+
+bool
+LocalServer::OnContradicted(core::TimePoint aNow)
+{
+  if (!mLatest || mState == ServerState::Leaving) {
     return false;
   }
-  mConfirmation = Confirmation::Rejected;
+  if (mCandidate && mCandidate->mStartedMs >= mLatest->mStartedMs &&
+      !MayHaveLeft(aNow, *mCandidate)) {
+    UseCandidate(aNow, ServerState::Announced);
+    return true;
+  }
+  const ServerState before = mState;
+  mState = StateAfter(mState, ServerEvent::Contradicted);
+  if (mState != before || (mChecks >= mSettings.mMaxChecks &&
+                           aNow - mCheckedAt >= mSettings.mCheckInterval)) {
+    RestartChecks();
+  }
+  return false;
+}
+
+bool
+LocalServer::Tick(core::TimePoint aNow)
+{
+  if (!mCandidate || mChecks < mSettings.mMaxChecks ||
+      aNow - mCheckedAt < mSettings.mCheckInterval) {
+    return false;
+  }
+  if (mCandidate->mStartedMs < mLatest->mStartedMs ||
+      MayHaveLeft(aNow, *mCandidate)) {
+    mCandidate.reset();
+    return false;
+  }
+  UseCandidate(aNow, ServerState::Announced);
   return true;
 }
 
 bool
 LocalServer::NeedsCheck(core::TimePoint aNow) const
 {
-  return mConfirmation == Confirmation::Pending && !mLeavingSince &&
-         mChecks < mSettings.mMaxChecks &&
+  const bool is_open = mState == ServerState::Absent ||
+                       mState == ServerState::Pending ||
+                       mState == ServerState::Doubted || mCandidate;
+  return is_open && mChecks < mSettings.mMaxChecks &&
          aNow - mCheckedAt >= mSettings.mCheckInterval;
 }
 
@@ -243,10 +408,7 @@
 ServerPhase
 LocalServer::Phase(core::TimePoint aNow) const
 {
-  if (!mLatest) {
-    return ServerPhase::Absent;
-  }
-  if (mLeavingSince) {
+  if (mState == ServerState::Leaving) {
     return ServerPhase::Leaving;
   }
   return !IsUsable(aNow) ||
@@ -266,7 +428,7 @@
     case ServerPhase::Leaving:
       break;
   }
-  return IsUsable(aNow) && aNow - *mLeavingSince < mSettings.mLeaveGracePeriod;
+  return mLeftInUse && aNow - mLeavingSince < mSettings.mLeaveGracePeriod;
 }
 
 } // namespace nutmegrock::announce
--- a/src/nutmegrock/announce/LocalServer.h
+++ b/src/nutmegrock/announce/LocalServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "announce/Announcement.h"
+#include "announce/ServerState.h"
 #include "core/Error.h"
 #include "core/Time.h"
 
@@ -70,7 +71,9 @@
   /// Processes a heartbeat. Returns true if the phase or identity changed.
   /// Fails with BadRequest when it cannot be from this server, and with
   /// VersionConflict when a later start or a later heartbeat is already known;
-  /// nothing changes then.
+  /// the server in use does not change then. A heartbeat of another server than
+  /// the one that is proven to be there is kept as a candidate until a health
+  /// check or an answer decides.
   core::Expected<bool> OnHeartbeat(core::TimePoint aNow,
                                    const Announcement& aAnnouncement);
   /// Records that the given start of that identity has left or is about to
@@ -84,18 +87,31 @@
 
   /// A health check of the server at the address succeeded. A node that has
   /// just started identifies the server this way before its next heartbeat.
-  /// Confirms that server; one that is confirmed already is not replaced by
-  /// another. Returns true if the phase or identity changed.
+  /// Proves that this server is there; one that an answer or a check has proven
+  /// is replaced only by the candidate, or by a second check. aSlots may be 0
+  /// if the check does not tell it. Returns true if the phase or identity
+  /// changed.
   bool OnHealthy(core::TimePoint aNow,
                  const std::string& aId,
                  std::uint32_t aSlots);
 
-  /// A health check found the server leaving or failing. An announcement that
-  /// waits for a check is then not used; the next one is checked again. Returns
-  /// true if such an announcement was rejected.
-  bool OnUnhealthy();
-  /// Returns true if a health check is due: no server is known, or its
-  /// announcement needs to be confirmed.
+  /// A health check found the server leaving or failing; aId is empty if the
+  /// check does not tell its identity. An announcement that waits for a check
+  /// is then not used; the next one is checked again. Returns true if the phase
+  /// or identity changed.
+  bool OnUnhealthy(core::TimePoint aNow, const std::string& aId);
+  /// A request that was sent to the latest server at a time has been answered:
+  /// that server is there.
+  void OnAnswer(core::TimePoint aSent);
+  /// The server at the address has refused a request as meant for another one.
+  /// Uses the candidate, or asks for a health check. Returns true if the phase
+  /// or identity changed.
+  bool OnContradicted(core::TimePoint aNow);
+  /// Uses a candidate that no check and no answer has decided on in time.
+  /// Returns true if the identity changed.
+  bool Tick(core::TimePoint aNow);
+  /// Returns true if a health check is due: no server is known, its
+  /// announcement needs to be confirmed, or an answer has contradicted it.
   bool NeedsCheck(core::TimePoint aNow) const;
   /// Records that a health check was sent, or cannot be sent to this server.
   void OnCheckSent(core::TimePoint aNow);
@@ -104,6 +120,7 @@
   /// check does not tell when the server started.
   bool IsKnownRun(const Announcement& aAnnouncement) const;
   ServerPhase Phase(core::TimePoint aNow) const;
+  ServerState State() const { return mState; }
   /// Returns true if the server may start work: it is serving, or has been
   /// leaving for less than mLeaveGracePeriod.
   bool CanStartWork(core::TimePoint aNow) const;
@@ -111,37 +128,44 @@
   const std::optional<Announcement>& Latest() const { return mLatest; }
 
 private:
-  /// Whether the latest announcement is known to be of a server that is in
-  /// operation.
-  enum class Confirmation : std::uint8_t
-  {
-    /// It arrived soon after the start of the node, and no health check has had
-    /// a result yet.
-    Pending,
-    /// A health check contradicted it.
-    Rejected,
-    Confirmed
-  };
-
-  bool IsStale(const Announcement& aAnnouncement) const;
+  bool HasLeft(const Announcement& aAnnouncement) const;
+  bool IsLate(const Announcement& aAnnouncement) const;
+  core::Expected<bool> CheckOrigin(const Announcement& aAnnouncement) const;
+  /// Handles a heartbeat that is older than what is known.
+  void OnLate(core::TimePoint aNow, const Announcement& aAnnouncement);
+  void SetCandidate(core::TimePoint aNow, const Announcement& aAnnouncement);
+  /// Makes an announcement the latest one.
+  void Use(core::TimePoint aNow,
+           const Announcement& aAnnouncement,
+           ServerState aState);
+  void UseCandidate(core::TimePoint aNow, ServerState aState);
+  void StartLeaving(core::TimePoint aNow);
+  /// Wall-clock time in milliseconds since 1970.
+  std::int64_t WallClockMs(core::TimePoint aNow) const;
+  /// Makes health checks due, at once.
+  void RestartChecks();
   /// Returns true if the announcement may be of a server that had left before
   /// the start of the node.
   bool MayHaveLeft(core::TimePoint aNow,
                    const Announcement& aAnnouncement) const;
-  /// Returns the confirmation after a heartbeat of the known or another run.
-  Confirmation ConfirmationAfter(core::TimePoint aNow,
-                                 const Announcement& aAnnouncement) const;
-  /// Wall-clock time in milliseconds since 1970.
-  std::int64_t WallClockMs(core::TimePoint aNow) const;
+  /// Returns the state after a heartbeat of the known or another run.
+  ServerState StateAfterHeartbeat(core::TimePoint aNow,
+                                  const Announcement& aAnnouncement) const;
   /// Returns true if the latest announcement may be used.
   bool IsUsable(core::TimePoint aNow) const;
 
   const LocalServerSettings mSettings;
   std::optional<Announcement> mLatest;
   core::TimePoint mLastHeartbeatAt;
-  std::optional<core::TimePoint> mLeavingSince;
-  Confirmation mConfirmation = Confirmation::Pending;
-  /// Health checks sent for mLatest, or before anything was known.
+  ServerState mState = ServerState::Absent;
+  core::TimePoint mLeavingSince;
+  /// The server was in use when it announced that it leaves.
+  bool mLeftInUse = false;
+  /// Announcement of another server, until it is decided which one is there.
+  std::optional<Announcement> mCandidate;
+  core::TimePoint mCandidateAt;
+  /// Health checks sent for mLatest or mCandidate, or before anything was
+  /// known.
   std::uint32_t mChecks = 0;
   core::TimePoint mCheckedAt;
   /// Identities that have left, each with its latest known start time.
--- a/src/nutmegrock/gateway/ServerProbe.cpp
+++ b/src/nutmegrock/gateway/ServerProbe.cpp
@@ -58,8 +58,9 @@
   const auto load = SplitText(aHead.mLoad, ',');
   const auto slots = load.size() == 3 ? ParseNumber<std::uint32_t>(load[2])
                                       : std::optional<std::uint32_t>();
-  if (aHead.IsSuccess() && !aHead.mServerId.empty() && slots) {
-    mHandler({ aHead.mServerId, *slots, aHead.mRateLimit, aHead.mLeaving });
+  if (aHead.IsSuccess() && !aHead.mServerId.empty()) {
+    mHandler(
+      { aHead.mServerId, slots.value_or(0), aHead.mRateLimit, aHead.mLeaving });
   } else if (aHead.mStatus == kUnavailable && !aHead.mNotRun) {
     ServerHealth health;
     health.mId = aHead.mServerId;
--- a/src/nutmegrock/gateway/ServerProbe.h
+++ b/src/nutmegrock/gateway/ServerProbe.h
@@ -17,6 +17,7 @@
 struct ServerHealth
 {
   std::string mId;
+  /// 0 if the server does not report its load.
   std::uint32_t mSlots = 0;
   /// Requests per second that it takes, if it limits them.
   std::optional<double> mRateLimit = std::nullopt;
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -142,17 +142,60 @@
 core::Expected<bool>
 Serving::OnHeartbeat(const announce::Announcement& aAnnouncement)
 {
-  const bool other_run = mServer.Latest() && !mServer.IsKnownRun(aAnnouncement);
+  const auto before = mServer.Latest();
   auto changed = mServer.OnHeartbeat(mComponents.mNow(), aAnnouncement);
   if (changed) {
-    if (other_run) {
-      mQueue.ClearRateLimit();
-    }
-    mQueue.SetSlots(aAnnouncement.mSlots);
+    OnServerChange(before);
   }
   return changed;
 }
 
+void
+Serving::OnServerChange(const std::optional<announce::Announcement>& aBefore)
+{
+  const auto& latest = mServer.Latest();
+  if (!latest) {
+    return;
+  }
+  // A health check does not tell when the server started.
+  const bool is_known =
+    aBefore && aBefore->mId == latest->mId &&
+    (aBefore->mStartedMs == 0 || aBefore->mStartedMs == latest->mStartedMs);
+  if (aBefore && !is_known) {
+    mQueue.ClearRateLimit();
+    mComponents.mLog.LogState(fmt::format(
+      "event=server_replaced server={} by={}", aBefore->mId, latest->mId));
+  }
+  mQueue.SetSlots(latest->mSlots);
+}
+
+void
+Serving::OnAnswer(const std::string& aId, core::TimePoint aSent)
+{
+  if (mServer.Latest() && mServer.Latest()->mId == aId) {
+    mServer.OnAnswer(aSent);
+  }
+}
+
+void
+Serving::OnContradicted(const std::string& aId)
+{
+  const auto before = mServer.Latest();
+  if (!before || before->mId != aId) {
+    return;
+  }
+  mComponents.mRegistry.CounterOf("nutmegrock_server_contradicted_total").Add();
+  const announce::ServerState state = mServer.State();
+  const bool changed = mServer.OnContradicted(mComponents.mNow());
+  if (changed || mServer.State() != state) {
+    mComponents.mLog.LogState(
+      fmt::format("event=server_doubted server={} cause=response", aId));
+  }
+  if (changed) {
+    OnServerChange(before);
+  }
+}
+
 bool
 Serving::OnLeave(const std::string& aId, std::int64_t aStartedMs)
 {
@@ -162,19 +205,21 @@
 bool
 Serving::OnHealthy(const ServerHealth& aHealth)
 {
+  const core::TimePoint now = mComponents.mNow();
+  const auto before = mServer.Latest();
   if (!aHealth.mHealthy) {
-    if (!mServer.OnUnhealthy()) {
+    if (!mServer.OnUnhealthy(now, aHealth.mId)) {
       return false;
     }
     mComponents.mLog.LogState(
       fmt::format("event=server_doubted server={} cause=health_check",
-                  mServer.Latest()->mId));
+                  before ? before->mId : ""));
+    OnServerChange(before);
     return true;
   }
-  const bool changed =
-    mServer.OnHealthy(mComponents.mNow(), aHealth.mId, aHealth.mSlots);
+  const bool changed = mServer.OnHealthy(now, aHealth.mId, aHealth.mSlots);
   if (changed) {
-    mQueue.SetSlots(aHealth.mSlots);
+    OnServerChange(before);
     OnServerState(aHealth.mId,
                   mServer.Latest()->mStartedMs,
                   aHealth.mRateLimit,
@@ -240,6 +285,10 @@
 Serving::Tick()
 {
   const core::TimePoint now = mComponents.mNow();
+  const auto before = mServer.Latest();
+  if (mServer.Tick(now)) {
+    OnServerChange(before);
+  }
   if (mQueue.Limit() > 0) {
     mWindows.Update(mQueue.Limit(), mDirectRuns);
   }
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -125,6 +125,12 @@
 
   core::Expected<bool> Check(const PeerCall& aCall) const;
   void Apply(const overload::WorkChanges& aChanges);
+  /// The local backend server may have been replaced by another.
+  void OnServerChange(const std::optional<announce::Announcement>& aBefore);
+  /// The server with that id has answered a request that was sent at a time.
+  void OnAnswer(const std::string& aId, core::TimePoint aSent);
+  /// A request for the server with that id has reached another server.
+  void OnContradicted(const std::string& aId);
   /// The server has reported its load with a response.
   void OnServerLoad(std::string_view aLoad);
   /// A response of the run of the server with that id and start reports whether
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr double kThousandth = 0.001;
+/// Status of a request that is meant for another server.
+constexpr unsigned kWrongServer = 421;
 
 } // namespace
 
@@ -185,6 +187,11 @@
   if (!aHead.mLoad.empty()) {
     mServing.OnServerLoad(aHead.mLoad);
   }
+  if (aHead.mStatus == kWrongServer) {
+    mServing.OnContradicted(mServerId);
+  } else if (aHead.IsSuccess() && aHead.mFromBackend) {
+    mServing.OnAnswer(mServerId, mStarted);
+  }
   mServing.OnServerState(
     mServerId, mServerStartedMs, aHead.mRateLimit, aHead.mLeaving);
   if (aHead.mNotRun) {
--- a/tests/gateway/PathTest.cpp
+++ b/tests/gateway/PathTest.cpp
@@ -243,6 +243,37 @@
   CHECK(response.find("Nutmegrock-Peer") == std::string::npos);
 }
 
+// Guards against a node that refuses all calls until the next heartbeat because
+// it believes in another server than the one that answers.
+TEST_CASE("an answer tells whether the known server is there")
+{
+  for (const bool wrong : { false, true }) {
+    CAPTURE(wrong);
+    Node node;
+    RawSocket client = node.Connect();
+    client.Write(Node::Request("pay"));
+    RawSocket server = node.Server().Accept();
+    server.ReadUntil("\r\n\r\n");
+    server.Write(wrong ? "HTTP/1.1 421 No\r\nNutmegrock-Request: id-1\r\n"
+                         "Nutmegrock-Run: not-run\r\nContent-Length: 0\r\n\r\n"
+                       : kWhole);
+    client.ReadUntil("HTTP/1.1 ");
+    node.Do([&] {
+      const announce::LocalServer& known = node.ServingHalf().Server();
+      CHECK(known.State() == (wrong ? announce::ServerState::Doubted
+                                    : announce::ServerState::Proven));
+      CHECK(known.NeedsCheck(core::Clock::now()) == wrong);
+      // The check names another server, with slots of its own.
+      ServerHealth health;
+      health.mId = "i-2";
+      health.mSlots = 9;
+      CHECK(node.ServingHalf().OnHealthy(health) == wrong);
+      CHECK(known.Latest()->mSlots == (wrong ? 9 : 4));
+      CHECK(known.Latest()->mId == (wrong ? "i-2" : "i-1"));
+    });
+  }
+}
+
 // Guards against running a deposit twice, and against a refusal that claims it
 // did not run.
 TEST_CASE("a non-idempotent request whose response is lost is not sent again")
--- a/tests/gateway/ServerProbeTest.cpp
+++ b/tests/gateway/ServerProbeTest.cpp
@@ -74,6 +74,21 @@
   CHECK(probe.Health() == ServerHealth{ "i-1", 4 });
 }
 
+// Guards against checks without a result for servers that report no load.
+TEST_CASE("a health check without a load reports the identity")
+{
+  RawServer server;
+  ProbeThread probe(server.Address());
+  RawSocket connection = server.Accept();
+  connection.ReadUntil("\r\n\r\n");
+  connection.Write("HTTP/1.1 200 OK\r\nNutmegrock-Server: i-1\r\n"
+                   "Content-Length: 2\r\n\r\nok");
+  for (int i = 0; i < 400 && !probe.Health(); ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  CHECK(probe.Health() == ServerHealth{ "i-1", 0 });
+}
+
 // Guards against a check that a busy server rejects like any request and that
 // is taken for a sign that the server leaves.
 TEST_CASE("a health check tells a leaving server from a busy one")
