End the exclusion for a leave when the server is announced anew

Callers of a service with one server were refused for up to 5 s after its replacement was in use: an answer in the grace period of a leave says that the server leaves, and the entry node excluded that node for 5 s, whatever the member table said later.

Cause: the exclusion covers the time by which the member table lags behind a leave, but belongs to the node, not to the server that left. The next server beside the node inherited it.

An update that takes a node from not serving to serving ends the exclusion. While the table lags it still holds: there the node was serving all along. If the table never shows the leave, because the replacement was as fast, the 5 s remain.

Evidence: the new case of RouterTest failed before (available 0, expected 1).

--- a/src/nutmegrock/routing/ServiceRouter.cpp
+++ b/src/nutmegrock/routing/ServiceRouter.cpp
@@ -68,7 +68,12 @@
       known == mIndexOf.end() ? Entry{} : mEntries.at(known->second);
     entry.mHash = Mix(bits);
     entry.mWeight = std::max(1U, candidate.mSlots);
-    entry.mServing = candidate.mState == CandidateState::Serving;
+    const bool serving = candidate.mState == CandidateState::Serving;
+    if (serving && !entry.mServing) {
+      // The leave was that of a server before.
+      entry.mUnavailableUntil = core::TimePoint::min();
+    }
+    entry.mServing = serving;
     entry.mZone = ZoneIndex(candidate.mZone);
     if (entry.mZone == mZones.size()) {
       mZones.push_back(candidate.mZone);
--- a/tests/routing/RouterTest.cpp
+++ b/tests/routing/RouterTest.cpp
@@ -217,6 +217,27 @@
     CHECK(router->Available(kNow + 6s, "till", {}) == 3);
   }
 
+  // Guards against a service without servers for 5 s after the replacement of
+  // its only one: an answer had said that the server before it leaves.
+  TEST_CASE("a server that is announced anew is not excluded for a leave")
+  {
+    const auto router = *Router::Create({});
+    Candidate leaving = Server(1);
+    leaving.mState = CandidateState::Draining;
+    router->Update(kNow, "till", { Server(1) });
+    Attempt(*router, 1, AttemptOutcome::Unavailable);
+    CHECK(router->Available(kNow, "till", {}) == 0);
+    // The member table still has the state before the leave.
+    router->Update(kNow, "till", { Server(1) });
+    CHECK(router->Available(kNow, "till", {}) == 0);
+    router->Update(kNow, "till", { leaving });
+    CHECK(router->Available(kNow, "till", {}) == 0);
+    // A response from before the replacement.
+    Attempt(*router, 1, AttemptOutcome::Unavailable);
+    router->Update(kNow, "till", { Server(1) });
+    CHECK(router->Available(kNow, "till", {}) == 1);
+  }
+
   TEST_CASE("a new server gets its share over 10 s")
   {
     const auto router = *Router::Create({});
