--- a/tests/adapter/NoticesTest.cpp
+++ b/tests/adapter/NoticesTest.cpp
@@ -33,6 +33,18 @@
   CHECK(heartbeat.mStartedMs == 1'700'000'000'000);
 }
 
+// Guards against a server that is never used because it reports the rest of its
+// warm-up as a fraction.
+TEST_CASE("the remaining warm-up may be a fraction")
+{
+  std::string body = kBody;
+  body.replace(body.find("900"), 3, "1234.5");
+  const auto notice = DecodeNotice({ "POST", kTarget, body });
+  REQUIRE(notice.has_value());
+  CHECK(std::get<announce::Announcement>(*notice).mWarmUpRemaining ==
+        std::chrono::milliseconds(1234));
+}
+
 TEST_CASE("a leave needs no body and may identify the start")
 {
   CHECK(std::get<LeaveNotice>(*DecodeNotice({ "POST", kLeave, "" })) ==
