End a failed start as told, and start with the settings of the moment

Signals now stay held until the end of a start that fails. While it waits for an address the start follows the file, and the node compares later texts with the one that it was started with. An address that is taken between the look at it and the start is waited for, too: a start fails only after three failures with free addresses.

--- a/src/nutmegrock/cli/GatewayCommand.cpp
+++ b/src/nutmegrock/cli/GatewayCommand.cpp
@@ -5,6 +5,7 @@
 #include "cli/LossySink.h"
 #include "gateway/BusyAddresses.h"
 #include "gateway/GatewayRuntime.h"
+#include "settings/SettingsFile.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -25,6 +26,8 @@
 constexpr milliseconds kMaxSettingsWait{ 3'000 };
 /// Interval between attempts of a start.
 constexpr milliseconds kAttemptInterval{ 100 };
+/// Failures with free addresses after which a start ends.
+constexpr int kMaxFailures = 3;
 
 using RuntimePtr = std::unique_ptr<gateway::GatewayRuntime>;
 
@@ -38,11 +41,29 @@
   spdlog::set_default_logger(logger);
 }
 
+struct LoadedSettings
+{
+  std::string mText;
+  settings::GatewaySettings mSettings;
+};
+
+core::Expected<LoadedSettings>
+LoadSettings(const std::string& aPath)
+{
+  return settings::ReadTextFile(aPath).and_then(
+    [&aPath](const std::string& aText) {
+      return settings::ParseGatewaySettings(aText, aPath)
+        .map([&aText](settings::GatewaySettings aSettings) {
+          return LoadedSettings{ aText, std::move(aSettings) };
+        });
+    });
+}
+
 /// Returns nullopt after a signal to stop.
-std::optional<core::Expected<settings::GatewaySettings>>
+std::optional<core::Expected<LoadedSettings>>
 WaitForSettings(const std::string& aPath, std::ostream& aErr)
 {
-  auto loaded = settings::LoadGatewaySettings(aPath);
+  auto loaded = LoadSettings(aPath);
   std::string reported;
   for (milliseconds waited{ 0 }; !loaded && waited < kMaxSettingsWait;
        waited += kAttemptInterval) {
@@ -54,49 +75,44 @@
     if (HeldSignals::WaitForStop(kAttemptInterval)) {
       return std::nullopt;
     }
-    loaded = settings::LoadGatewaySettings(aPath);
+    loaded = LoadSettings(aPath);
   }
   return loaded;
 }
 
-/// Returns false after a signal to stop.
-bool
-WaitForAddresses(const settings::GatewayListenSettings& aListen)
+/// Starts the node as soon as its addresses are free, with the settings of the
+/// file at that time. Returns null after a signal to stop.
+core::Expected<RuntimePtr>
+StartRuntime(const std::string& aPath,
+             LoadedSettings& aLoaded,
+             const PortsFactory& aPorts)
 {
   std::optional<core::Address> reported;
-  while (const auto busy = gateway::FindBusyAddress(aListen)) {
-    if (busy != reported) {
-      reported = busy;
+  int failures = 0;
+  do {
+    const auto busy = gateway::FindBusyAddress(aLoaded.mSettings.mListen);
+    if (!busy) {
+      auto ports = aPorts(aLoaded.mSettings);
+      if (!ports) {
+        return tl::make_unexpected(std::move(ports.error()));
+      }
+      auto runtime =
+        gateway::GatewayRuntime::Start(aLoaded.mSettings, std::move(*ports));
+      // An address may have been taken since it was free.
+      if (runtime || ++failures == kMaxFailures) {
+        return runtime;
+      }
+    } else if (busy != reported) {
       spdlog::warn("event=address_busy address={}", busy->ToString());
+      reported = busy;
     }
     if (HeldSignals::WaitForStop(kAttemptInterval)) {
-      return false;
+      return RuntimePtr();
     }
-  }
-  if (reported) {
-    spdlog::info("event=addresses_free");
-  }
-  return true;
-}
-
-/// Starts the node as soon as its addresses are free. Returns null after a
-/// signal to stop.
-core::Expected<RuntimePtr>
-StartRuntime(const settings::GatewaySettings& aSettings,
-             const PortsFactory& aPorts)
-{
-  while (WaitForAddresses(aSettings.mListen)) {
-    auto ports = aPorts(aSettings);
-    if (!ports) {
-      return tl::make_unexpected(std::move(ports.error()));
-    }
-    auto runtime = gateway::GatewayRuntime::Start(aSettings, std::move(*ports));
-    // An address may have been taken since it was free.
-    if (runtime || !gateway::FindBusyAddress(aSettings.mListen)) {
-      return runtime;
+    if (auto changed = LoadSettings(aPath)) {
+      aLoaded = std::move(*changed);
     }
-  }
-  return RuntimePtr();
+  } while (true);
 }
 
 int
@@ -104,16 +120,16 @@
         std::ostream& aErr,
         const PortsFactory& aPorts)
 {
-  const auto settings = WaitForSettings(aPath, aErr);
-  if (!settings) {
+  auto loaded = WaitForSettings(aPath, aErr);
+  if (!loaded) {
     return static_cast<int>(ExitCode::Ok);
   }
-  if (!*settings) {
-    aErr << settings->error().mMessage << "\n";
+  if (!*loaded) {
+    aErr << loaded->error().mMessage << "\n";
     return static_cast<int>(ExitCode::Refused);
   }
-  SetUpLog((*settings)->mLogLevel);
-  const auto runtime = StartRuntime(**settings, aPorts);
+  SetUpLog((*loaded)->mSettings.mLogLevel);
+  const auto runtime = StartRuntime(aPath, **loaded, aPorts);
   if (!runtime) {
     aErr << "nutmegrock gateway: " << runtime.error().mMessage << "\n";
     return static_cast<int>(ExitCode::Refused);
@@ -122,7 +138,7 @@
     return static_cast<int>(ExitCode::Ok);
   }
   HeldSignals::Release();
-  (*runtime)->Run(aPath);
+  (*runtime)->Run(aPath, (*loaded)->mText);
   // Skips orderly destruction: a thread may wait for the store longer than the
   // platform allows for a process to end, and no state here needs it.
   std::_Exit(static_cast<int>(ExitCode::Ok));
@@ -146,9 +162,7 @@
   HeldSignals::Hold();
   // The write to a closed connection reports the error instead.
   std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
-  const int code = RunNode(file.getValue(), aErr, aPorts);
-  HeldSignals::Release();
-  return code;
+  return RunNode(file.getValue(), aErr, aPorts);
 }
 
 } // namespace nutmegrock::cli
--- a/src/nutmegrock/cli/GatewayCommand.h
+++ b/src/nutmegrock/cli/GatewayCommand.h
@@ -19,8 +19,8 @@
 /// addresses that another socket holds. After a signal to stop it ends the
 /// process with exit code 0; requests that were cut off are in the last log
 /// line. Returns 1 for bad settings or a failed start, 2 for wrong usage.
-/// Signals that arrive before the node handles them take effect then, if the
-/// caller has held them; see HeldSignals.
+/// Signals that arrive before the node handles them take effect then, and none
+/// after a failed start; see HeldSignals.
 int
 RunGatewayCommand(const std::vector<std::string>& aArguments,
                   std::ostream& aOut,
--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -594,12 +594,11 @@
 }
 
 std::size_t
-GatewayRuntime::Components::Run(const std::string& aSettingsPath)
+GatewayRuntime::Components::Run(const std::string& aSettingsPath,
+                                std::string aSettingsText)
 {
   mSettingsPath = aSettingsPath;
-  if (const auto text = settings::ReadTextFile(aSettingsPath)) {
-    mSettingsText = *text;
-  }
+  mSettingsText = std::move(aSettingsText);
   WaitForSignals();
   ScheduleTick();
   mIo.run();
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -38,7 +38,7 @@
   ~Components();
 
   core::Expected<bool> Open();
-  std::size_t Run(const std::string& aSettingsPath);
+  std::size_t Run(const std::string& aSettingsPath, std::string aSettingsText);
 
 private:
   using HttpListenerPtr = std::unique_ptr<proxy::HttpListener>;
--- a/src/nutmegrock/gateway/GatewayRuntime.cpp
+++ b/src/nutmegrock/gateway/GatewayRuntime.cpp
@@ -24,9 +24,9 @@
 GatewayRuntime::~GatewayRuntime() = default;
 
 std::size_t
-GatewayRuntime::Run(const std::string& aSettingsPath)
+GatewayRuntime::Run(const std::string& aSettingsPath, std::string aSettingsText)
 {
-  return mComponents->Run(aSettingsPath);
+  return mComponents->Run(aSettingsPath, std::move(aSettingsText));
 }
 
 } // namespace nutmegrock::gateway
--- a/src/nutmegrock/gateway/GatewayRuntime.h
+++ b/src/nutmegrock/gateway/GatewayRuntime.h
@@ -24,9 +24,9 @@
 
   /// Serves on the calling thread until a signal to stop has been handled: new
   /// work goes to other nodes, and requests in flight end. Returns the number
-  /// of requests cut off. Reads aSettingsPath again after SIGHUP and when the
-  /// file changes.
-  std::size_t Run(const std::string& aSettingsPath);
+  /// of requests cut off. Reads aSettingsPath again after SIGHUP and when its
+  /// text differs from aSettingsText, with which the node was started.
+  std::size_t Run(const std::string& aSettingsPath, std::string aSettingsText);
 
 private:
   class Components;
--- a/tests/process/StartTest.cpp
+++ b/tests/process/StartTest.cpp
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace nutmegrock;
@@ -141,6 +142,46 @@
   CHECK(node.WaitForEnd(2s) == 0);
 }
 
+// Guards against a signal to reload that is delivered without a handler when a
+// start ends before the node handles signals.
+TEST_CASE("a signal to reload does not change how a start ends")
+{
+  {
+    NodeProcess node;
+    const Holder holder(node.Caller(), SOCK_STREAM);
+    node.Start();
+    CHECK(node.WaitForLog("event=address_busy", 5s));
+    node.Signal(SIGHUP);
+    node.Signal(SIGTERM);
+    CHECK(node.WaitForEnd(2s) == 0);
+  }
+  {
+    NodeProcess node;
+    node.WriteSettings("");
+    node.Start();
+    CHECK(node.WaitForLog("waiting for usable settings", 5s));
+    node.Signal(SIGHUP);
+    CHECK(node.WaitForEnd(15s) == 1);
+  }
+}
+
+// Guards against a node that runs with settings that were replaced while it
+// waited for an address.
+TEST_CASE("a node starts with the settings of the moment")
+{
+  NodeProcess node;
+  Holder holder(node.Caller(), SOCK_STREAM);
+  node.Start();
+  CHECK(node.WaitForLog("event=address_busy", 5s));
+  std::string text = node.SettingsText();
+  const std::string name = "\"till\"";
+  text.replace(text.find(name), name.size(), "\"tracker\"");
+  node.WriteSettings(text);
+  std::this_thread::sleep_for(300ms);
+  holder.Release();
+  CHECK(node.WaitForLog("event=start service=tracker", 5s));
+}
+
 // Guards against a node that does not serve because its metrics cannot be read.
 TEST_CASE("a node serves while its address for metrics is in use")
 {
