--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -294,6 +294,7 @@
   node.mMachine->Start();
   node.mPhase = Phase::Running;
   node.mStartedAt = Now();
+  mLedger.OfNode(aNode).Add(node.mStartedAt, node.mStartedAt);
   node.mStartChecked = false;
 }
 
