Read a connection on after each end of a call with an unfinished body

Callers saw no answer on a kept connection after an upload of over 64 KB was refused while it waited for a slot. The connection was never read again, and a caller that left while its body was paused was not noticed.

Cause: the pause belonged to the call, so each end of the call had to undo it, and nothing looked at the socket of a paused connection.

Now ServerConnection derives from its requests whether it reads: a pause counts only until the response is complete. The rest of an answered body is read up to 1 MiB and 5 s, then the connection is closed behind the responses to earlier requests. A paused accepted connection is checked for its end every 100 ms. A failed send reports its dropped bytes, so that a connection paused for them is read. A cancelled request with unreceived bytes resets its connection. A connection with an early response is read on until its body is sent, so that its end is noticed before it is used again.

--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -298,10 +298,7 @@
   }
   if (mAttempt) {
     mAttemptBytes += aBytes.size();
-    mAttempt->SendBody(aBytes);
-    if (mAttempt->Unsent() > proxy::kMaxUnsent) {
-      mExchange->PauseBody(true);
-    }
+    mExchange->PassBody(*mAttempt, aBytes);
   }
 }
 
--- a/src/nutmegrock/gateway/InboundCall.cpp
+++ b/src/nutmegrock/gateway/InboundCall.cpp
@@ -43,12 +43,8 @@
 void
 InboundCall::OnRequestBody(std::string_view aBytes)
 {
-  if (!mCall) {
-    return;
-  }
-  mCall->SendBody(aBytes);
-  if (mCall->Unsent() > proxy::kMaxUnsent) {
-    mExchange->PauseBody(true);
+  if (mCall) {
+    mExchange->PassBody(*mCall, aBytes);
   }
 }
 
--- a/src/nutmegrock/proxy/Channel.cpp
+++ b/src/nutmegrock/proxy/Channel.cpp
@@ -4,7 +4,11 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <cerrno>
+#include <chrono>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -29,6 +33,9 @@
 constexpr int kKeepAliveIntervalS = 1;
 constexpr int kKeepAliveProbes = 2;
 
+/// Interval at which a paused connection is checked for its end.
+constexpr std::chrono::milliseconds kWatchInterval{ 100 };
+
 /// Capacity in bytes above which an empty outgoing buffer is released.
 constexpr std::size_t kMaxKeptBuffer = std::size_t{ 16 } * 1024;
 
@@ -51,6 +58,7 @@
   std::shared_ptr<Channel> channel(
     new Channel(std::move(aSocket), std::move(aHooks)));
   channel->mConnected = true;
+  channel->mAccepted = true;
   channel->SetNoDelay();
   channel->WaitRead();
   return channel;
@@ -156,6 +164,39 @@
 {
   mPaused = aPaused;
   WaitRead();
+  WatchEnd();
+}
+
+// The readiness to read does not tell the end from bytes that are left unread.
+void
+Channel::WatchEnd()
+{
+  if (!mAccepted || !mPaused || mWatching || mClosed) {
+    return;
+  }
+  if (!mWatchTimer) {
+    mWatchTimer = std::make_unique<net::steady_timer>(mSocket.get_executor());
+  }
+  mWatching = true;
+  mWatchTimer->expires_after(kWatchInterval);
+  mWatchTimer->async_wait([self = shared_from_this()](Code aCode) {
+    self->mWatching = false;
+    if (aCode || self->mClosed || !self->mPaused) {
+      return;
+    }
+    if (self->HasPeerClosed()) {
+      self->End(true);
+      return;
+    }
+    self->WatchEnd();
+  });
+}
+
+bool
+Channel::HasPeerClosed()
+{
+  pollfd state{ mSocket.native_handle(), POLLRDHUP, 0 };
+  return poll(&state, 1, 0) > 0;
 }
 
 void
@@ -199,6 +240,9 @@
       // first.
       mOut.clear();
       mSent = 0;
+      if (mHooks.mOnSent) {
+        mHooks.mOnSent();
+      }
       return;
     }
     mSent += sent > 0 ? static_cast<std::size_t>(sent) : 0;
@@ -254,6 +298,18 @@
   }
 }
 
+void
+Channel::Abort()
+{
+  int unsent = 0;
+  if (mConnected && !mClosed &&
+      ioctl(mSocket.native_handle(), SIOCOUTQ, &unsent) == 0 && unsent > 0) {
+    Code ignored;
+    mSocket.set_option(net::socket_base::linger(true, 0), ignored);
+  }
+  Close();
+}
+
 void
 Channel::Close()
 {
@@ -261,6 +317,9 @@
     return;
   }
   mClosed = true;
+  if (mWatchTimer) {
+    mWatchTimer->cancel();
+  }
   Code ignored;
   mSocket.close(ignored);
   // The hooks may own this channel's owner. They are released in a later
--- a/src/nutmegrock/proxy/Channel.h
+++ b/src/nutmegrock/proxy/Channel.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -17,9 +18,11 @@
   /// Bytes have arrived. The view is valid during the call only.
   std::function<void(std::string_view)> mOnBytes;
   /// The connection has ended. aClean is true if the other side closed it,
-  /// false after an error. Not called after Close().
+  /// false after an error. Not called after Close(). While an accepted
+  /// connection is paused its end is noticed, too; bytes that were not read are
+  /// then dropped.
   std::function<void(bool aClean)> mOnEnd;
-  /// Bytes were handed to the system; Unsent() has decreased.
+  /// Bytes were handed to the system or dropped; Unsent() has decreased.
   std::function<void()> mOnSent;
 };
 
@@ -32,7 +35,7 @@
 public:
   using Socket = boost::asio::ip::tcp::socket;
 
-  /// Takes over a connected socket, sets its options and starts reading.
+  /// Takes over an accepted socket, sets its options and starts reading.
   static std::shared_ptr<Channel> Open(Socket aSocket, ChannelHooks aHooks);
   /// Connects to the endpoint and calls aDone with true on success. The channel
   /// may be closed before; aDone is then not called.
@@ -57,6 +60,9 @@
   void ShutdownAfterSend();
   /// Closes at once; no hook runs afterwards.
   void Close();
+  /// Closes like Close(). Bytes that the other side has not received are
+  /// dropped, so that it notices the end even if it does not read.
+  void Abort();
   bool IsClosed() const { return mClosed; }
 
 private:
@@ -66,6 +72,9 @@
   void SetNoDelay();
   void SetTimeouts();
   void WaitRead();
+  /// Looks for the end of the connection as long as reading is paused.
+  void WatchEnd();
+  bool HasPeerClosed();
   void OnReadable();
   void ScheduleFlush();
   void Flush();
@@ -74,12 +83,16 @@
 
   Socket mSocket;
   ChannelHooks mHooks;
+  /// Runs while a paused connection is watched; null before the first pause.
+  std::unique_ptr<boost::asio::steady_timer> mWatchTimer;
   std::string mOut;
   std::size_t mSent = 0;
   bool mConnected = false;
   bool mFlushPending = false;
   bool mReading = false;
   bool mPaused = false;
+  bool mAccepted = false;
+  bool mWatching = false;
   bool mShutdown = false;
   bool mClosed = false;
 };
--- a/src/nutmegrock/proxy/ClientConnection.cpp
+++ b/src/nutmegrock/proxy/ClientConnection.cpp
@@ -300,6 +300,9 @@
     return;
   }
   mResponded = true;
+  // Nothing resumes reading after the response, and the end of the connection
+  // must be noticed before it is used again.
+  mChannel->SetPaused(false);
   const auto sink = mSink.lock();
   if (mBodyEnded) {
     mSink.reset();
@@ -366,6 +369,8 @@
 ClientConnection::Abandon()
 {
   mSink.reset();
+  // The other side may have stopped reading the body.
+  mChannel->Abort();
   Close();
 }
 
--- a/src/nutmegrock/proxy/ServerConnection.cpp
+++ b/src/nutmegrock/proxy/ServerConnection.cpp
@@ -20,6 +20,11 @@
 /// Time for a caller to read the last response before its connection is closed.
 constexpr std::chrono::seconds kLingerTimeout{ 1 };
 
+/// Maximum bytes of a body that are read after its response, and time for them.
+/// A caller that sends more has its connection closed.
+constexpr std::size_t kMaxDrainedBytes = std::size_t{ 1024 } * 1024;
+constexpr std::chrono::seconds kDrainTimeout{ 5 };
+
 unsigned
 StatusOf(const boost::beast::error_code& aCode)
 {
@@ -61,7 +66,8 @@
 void
 ServerConnection::OnBytes(std::string_view aBytes)
 {
-  if (mLingering || mClosed) {
+  const bool unwanted = mNoMoreRequests && !mReading;
+  if (mLingering || mClosed || unwanted) {
     return;
   }
   if (!mInput.empty()) {
@@ -77,8 +83,8 @@
 std::string_view
 ServerConnection::ParseBytes(std::string_view aBytes)
 {
-  while (!aBytes.empty() && !mClosed && !mNoMoreRequests &&
-         mExchanges.size() < kMaxPipelined) {
+  while (!aBytes.empty() && !mClosed && !mLingering &&
+         (mReading || !mNoMoreRequests) && mExchanges.size() < kMaxPipelined) {
     if (!mParser) {
       ParserHooks hooks;
       hooks.mOnHead = [this] { OnHead(); };
@@ -94,7 +100,7 @@
     boost::beast::error_code code;
     const std::size_t used = mParser->Put(aBytes, code);
     aBytes.remove_prefix(used);
-    if (mClosed) {
+    if (mClosed || mLingering) {
       return {};
     }
     if (mParser->HasHead() && mParser->IsDone()) {
@@ -127,6 +133,7 @@
   if (!exchange->mHead.mKeepAlive) {
     exchange->mClose = true;
   }
+  mDrainedBytes = 0;
   if (exchange->mHead.mExpectsContinue && exchange->mIsFront) {
     mChannel->Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
@@ -147,10 +154,18 @@
 void
 ServerConnection::OnBody(std::string_view aBytes)
 {
-  if (mReading && mReading->mSink) {
-    const auto sink = mReading->mSink;
+  if (!mReading) {
+    return;
+  }
+  const bool answered = mReading->mEnded;
+  if (const auto sink = mReading->mSink) {
     sink->OnRequestBody(aBytes);
   }
+  mDrainedBytes += answered ? aBytes.size() : 0;
+  if (mDrainedBytes > kMaxDrainedBytes) {
+    mNoMoreRequests = true;
+    FlushResponses();
+  }
 }
 
 void
@@ -232,6 +247,10 @@
     }
   }
   mFlushing = false;
+  if (mExchanges.empty() && mNoMoreRequests) {
+    Linger();
+    return;
+  }
   if (mExchanges.empty()) {
     mSince = mListener.Now();
   }
@@ -324,7 +343,8 @@
   if (mClosed) {
     return;
   }
-  const bool paused = !mLingering && ((mReading && mReading->mBodyPaused) ||
+  const bool paused = !mLingering && ((mReading && mReading->IsBodyPaused()) ||
+                                      mDrainedBytes > kMaxDrainedBytes ||
                                       mExchanges.size() >= kMaxPipelined ||
                                       mChannel->Unsent() > kMaxUnsent);
   mChannel->SetPaused(paused);
@@ -345,6 +365,10 @@
     Close();
     return;
   }
+  if (mReading && mExchanges.empty() && age > kDrainTimeout) {
+    Linger();
+    return;
+  }
   if (IsIdle() && !mHeadStarted && age > limits.mIdleTimeout) {
     Close();
   }
--- a/src/nutmegrock/proxy/ServerConnection.h
+++ b/src/nutmegrock/proxy/ServerConnection.h
@@ -65,6 +65,8 @@
   std::deque<ServerExchangePtr> mExchanges;
   /// The request whose body is arriving.
   ServerExchangePtr mReading;
+  /// Bytes of the body that is arriving that came after its response.
+  std::size_t mDrainedBytes = 0;
   /// Time at which the connection became idle, the head that is arriving began,
   /// or lingering began.
   core::TimePoint mSince;
--- a/src/nutmegrock/proxy/ServerExchange.cpp
+++ b/src/nutmegrock/proxy/ServerExchange.cpp
@@ -115,6 +115,20 @@
   End();
 }
 
+void
+ServerExchange::PassBody(OutgoingRequest& aOutgoing, std::string_view aBytes)
+{
+  aOutgoing.SendBody(aBytes);
+  if (aOutgoing.Unsent() <= kMaxUnsent) {
+    return;
+  }
+  if (mEnded) {
+    aOutgoing.Cancel();
+  } else {
+    PauseBody(true);
+  }
+}
+
 void
 ServerExchange::PauseBody(bool aPaused)
 {
--- a/src/nutmegrock/proxy/ServerExchange.h
+++ b/src/nutmegrock/proxy/ServerExchange.h
@@ -38,7 +38,12 @@
   void SendResponse(unsigned aStatus,
                     std::string_view aExtraLines,
                     std::string_view aBody);
-  /// Pauses or resumes reading the request's body.
+  /// Passes on bytes of the request's body. Reading pauses until PauseBody() is
+  /// called if too many of them wait to be sent; once the response is complete,
+  /// the outgoing request is cancelled instead.
+  void PassBody(OutgoingRequest& aOutgoing, std::string_view aBytes);
+  /// Pauses or resumes reading the request's body. A pause ends with the
+  /// response.
   void PauseBody(bool aPaused);
   /// Bytes of the response that wait to be sent.
   std::size_t Unsent() const;
@@ -50,6 +55,7 @@
   friend class ServerConnection;
 
   void Write(std::string_view aBytes);
+  bool IsBodyPaused() const { return mBodyPaused && !mEnded; }
 
   std::weak_ptr<ServerConnection> mConnection;
   RequestHead mHead;
--- a/tests/transport/RawSocket.h
+++ b/tests/transport/RawSocket.h
@@ -118,6 +118,11 @@
     auto frame = transport::peer::PeerCodec::Decode(bytes);
     return frame ? std::optional(std::move(*frame)) : std::nullopt;
   }
+  /// Close() resets the connection.
+  void ResetOnClose()
+  {
+    mSocket.set_option(boost::asio::socket_base::linger(true, 0));
+  }
   void Close()
   {
     boost::system::error_code ignored;
