Hold no reference into the idle connections while closing one

A request that found connections idle for too long read freed memory: the process may crash, or the request may get a connection that is gone.

Cause: ClientPool::TakeIdle went on with the list of an address after Abandon, and Close and Remove below it erase that list from the map when it becomes empty. Each connection is now taken out of the map first, and the map is searched again for the next one.

--- a/src/nutmegrock/proxy/ClientPool.cpp
+++ b/src/nutmegrock/proxy/ClientPool.cpp
@@ -84,17 +84,25 @@
 }
 
 ClientPool::ConnectionPtr
-ClientPool::TakeIdle(const std::string& aKey)
+ClientPool::TakeLastIdle(const std::string& aKey)
 {
   const auto found = mIdle.find(aKey);
   if (found == mIdle.end()) {
     return nullptr;
   }
+  ConnectionPtr connection = std::move(found->second.back());
+  found->second.pop_back();
+  if (found->second.empty()) {
+    mIdle.erase(found);
+  }
+  return connection;
+}
+
+ClientPool::ConnectionPtr
+ClientPool::TakeIdle(const std::string& aKey)
+{
   const core::TimePoint now = mNow();
-  auto& idle = found->second;
-  while (!idle.empty()) {
-    ConnectionPtr connection = idle.back();
-    idle.pop_back();
+  while (ConnectionPtr connection = TakeLastIdle(aKey)) {
     if (!connection->IsClosed() && !connection->IsStale(now)) {
       return connection;
     }
--- a/src/nutmegrock/proxy/ClientPool.h
+++ b/src/nutmegrock/proxy/ClientPool.h
@@ -62,11 +62,16 @@
 private:
   using ConnectionPtr = std::shared_ptr<ClientConnection>;
 
+  /// Returns an idle connection that can be used, and closes those that cannot.
   ConnectionPtr TakeIdle(const std::string& aKey);
+  /// Removes the most recently used connection from the idle ones. Closing a
+  /// connection changes mIdle, so no reference into it is held meanwhile.
+  ConnectionPtr TakeLastIdle(const std::string& aKey);
 
   boost::asio::io_context& mIo;
   const HeaderNames mNames;
   const std::function<core::TimePoint()> mNow;
+  /// Has no empty lists.
   std::unordered_map<std::string, std::vector<ConnectionPtr>> mIdle;
   std::unordered_map<ClientConnection*, ConnectionPtr> mConnections;
   ClientPoolCounts mCounts;
--- a/tests/proxy/ConnectionTest.cpp
+++ b/tests/proxy/ConnectionTest.cpp
@@ -351,6 +351,48 @@
   thread.Run([&] { pool.reset(); });
 }
 
+// Guards against reads of freed memory while a request looks for a connection
+// that can be reused; shown by the address checker.
+TEST_CASE("a request replaces connections that have been idle for too long")
+{
+  IoThread thread;
+  RawServer server;
+  core::Duration passed{ 0 };
+  std::unique_ptr<ClientPool> pool;
+  const auto first = std::make_shared<ResponseCollector>();
+  const auto second = std::make_shared<ResponseCollector>();
+  const auto third = std::make_shared<ResponseCollector>();
+  thread.Run([&] {
+    pool = std::make_unique<ClientPool>(
+      thread.Io(), HeaderNames(), [&passed] { return Now() + passed; });
+    pool->Send(server.Address(), Get("a"), first);
+    pool->Send(server.Address(), Get("b"), second);
+  });
+  RawSocket connections[] = { server.Accept(), server.Accept() };
+  for (RawSocket& connection : connections) {
+    const std::string head = connection.ReadUntil("\r\n\r\n");
+    const bool is_first = head.find(": a\r\n") != std::string::npos;
+    connection.Write(ResponseText(is_first ? "a" : "b", "done"));
+  }
+  CHECK(!first->Wait().has_value());
+  CHECK(!second->Wait().has_value());
+
+  thread.Run([&] {
+    passed = std::chrono::minutes(1);
+    pool->Send(server.Address(), Get("c"), third);
+  });
+  RawSocket fresh = server.Accept();
+  fresh.ReadUntil("\r\n\r\n");
+  fresh.Write(ResponseText("c", "done"));
+  CHECK(!third->Wait().has_value());
+  CHECK(pool->Counts().mOpened == 3);
+  CHECK(pool->Counts().mReused == 0);
+  for (RawSocket& connection : connections) {
+    CHECK(connection.ReadUntil("\r\n\r\n").empty());
+  }
+  thread.Run([&] { pool.reset(); });
+}
+
 // Guards against a server that sends bytes that are no response until the
 // caller closes: memory, and the time for which the connection is held, stay
 // bounded without the help of the deadline.
