Wait after a failed accept, and replace idle connections at the limit

While the process has no file descriptor left, a node used a processor and served no new caller, readiness check or notice.

Cause: HttpListener::Accept called itself at once after an error such as EMFILE. It now closes the connection that is idle for the longest time, and waits 50 ms. At the limit of connections, too, an idle connection is closed before a new caller is refused; both are counted.

The limit of 2,000 connections does not depend on the descriptors yet.

--- a/src/nutmegrock/proxy/HttpListener.cpp
+++ b/src/nutmegrock/proxy/HttpListener.cpp
@@ -12,6 +12,11 @@
 
 /// Maximum connections that wait to be accepted.
 constexpr int kBacklog = 1024;
+/// Delay before accepting again after an error, such as running out of file
+/// descriptors.
+constexpr std::chrono::milliseconds kAcceptRetryDelay{ 50 };
+/// Connections idle for a shorter time may have a request on the way.
+constexpr std::chrono::milliseconds kMinIdleTime{ 500 };
 
 } // namespace
 
@@ -23,6 +28,7 @@
   , mNow(std::move(aNow))
   , mHandler(std::move(aHandler))
   , mAcceptor(aIo)
+  , mAcceptTimer(aIo)
 {
 }
 
@@ -88,19 +94,59 @@
       if (aCode == net::error::operation_aborted) {
         return;
       }
-      if (!aCode) {
-        if (mConnections.size() >= mSettings.mMaxConnections) {
-          ++mRefused;
-        } else {
-          auto connection = std::make_shared<ServerConnection>(*this);
-          mConnections.emplace(connection.get(), connection);
-          connection->Start(std::move(aSocket));
-        }
+      if (aCode) {
+        ++mAcceptErrors;
+        CloseIdleConnection();
+        RetryAccept();
+        return;
       }
+      AddConnection(std::move(aSocket));
       Accept();
     });
 }
 
+void
+HttpListener::RetryAccept()
+{
+  mAcceptTimer.expires_after(kAcceptRetryDelay);
+  mAcceptTimer.async_wait([this](const boost::system::error_code& aCode) {
+    if (!aCode) {
+      Accept();
+    }
+  });
+}
+
+void
+HttpListener::AddConnection(net::ip::tcp::socket aSocket)
+{
+  if (mConnections.size() >= mSettings.mMaxConnections &&
+      !CloseIdleConnection()) {
+    ++mRefused;
+    return;
+  }
+  auto connection = std::make_shared<ServerConnection>(*this);
+  mConnections.emplace(connection.get(), connection);
+  connection->Start(std::move(aSocket));
+}
+
+bool
+HttpListener::CloseIdleConnection()
+{
+  std::shared_ptr<ServerConnection> oldest;
+  for (const auto& entry : mConnections) {
+    if (!entry.second->IsBusy() &&
+        (!oldest || entry.second->Since() < oldest->Since())) {
+      oldest = entry.second;
+    }
+  }
+  if (!oldest || mNow() - oldest->Since() < kMinIdleTime) {
+    return false;
+  }
+  ++mReplaced;
+  oldest->Close();
+  return true;
+}
+
 void
 HttpListener::SetLimits(const routes::CallerLimits& aLimits)
 {
--- a/src/nutmegrock/proxy/HttpListener.h
+++ b/src/nutmegrock/proxy/HttpListener.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -23,7 +24,8 @@
   core::Address mAddress;
   HeaderNames mNames;
   routes::CallerLimits mLimits;
-  /// Maximum open connections; further ones are closed at once.
+  /// Maximum open connections. Beyond it the connection that is idle for the
+  /// longest time is closed, or, if none is idle, the new one.
   std::size_t mMaxConnections = 2'000;
 };
 
@@ -64,6 +66,11 @@
   /// limit.
   std::uint64_t BadRequests() const { return mBadRequests; }
   std::uint64_t RefusedConnections() const { return mRefused; }
+  /// Idle connections closed for new ones.
+  std::uint64_t ReplacedConnections() const { return mReplaced; }
+  /// Connections that could not be accepted, such as when the process has no
+  /// file descriptor left.
+  std::uint64_t AcceptErrors() const { return mAcceptErrors; }
 
   std::shared_ptr<RequestSink> Handle(const ServerExchangePtr& aExchange);
   void CountBadRequest() { ++mBadRequests; }
@@ -76,15 +83,23 @@
                RequestHandler aHandler);
   core::Expected<bool> Open();
   void Accept();
+  void RetryAccept();
+  void AddConnection(boost::asio::ip::tcp::socket aSocket);
+  /// Closes the connection that is idle for the longest time. Returns false if
+  /// none is idle.
+  bool CloseIdleConnection();
 
   HttpListenerSettings mSettings;
   const std::function<core::TimePoint()> mNow;
   const RequestHandler mHandler;
   boost::asio::ip::tcp::acceptor mAcceptor;
+  boost::asio::steady_timer mAcceptTimer;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>>
     mConnections;
   std::uint64_t mBadRequests = 0;
   std::uint64_t mRefused = 0;
+  std::uint64_t mReplaced = 0;
+  std::uint64_t mAcceptErrors = 0;
   bool mStopping = false;
 };
 
--- a/src/nutmegrock/proxy/ServerConnection.h
+++ b/src/nutmegrock/proxy/ServerConnection.h
@@ -42,6 +42,8 @@
   /// True while a request is in flight or half read, or a response is not yet
   /// received by the caller as far as is known.
   bool IsBusy() const;
+  /// Time at which the connection became idle.
+  core::TimePoint Since() const { return mSince; }
 
 private:
   void OnBytes(std::string_view aBytes);
--- a/tests/proxy/ConnectionTest.cpp
+++ b/tests/proxy/ConnectionTest.cpp
@@ -5,9 +5,12 @@
 #include "tests/transport/IoThread.h"
 #include "tests/transport/RawSocket.h"
 
+#include <ctime>
 #include <doctest/doctest.h>
 #include <future>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace nutmegrock;
 using namespace nutmegrock::proxy;
@@ -69,16 +72,17 @@
 /// A listener whose requests are kept until the test responds to them.
 struct PendingRequests
 {
-  explicit PendingRequests(IoThread& aThread)
+  explicit PendingRequests(IoThread& aThread, std::size_t aMax = 2'000)
     : mThread(aThread)
   {
-    aThread.Run([this] {
+    aThread.Run([this, aMax] {
       HttpListenerSettings settings;
       settings.mAddress = { "127.0.0.1", 0 };
+      settings.mMaxConnections = aMax;
       mListener = std::move(*HttpListener::Create(
         mThread.Io(),
         settings,
-        Now,
+        [this] { return Now() + mPassed; },
         [this](
           const ServerExchangePtr& aExchange) -> std::shared_ptr<RequestSink> {
           mExchanges.push_back(aExchange);
@@ -112,6 +116,32 @@
   IoThread& mThread;
   std::unique_ptr<HttpListener> mListener;
   std::vector<ServerExchangePtr> mExchanges;
+  /// Time that passed for the listener besides the real one. Used on the
+  /// thread.
+  core::Duration mPassed{ 0 };
+};
+
+constexpr std::string_view kGet = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// Takes the process's free file descriptors until it is destroyed.
+class NoFreeDescriptors
+{
+public:
+  NoFreeDescriptors()
+  {
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &mLimit) == 0);
+    rlimit limit = mLimit;
+    // The next descriptor is the lowest free one.
+    limit.rlim_cur = static_cast<rlim_t>(::dup(0));
+    ::close(static_cast<int>(limit.rlim_cur));
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  }
+  NoFreeDescriptors(const NoFreeDescriptors&) = delete;
+  NoFreeDescriptors& operator=(const NoFreeDescriptors&) = delete;
+  ~NoFreeDescriptors() { ::setrlimit(RLIMIT_NOFILE, &mLimit); }
+
+private:
+  rlimit mLimit{};
 };
 
 /// A request with the id "b" that was sent on a connection on which one with
@@ -471,3 +501,79 @@
   CHECK(connection.WaitForClose());
   thread.Run([&] { pool.reset(); });
 }
+
+// Guards against a listener that uses a whole processor while the process has
+// no file descriptor left, and against callers that are not accepted
+// afterwards.
+TEST_CASE("a listener without file descriptors waits and accepts later")
+{
+  IoThread thread;
+  PendingRequests pending(thread);
+  const core::Address address = pending.mListener->LocalAddress();
+  std::promise<void> blocked;
+  std::promise<void> go_on;
+  boost::asio::post(thread.Io(), [&] {
+    blocked.set_value();
+    go_on.get_future().wait();
+  });
+  blocked.get_future().wait();
+  RawSocket caller(address);
+  {
+    const NoFreeDescriptors limit;
+    go_on.set_value();
+    const std::clock_t begin = std::clock();
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    CHECK(std::clock() - begin < CLOCKS_PER_SEC / 10);
+    thread.Run([&] { CHECK(pending.mListener->AcceptErrors() > 1); });
+  }
+  caller.Write(kGet);
+  pending.WaitFor(1);
+}
+
+// Guards against callers that are refused because others hold connections that
+// they do not use.
+TEST_CASE("a new connection replaces one that is idle for the longest time")
+{
+  IoThread thread;
+  PendingRequests pending(thread, 2);
+  const core::Address address = pending.mListener->LocalAddress();
+  RawSocket busy(address);
+  busy.Write(kGet);
+  pending.WaitFor(1);
+  RawSocket idle(address);
+  idle.Write(kGet);
+  pending.WaitFor(2);
+  thread.Run([&] {
+    pending.mExchanges.back()->SendResponse(200, "", "done");
+    pending.mPassed = std::chrono::seconds(1);
+  });
+  idle.ReadUntil("done");
+  RawSocket fresh(address);
+  fresh.Write(kGet);
+  pending.WaitFor(3);
+  CHECK(idle.ReadToEnd().empty());
+  thread.Run([&] {
+    CHECK(pending.mListener->ReplacedConnections() == 1);
+    CHECK(pending.mListener->RefusedConnections() == 0);
+    pending.mExchanges.front()->SendResponse(200, "", "first");
+  });
+  CHECK(busy.ReadUntil("first").ends_with("first"));
+}
+
+TEST_CASE("a connection with a request in flight is not replaced")
+{
+  IoThread thread;
+  PendingRequests pending(thread, 1);
+  const core::Address address = pending.mListener->LocalAddress();
+  RawSocket busy(address);
+  busy.Write(kGet);
+  pending.WaitFor(1);
+  thread.Run([&] { pending.mPassed = std::chrono::seconds(1); });
+  RawSocket refused(address);
+  CHECK(refused.ReadToEnd().empty());
+  thread.Run([&] {
+    CHECK(pending.mListener->RefusedConnections() == 1);
+    pending.mExchanges.front()->SendResponse(200, "", "done");
+  });
+  CHECK(busy.ReadUntil("done").ends_with("done"));
+}
