Raise the limit on file descriptors and keep some free for requests

The soft limit is raised to the hard one at the start, and both are logged. The connections of the listeners are bounded by it, so that each request in progress can have its own connection to a node or the backend server, and peers, the store and readiness theirs. An accept that fails because the other side has gone does not close an idle connection nor wait.

--- a/src/nutmegrock/cli/GatewayCommand.cpp
+++ b/src/nutmegrock/cli/GatewayCommand.cpp
@@ -4,6 +4,7 @@
 #include "cli/HeldSignals.h"
 #include "cli/LossySink.h"
 #include "gateway/BusyAddresses.h"
+#include "gateway/DescriptorLimit.h"
 #include "gateway/GatewayRuntime.h"
 #include "settings/SettingsFile.h"
 
@@ -129,6 +130,11 @@
     return static_cast<int>(ExitCode::Refused);
   }
   SetUpLog((*loaded)->mSettings.mLogLevel);
+  const gateway::DescriptorLimit limit = gateway::RaiseDescriptorLimit();
+  spdlog::info("event=descriptor_limit initial={} soft={} hard={}",
+               limit.mInitial,
+               limit.mSoft,
+               limit.mHard);
   const auto runtime = StartRuntime(aPath, **loaded, aPorts);
   if (!runtime) {
     aErr << "nutmegrock gateway: " << runtime.error().mMessage << "\n";
--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -1,6 +1,7 @@
 #include "gateway/GatewayComponents.h"
 
 #include "gateway/BoundedSettings.h"
+#include "gateway/DescriptorLimit.h"
 #include "gateway/InboundCall.h"
 #include "gateway/RouterDefaults.h"
 #include "gateway/SimpleRequest.h"
@@ -177,10 +178,12 @@
 
 core::Expected<GatewayRuntime::Components::HttpListenerPtr>
 GatewayRuntime::Components::Listen(const core::Address& aAddress,
+                                   std::size_t aMaxConnections,
                                    proxy::RequestHandler aHandler)
 {
   proxy::HttpListenerSettings settings;
   settings.mAddress = aAddress;
+  settings.mMaxConnections = aMaxConnections;
   settings.mNames = mPorts.mNames;
   return proxy::HttpListener::Create(
     mIo,
@@ -198,32 +201,40 @@
   {
     HttpListenerPtr& mTarget;
     const core::Address& mAddress;
+    std::size_t mMaxConnections;
     Handler mHandler;
   };
+  const ConnectionLimits limits =
+    ConnectionLimitsFor(ReadDescriptorLimit().mSoft);
   const std::vector<Listener> listeners = {
     { mCallerListener,
       listen.mCaller,
+      limits.mTraffic,
       [this](const proxy::ServerExchangePtr& aExchange) {
         return mEntry->Handle(aExchange);
       } },
     { mNodeListener,
       listen.mNodes,
+      limits.mTraffic,
       [this](const proxy::ServerExchangePtr& aExchange) {
         return InboundCall::Handle(*mServing, aExchange);
       } },
     { mNoticeListener,
       listen.mNotices,
+      limits.mControl,
       [this](const proxy::ServerExchangePtr& aExchange) {
         return HandleNotice(aExchange);
       } },
     { mReadyListener,
       listen.mReady,
+      limits.mControl,
       [this](const proxy::ServerExchangePtr& aExchange) {
         return HandleReady(aExchange);
       } },
   };
   for (const Listener& listener : listeners) {
-    auto opened = Listen(listener.mAddress, listener.mHandler);
+    auto opened =
+      Listen(listener.mAddress, listener.mMaxConnections, listener.mHandler);
     if (!opened) {
       return tl::make_unexpected(opened.error());
     }
@@ -246,9 +257,11 @@
 {
   const core::Address& address = mSettings.mListen.mMetrics;
   auto opened =
-    Listen(address, [this](const proxy::ServerExchangePtr& aExchange) {
-      return HandleMetrics(aExchange);
-    });
+    Listen(address,
+           ConnectionLimitsFor(ReadDescriptorLimit().mSoft).mControl,
+           [this](const proxy::ServerExchangePtr& aExchange) {
+             return HandleMetrics(aExchange);
+           });
   if (opened) {
     mMetricsListener = std::move(*opened);
   }
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -46,6 +46,7 @@
   core::Expected<bool> OpenPolicies();
   core::Expected<bool> OpenListeners();
   core::Expected<HttpListenerPtr> Listen(const core::Address& aAddress,
+                                         std::size_t aMaxConnections,
                                          proxy::RequestHandler aHandler);
   /// Does nothing but log if the address is in use; the next slow tick tries
   /// again.
--- a/src/nutmegrock/gateway/GatewayControl.cpp
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -173,6 +173,11 @@
   set("nutmegrock_bad_requests_total", mCallerListener->BadRequests());
   set("nutmegrock_connections_refused_total",
       mCallerListener->RefusedConnections());
+  set("nutmegrock_connections_replaced_total",
+      mCallerListener->ReplacedConnections() +
+        mNodeListener->ReplacedConnections());
+  set("nutmegrock_accept_errors_total",
+      mCallerListener->AcceptErrors() + mNodeListener->AcceptErrors());
 }
 
 void
--- a/src/nutmegrock/proxy/HttpListener.cpp
+++ b/src/nutmegrock/proxy/HttpListener.cpp
@@ -18,6 +18,15 @@
 /// Connections idle for a shorter time may have a request on the way.
 constexpr std::chrono::milliseconds kMinIdleTime{ 500 };
 
+bool
+IsOutOfResources(const boost::system::error_code& aCode)
+{
+  namespace errc = boost::system::errc;
+  return aCode == errc::too_many_files_open ||
+         aCode == errc::too_many_files_open_in_system ||
+         aCode == errc::no_buffer_space || aCode == errc::not_enough_memory;
+}
+
 } // namespace
 
 HttpListener::HttpListener(net::io_context& aIo,
@@ -94,9 +103,15 @@
       if (aCode == net::error::operation_aborted) {
         return;
       }
+      if (aCode == net::error::connection_aborted) {
+        Accept();
+        return;
+      }
       if (aCode) {
         ++mAcceptErrors;
-        CloseIdleConnection();
+        if (IsOutOfResources(aCode)) {
+          CloseIdleConnection();
+        }
         RetryAccept();
         return;
       }
