Answer all pipelined requests in flight before the connection closes

Two faults of pipelined requests, in the same lines of ServerConnection:

A stop, or a last request with Connection: close, put the close on the first response and dropped the requests at work behind it. Their callers count these as not read and send them again (PROTOCOL.md), although they may have run. Now no further request is read, and the close is announced by the response to the last request in flight. 2. 100 Continue was written only to a request that was the first in flight when its head arrived, so a pipelined upload waited for it until its deadline. It is now written when the earlier responses are complete. Input held back by the limit of requests in flight is now parsed while a body is being read, too.

--- a/src/nutmegrock/proxy/ServerConnection.cpp
+++ b/src/nutmegrock/proxy/ServerConnection.cpp
@@ -134,13 +134,27 @@
     exchange->mClose = true;
   }
   mDrainedBytes = 0;
-  if (exchange->mHead.mExpectsContinue && exchange->mIsFront) {
-    mChannel->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  exchange->mContinueDue = exchange->mHead.mExpectsContinue;
+  if (exchange->mIsFront) {
+    OnFront(*exchange);
   }
   exchange->mSink = mListener.Handle(exchange);
   ReleaseSink(*exchange);
 }
 
+// The request is the oldest without a complete response.
+void
+ServerConnection::OnFront(ServerExchange& aExchange)
+{
+  aExchange.mIsFront = true;
+  if (std::exchange(aExchange.mContinueDue, false)) {
+    mChannel->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  if (!aExchange.mBuffered.empty()) {
+    mChannel->Write(std::exchange(aExchange.mBuffered, {}));
+  }
+}
+
 // Breaks the reference cycle between sink and exchange once both sides have
 // ended.
 void
@@ -157,6 +171,7 @@
   if (!mReading) {
     return;
   }
+  mReading->mContinueDue = false;
   const bool answered = mReading->mEnded;
   if (const auto sink = mReading->mSink) {
     sink->OnRequestBody(aBytes);
@@ -226,9 +241,7 @@
   while (!mExchanges.empty() && !mClosed) {
     const ServerExchangePtr front = mExchanges.front();
     if (!front->mIsFront) {
-      front->mIsFront = true;
-      const std::string held = std::exchange(front->mBuffered, {});
-      mChannel->Write(held);
+      OnFront(*front);
     }
     if (!front->mEnded) {
       break;
@@ -255,7 +268,7 @@
     mSince = mListener.Now();
   }
   UpdatePause();
-  if (!mInput.empty() && !mReading && mExchanges.size() < kMaxPipelined) {
+  if (!mInput.empty() && mExchanges.size() < kMaxPipelined) {
     const std::string input = std::exchange(mInput, {});
     mInput = ParseBytes(input);
   }
@@ -332,9 +345,11 @@
 }
 
 bool
-ServerConnection::ShouldClose() const
+ServerConnection::ClosesAfter(const ServerExchange& aExchange)
 {
-  return mNoMoreRequests || mListener.IsStopping();
+  mNoMoreRequests = mNoMoreRequests || mListener.IsStopping();
+  return mNoMoreRequests &&
+         (mExchanges.empty() || mExchanges.back().get() == &aExchange);
 }
 
 void
--- a/src/nutmegrock/proxy/ServerConnection.h
+++ b/src/nutmegrock/proxy/ServerConnection.h
@@ -30,9 +30,9 @@
   /// Writes bytes of responses to the channel.
   void Write(std::string_view aBytes);
   std::size_t Unsent() const;
-  /// Returns true if the next response must announce the close of the
-  /// connection.
-  bool ShouldClose() const;
+  /// Returns true if the response to this request must announce the close of
+  /// the connection: no further request is read, and this one is the last.
+  bool ClosesAfter(const ServerExchange& aExchange);
   void OnExchangeEnded();
   /// Pauses or resumes reading according to the current state.
   void UpdatePause();
@@ -49,6 +49,7 @@
   void OnHead();
   void OnBody(std::string_view aBytes);
   void OnMessageEnd();
+  void OnFront(ServerExchange& aExchange);
   void OnParseError(boost::beast::error_code aCode);
   void OnEnd();
   void FlushResponses();
--- a/src/nutmegrock/proxy/ServerExchange.cpp
+++ b/src/nutmegrock/proxy/ServerExchange.cpp
@@ -40,7 +40,10 @@
   mNoBody = head_only || empty;
   mChunked = aHead.mFraming == BodyFraming::Chunked ||
              aHead.mFraming == BodyFraming::UntilClose;
-  mClose = mClose || !mHead.mKeepAlive || connection->ShouldClose();
+  // A caller that still waits for an interim response may leave out the body.
+  const bool closes = connection->ClosesAfter(*this);
+  mClose = mClose || !mHead.mKeepAlive || mContinueDue || closes;
+  mContinueDue = false;
   std::string text = StatusLine(aHead.mStatus, aHead.mReason);
   text += aHead.mHeaderLines;
   text += aExtraLines;
--- a/src/nutmegrock/proxy/ServerExchange.h
+++ b/src/nutmegrock/proxy/ServerExchange.h
@@ -72,6 +72,8 @@
   bool mClose = false;
   bool mBodyEnded = false;
   bool mBodyPaused = false;
+  /// The caller waits for an interim response before it sends the body.
+  bool mContinueDue = false;
 };
 
 using ServerExchangePtr = std::shared_ptr<ServerExchange>;
--- a/tests/proxy/RequestBodyTest.cpp
+++ b/tests/proxy/RequestBodyTest.cpp
@@ -119,6 +119,17 @@
   return "GET " + aPath + " HTTP/1.1\r\n\r\n";
 }
 
+std::size_t
+CountOf(const std::string& aText, const std::string& aPart)
+{
+  std::size_t count = 0;
+  for (auto at = aText.find(aPart); at != std::string::npos;
+       at = aText.find(aPart, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
 constexpr std::size_t kUploadBytes = 300'000;
 
 } // namespace
@@ -271,3 +282,94 @@
   CHECK(listener.mListener->BusyConnections() == 0);
   CHECK(client.WaitForClose());
 }
+
+// Guards against an upload that waits for its interim response for good, since
+// it was not the first request in flight on its connection.
+TEST_CASE("a pipelined request gets its interim response in its turn")
+{
+  Listener listener;
+  RawSocket client = listener.Connect();
+  client.Write(Get("/1") + "POST /2 HTTP/1.1\r\nContent-Length: 4\r\n"
+                           "Expect: 100-continue\r\n\r\n");
+  REQUIRE(listener.HasRequests(2));
+  listener.Respond(0, 200, "first");
+  const std::string text = client.ReadUntil("100 Continue\r\n\r\n");
+  CHECK(text.find("first") < text.find("100 Continue"));
+  client.Write("body" + Get("/3"));
+  REQUIRE(listener.HasRequests(3));
+  listener.Respond(1, 200, "second");
+  listener.Respond(2, 200, "third");
+  CHECK(client.ReadUntil("third").find("100 Continue") == std::string::npos);
+}
+
+// Guards against the next request being taken for the body of one that was
+// refused instead of being told to continue.
+TEST_CASE("a request refused before its interim response closes")
+{
+  Listener listener;
+  RawSocket client = listener.Connect();
+  client.Write(Get("/1") + "POST /2 HTTP/1.1\r\nContent-Length: 4\r\n"
+                           "Expect: 100-continue\r\n\r\n");
+  REQUIRE(listener.HasRequests(2));
+  listener.Respond(1, 503, "refused");
+  listener.Respond(0, 200, "first");
+  const std::string text = client.ReadToEnd();
+  CHECK(text.find("100 Continue") == std::string::npos);
+  CHECK(CountOf(text, "Connection: close\r\n") == 1);
+  CHECK(text.find("first") < text.find("Connection: close"));
+}
+
+// Guards against an upload that is held back by the limit of requests in flight
+// and whose body is then never read.
+TEST_CASE("more pipelined requests than the limit are all served")
+{
+  constexpr std::size_t kRequests = 80;
+  Listener listener;
+  RawSocket client = listener.Connect();
+  std::string text;
+  for (std::size_t i = 1; i <= kRequests; ++i) {
+    const std::string path = "/" + std::to_string(i);
+    text += i % 8 == 0 ? Upload(path, 4) + "body" : Get(path);
+  }
+  client.Write(text);
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    REQUIRE(listener.HasRequests(i + 1));
+    REQUIRE(listener.Becomes(
+      [&] { return listener.mRequests[i]->mBodyEnded.load(); }));
+    listener.Respond(i, 200, "end");
+  }
+  CHECK(listener.mRequests.size() == kRequests);
+  std::size_t responses = 0;
+  while (responses < kRequests) {
+    const std::string response = client.ReadUntil("end");
+    REQUIRE(response.starts_with("HTTP/1.1 200"));
+    ++responses;
+  }
+}
+
+// Guards against a stop, or a last request that asks for the close, that drops
+// the requests in flight behind the first: callers would send them again.
+TEST_CASE("only the response to the last request in flight announces the close")
+{
+  for (const bool stops : { true, false }) {
+    CAPTURE(stops);
+    Listener listener;
+    RawSocket client = listener.Connect();
+    client.Write(
+      Get("/1") + Get("/2") +
+      (stops ? Get("/3") : "GET /3 HTTP/1.1\r\nConnection: close\r\n\r\n"));
+    REQUIRE(listener.HasRequests(3));
+    if (stops) {
+      listener.mThread.Run([&] { listener.mListener->StartStopping(); });
+    }
+    listener.Respond(0, 200, "first");
+    listener.Respond(2, 200, "third");
+    client.Write(Get("/4"));
+    listener.Respond(1, 200, "second");
+    const std::string text = client.ReadToEnd();
+    CHECK(CountOf(text, "Connection: close\r\n") == 1);
+    CHECK(text.find("second") < text.find("Connection: close"));
+    CHECK(text.ends_with("third"));
+    CHECK(listener.mRequests.size() == 3);
+  }
+}
