Do not retry in the last millisecond before the deadline

Callers got 502 instead of 504 for some requests that ended at their deadline. Cause: the time that is left goes to the serving node in whole milliseconds, so its deadline is up to one millisecond earlier; the entry node then still saw time for another attempt, found no server, and answered for that.

--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -626,8 +626,10 @@
   const bool can_run_again =
     mRoute->IsIdempotent() ||
     (aError.mRun == core::RunCertainty::NotRun && !mPossiblyRun);
-  if (!can_run_again || !mReplayable ||
-      mEntry.mComponents.mNow() >= mDeadline) {
+  // The time that is left is sent in whole milliseconds, so the deadline of a
+  // serving node may be that much earlier.
+  const bool is_late = mEntry.mComponents.mNow() + milliseconds(1) >= mDeadline;
+  if (!can_run_again || !mReplayable || is_late) {
     return false;
   }
   // Attempts that reached no backend server are limited by the number of
