--- a/tests/adapter/RouteDocumentTest.cpp
+++ b/tests/adapter/RouteDocumentTest.cpp
@@ -152,9 +152,9 @@
     { "\"kind\":\"safe\"", "\"kind\":\"safe\",\"new\":{\"a\":[1]}" },
     { "\"r7\"", "\"r007\"" },
   };
-  for (const auto& [from, to] : changes) {
-    CAPTURE(to);
-    auto source = DecodeRouteDocument(Replaced(from, to));
+  for (const auto& change : changes) {
+    CAPTURE(change.second);
+    auto source = DecodeRouteDocument(Replaced(change.first, change.second));
     REQUIRE(source.has_value());
     CHECK(source->mVersion == 7);
     CHECK(source->mRoutes[1].mTargets.size() == 2);
