--- a/tests/gateway/PathTest.cpp
+++ b/tests/gateway/PathTest.cpp
@@ -181,11 +181,18 @@
       mIo, listener, now, [this](const proxy::ServerExchangePtr& aExchange) {
         return mEntry->Handle(aExchange);
       }));
+    OpenInbound(listener);
+    ScheduleTick();
+  }
+  void OpenInbound(const proxy::HttpListenerSettings& aSettings)
+  {
     mInbound = std::move(*proxy::HttpListener::Create(
-      mIo, listener, now, [this](const proxy::ServerExchangePtr& aExchange) {
+      mIo,
+      aSettings,
+      [] { return core::Clock::now(); },
+      [this](const proxy::ServerExchangePtr& aExchange) {
         return InboundCall::Handle(*mServing, aExchange);
       }));
-    ScheduleTick();
   }
   void ScheduleTick()
   {
