--- a/tests/proxy/RequestBodyTest.cpp
+++ b/tests/proxy/RequestBodyTest.cpp
@@ -52,7 +52,7 @@
         settings,
         now,
         [this, aPausing](const ServerExchangePtr& aExchange) {
-          const auto request = std::make_shared<Request>();
+          auto request = std::make_shared<Request>();
           request->mExchange = aExchange;
           request->mPausing = aPausing;
           mRequests.push_back(request);
@@ -146,7 +146,8 @@
     std::string body(kUploadBytes, 'b');
     if (chunked) {
       upload = "POST /1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
-      body = "493e0\r\n" + body + "\r\n0\r\n\r\n";
+      body.insert(0, "493e0\r\n");
+      body += "\r\n0\r\n\r\n";
     }
     client.Write(upload);
     std::thread writer([&] { client.Write(body + Get("/2")); });
