Log again that the addresses of a node are free

OPERATIONS.md tells operators to expect event=addresses_free after event=address_busy. The line was lost when the start began to follow the settings file while it waits; no test asked for it.

--- a/src/nutmegrock/cli/GatewayCommand.cpp
+++ b/src/nutmegrock/cli/GatewayCommand.cpp
@@ -12,9 +12,9 @@
 #include <cstdlib>
 #include <memory>
 #include <optional>
-#include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
+#include <utility>
 
 namespace nutmegrock::cli {
 
@@ -90,9 +90,12 @@
 {
   std::optional<core::Address> reported;
   int failures = 0;
-  do {
+  for (;;) {
     const auto busy = gateway::FindBusyAddress(aLoaded.mSettings.mListen);
     if (!busy) {
+      if (std::exchange(reported, std::nullopt)) {
+        spdlog::info("event=addresses_free");
+      }
       auto ports = aPorts(aLoaded.mSettings);
       if (!ports) {
         return tl::make_unexpected(std::move(ports.error()));
@@ -113,7 +116,7 @@
     if (auto changed = LoadSettings(aPath)) {
       aLoaded = std::move(*changed);
     }
-  } while (true);
+  }
 }
 
 int
--- a/src/nutmegrock/cli/HeldSignals.cpp
+++ b/src/nutmegrock/cli/HeldSignals.cpp
@@ -1,6 +1,5 @@
 #include "cli/HeldSignals.h"
 
-#include <cerrno>
 #include <csignal>
 #include <ctime>
 #include <initializer_list>
@@ -20,20 +19,25 @@
   return set;
 }
 
+void
+ChangeMask(int aHow) noexcept
+{
+  const sigset_t set = SetOf({ SIGTERM, SIGINT, SIGHUP });
+  pthread_sigmask(aHow, &set, nullptr);
+}
+
 } // namespace
 
 void
 HeldSignals::Hold() noexcept
 {
-  const sigset_t set = SetOf({ SIGTERM, SIGINT, SIGHUP });
-  pthread_sigmask(SIG_BLOCK, &set, nullptr);
+  ChangeMask(SIG_BLOCK);
 }
 
 void
 HeldSignals::Release() noexcept
 {
-  const sigset_t set = SetOf({ SIGTERM, SIGINT, SIGHUP });
-  pthread_sigmask(SIG_UNBLOCK, &set, nullptr);
+  ChangeMask(SIG_UNBLOCK);
 }
 
 bool
--- a/src/nutmegrock/gateway/BusyAddresses.cpp
+++ b/src/nutmegrock/gateway/BusyAddresses.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <type_traits>
 
 namespace nutmegrock::gateway {
 
--- a/tests/process/StartTest.cpp
+++ b/tests/process/StartTest.cpp
@@ -128,6 +128,7 @@
     CHECK_FALSE(node.WaitForEnd(300ms).has_value());
     holder.Release();
     CHECK(node.Answers(5s));
+    CHECK(node.WaitForLog("event=addresses_free", 2s));
   }
 }
 
