Describe tenants and downloads in the routes

Types only, so that the parts that read, check and limit tenants can be written beside each other. No behaviour changes: nothing sets them yet.

--- a/src/nutmegrock/routes/Route.cpp
+++ b/src/nutmegrock/routes/Route.cpp
@@ -11,9 +11,11 @@
     case RouteKind::NonIdempotent:
       return "non_idempotent";
     case RouteKind::Upload:
+      return "upload";
+    case RouteKind::Download:
       break;
   }
-  return "upload";
+  return "download";
 }
 
 } // namespace nutmegrock::routes
--- a/src/nutmegrock/routes/Route.h
+++ b/src/nutmegrock/routes/Route.h
@@ -3,6 +3,7 @@
 #include "core/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,10 +18,12 @@
   /// Runs at most once.
   NonIdempotent,
   /// Runs at most once and has a large body.
-  Upload
+  Upload,
+  /// May run any number of times and has a large response.
+  Download
 };
 
-/// "idempotent", "non_idempotent" or "upload".
+/// "idempotent", "non_idempotent", "upload" or "download".
 std::string_view
 NameOf(RouteKind aKind);
 
@@ -53,8 +56,13 @@
   std::uint32_t mMaxAttempts = 1;
   /// Priority of the requests; 0 is shed last.
   std::uint32_t mPriority = 0;
+  /// Requests need no key of a tenant.
+  bool mAnonymous = false;
 
-  bool IsIdempotent() const { return mKind == RouteKind::Idempotent; }
+  bool IsIdempotent() const
+  {
+    return mKind == RouteKind::Idempotent || mKind == RouteKind::Download;
+  }
   bool operator==(const Route&) const = default;
 };
 
@@ -70,6 +78,23 @@
   bool operator==(const RouteService&) const = default;
 };
 
+/// An organisation whose requests are identified by keys and may be limited.
+struct Tenant
+{
+  std::string mName;
+  /// SHA-256 digests of its keys in lower-case hexadecimal; empty after all
+  /// keys were revoked.
+  std::vector<std::string> mKeyDigests;
+  /// Goes before the priority of the route; 0 is shed last.
+  std::optional<std::uint32_t> mPriority;
+  /// Requests per second over all nodes; 0 for no limit.
+  double mRatePerSecond = 0;
+  /// Requests that may be saved up in addition.
+  double mBurst = 0;
+
+  bool operator==(const Tenant&) const = default;
+};
+
 /// Limits on what a caller may send.
 struct CallerLimits
 {
--- a/src/nutmegrock/routes/RouteSet.h
+++ b/src/nutmegrock/routes/RouteSet.h
@@ -19,6 +19,8 @@
   std::uint64_t mVersion = 0;
   std::vector<Route> mRoutes;
   std::vector<RouteService> mServices;
+  /// Empty if requests need no keys.
+  std::vector<Tenant> mTenants;
   CallerLimits mLimits;
 
   bool operator==(const RouteSetSource&) const = default;
@@ -43,6 +45,7 @@
   {
     return mSource.mServices;
   }
+  const std::vector<Tenant>& Tenants() const { return mSource.mTenants; }
   const RouteSetSource& Source() const { return mSource; }
 
   /// Returns the route of the host with the longest prefix that matches the
