--- a/src/nutmegrock/overload/EntryAdmission.cpp
+++ b/src/nutmegrock/overload/EntryAdmission.cpp
@@ -57,7 +57,8 @@
 EntryAdmission::Decide(const EntryRequest& aRequest) const
 {
   EntryDecision decision;
-  decision.mRank = RankOf(aRequest.mPriority, aRequest.mHash);
+  decision.mRank =
+    aRequest.mRank.value_or(RankOf(aRequest.mPriority, aRequest.mHash));
   const RouteCost* cost = mCosts.Find(aRequest.mRoute);
   if (cost == nullptr) {
     return decision;
--- a/src/nutmegrock/overload/EntryAdmission.h
+++ b/src/nutmegrock/overload/EntryAdmission.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,8 @@
   std::uint64_t mHash = 0;
   /// Availability zone in which the request is to run.
   std::string_view mZone = {};
+  /// Rank, if it does not follow from the priority and the hash alone.
+  std::optional<double> mRank = {};
 };
 
 /// Time after which the caller of a refused request may retry, by the latency
--- a/src/nutmegrock/overload/RequestChain.cpp
+++ b/src/nutmegrock/overload/RequestChain.cpp
@@ -5,12 +5,17 @@
 namespace nutmegrock::overload {
 
 double
-RankOf(std::uint32_t aPriority, std::uint64_t aHash)
+PartOf(std::uint64_t aHash)
 {
   constexpr double kScale = 1.0 / 9007199254740992.0; // 2^53
+  return static_cast<double>(aHash >> 11U) * kScale;
+}
+
+double
+RankOf(std::uint32_t aPriority, std::uint64_t aHash)
+{
   const auto priority = std::min<std::size_t>(aPriority, kPriorities - 1);
-  return static_cast<double>(priority) +
-         static_cast<double>(aHash >> 11U) * kScale;
+  return static_cast<double>(priority) + PartOf(aHash);
 }
 
 } // namespace nutmegrock::overload
--- a/src/nutmegrock/overload/RequestChain.h
+++ b/src/nutmegrock/overload/RequestChain.h
@@ -20,6 +20,10 @@
 double
 RankOf(std::uint32_t aPriority, std::uint64_t aHash);
 
+/// The number in [0, 1) of such a hash.
+double
+PartOf(std::uint64_t aHash);
+
 /// What a node knows of the caller's request that a call belongs to. It is
 /// passed on from the entry node of the request to the nodes of its nested
 /// calls.
