Check the keys of tenants at the entry node

With tenants in the configuration, a request of a route that is not anonymous needs a key of a tenant, and gets 401 otherwise. The key is dropped there; the backend server receives the name of the tenant, which goes between nodes as a field of the peer call. The parser keeps the key apart from the other headers and drops a tenant header of a caller. The adapter replaces keys by digests when it reads the document from the store, so no node passes one on.

A route or tenant that cannot be read is skipped alone, logged and counted; before, one made the whole document unusable.

--- a/src/nutmegrock/gateway/Entry.cpp
+++ b/src/nutmegrock/gateway/Entry.cpp
@@ -27,6 +27,20 @@
 
 } // namespace
 
+overload::PriorityOrder
+PriorityOrderOf(const routes::RouteSet& aRoutes)
+{
+  std::vector<std::uint32_t> tenants;
+  for (const routes::Tenant& tenant : aRoutes.Tenants()) {
+    tenants.push_back(tenant.mPriority.value_or(0));
+  }
+  std::vector<std::uint32_t> routes;
+  for (const routes::Route& route : aRoutes.Routes()) {
+    routes.push_back(route.mPriority);
+  }
+  return { std::move(tenants), std::move(routes) };
+}
+
 Entry::Entry(EntrySettings aSettings,
              SharedComponents& aComponents,
              Serving& aServing,
@@ -84,6 +98,16 @@
   }
 }
 
+const overload::PriorityOrder&
+Entry::OrderOf(const routes::RouteSet& aRoutes)
+{
+  if (mOrderVersion != aRoutes.Version()) {
+    mOrderVersion = aRoutes.Version();
+    mOrder = PriorityOrderOf(aRoutes);
+  }
+  return mOrder;
+}
+
 void
 Entry::CountResponse(const std::string& aRoute, unsigned aStatus)
 {
--- a/src/nutmegrock/gateway/Entry.h
+++ b/src/nutmegrock/gateway/Entry.h
@@ -4,6 +4,7 @@
 #include "gateway/Serving.h"
 #include "gateway/ZoneTraffic.h"
 #include "overload/EntryAdmission.h"
+#include "overload/PriorityOrder.h"
 #include "overload/ZonePlacement.h"
 #include "proxy/ServerExchange.h"
 #include "retry/RetryAllowance.h"
@@ -21,6 +22,11 @@
 
 class EntryCall;
 
+/// The order of the priorities of tenants and routes. Tenants without a
+/// priority, and requests without a tenant, have the most important one.
+overload::PriorityOrder
+PriorityOrderOf(const routes::RouteSet& aRoutes);
+
 struct EntrySettings
 {
   core::Incarnation mSelf;
@@ -66,6 +72,8 @@
   friend class EntryCall;
 
   void Remove(EntryCall* aCall);
+  /// The order of priorities in these routes; the last one is kept.
+  const overload::PriorityOrder& OrderOf(const routes::RouteSet& aRoutes);
   /// Counts a response of a backend server.
   void CountResponse(const std::string& aRoute, unsigned aStatus);
   /// A request of the route ended with a response of a backend server.
@@ -86,6 +94,9 @@
   routes::SplitPicker mSplitPicker;
   ZoneTraffic mZoneTraffic;
   overload::ZonePlacement mPlacement;
+  overload::PriorityOrder mOrder;
+  /// Version of the routes that mOrder is for.
+  std::uint64_t mOrderVersion = 0;
   bool mRefusing = false;
   std::unordered_set<std::shared_ptr<EntryCall>> mCalls;
   /// Response counters by route and status, cached.
--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -16,9 +16,6 @@
 
 /// Maximum size of a request body kept for retries, in bytes.
 constexpr std::size_t kMaxReplayBytes = std::size_t{ 192 } * 1024;
-/// Part of the rank that a request shares with all its calls, for calls whose
-/// request is not known.
-constexpr double kUnknownRank = 0.9;
 /// Retry-After value for refusals without a more specific one.
 constexpr milliseconds kDefaultRetryAfter{ 250 };
 
@@ -50,7 +47,7 @@
 EntryCall::Start()
 {
   const auto self = shared_from_this();
-  if (!FindRoute()) {
+  if (!FindRoute() || !FindTenant()) {
     return;
   }
   if (mEntry.mRefusing) {
@@ -76,108 +73,6 @@
   SendAttempt();
 }
 
-bool
-EntryCall::FindRoute()
-{
-  mRoutes = mEntry.mRoutes.Current();
-  if (!mRoutes) {
-    Fail(core::MakeError(core::ErrorKind::NoProfiles,
-                         "this node has not received any routes yet"));
-    return false;
-  }
-  const proxy::RequestHead& head = mExchange->Head();
-  mRoute = mRoutes->Find(head.mHost, head.mTarget);
-  if (mRoute == nullptr) {
-    Fail(core::MakeError(core::ErrorKind::NotFound,
-                         "no route matches this host and path"));
-    return false;
-  }
-  if (head.mRequestId.empty()) {
-    Fail(core::MakeError(core::ErrorKind::BadRequest,
-                         "the request has no request ID"));
-    return false;
-  }
-  return true;
-}
-
-void
-EntryCall::SetDeadline()
-{
-  const auto requested = mExchange->Head().mTimeout;
-  const milliseconds wait =
-    std::min(requested.value_or(mRoute->mTimeout), mRoute->mTimeout);
-  mDeadline = mArrived + wait;
-}
-
-bool
-EntryCall::Admit()
-{
-  if (mNested) {
-    return true;
-  }
-  overload::EntryRequest request;
-  request.mRoute = mRoute->mName;
-  request.mZone = mZone;
-  request.mPriority = mRoute->mPriority;
-  request.mLatencyObjective = mRoute->mLatencyObjective;
-  request.mHash = mHash;
-  const auto decision = mEntry.mAdmission.Decide(request);
-  mChain.mRank = decision.mRank;
-  if (decision.mAdmitted) {
-    return true;
-  }
-  mEntry.mComponents.mRegistry
-    .CounterOf("nutmegrock_shed_total",
-               { { "route", mRoute->mName }, { "service", decision.mService } })
-    .Add();
-  core::Error error = core::MakeError(
-    core::ErrorKind::LevelTooLow,
-    fmt::format("service {} is overloaded: rank {:.3f}, cutoff {:.3f}",
-                decision.mService,
-                decision.mRank,
-                decision.mCutoff));
-  error.mRetryAfter = decision.mRetryAfter;
-  Fail(error);
-  return false;
-}
-
-// Calls of a route that is not known to be nested may be requests of callers,
-// so only the route decides on their rank.
-void
-EntryCall::FindChain()
-{
-  mChain.mFinishBy = mDeadline;
-  if (!mNested) {
-    mDemandRank = mChain.mRank;
-    return;
-  }
-  mChain.mRank = overload::RankOf(mRoute->mPriority, 0) + kUnknownRank;
-  mChain.mRetryShare = mEntry.mComponents.mRetryShares.Share();
-  mDemandRank = mChain.mRank;
-  const auto timeout = mExchange->Head().mTimeout;
-  if (!mInternal || !timeout) {
-    return;
-  }
-  mParent = mEntry.mComponents.mRuns.OnCall(mArrived, mRoute->mName, *timeout);
-  mEntry.mComponents.mRegistry
-    .CounterOf("nutmegrock_nested_calls_total",
-               { { "route", mRoute->mName },
-                 { "parent",
-                   !mParent               ? "unknown"
-                   : mParent->mIdentified ? "identified"
-                                          : "attributed" } })
-    .Add();
-  if (!mParent) {
-    return;
-  }
-  mDemandRank = mParent->mChain.mRank;
-  mChain.mRetryShare = mParent->mChain.mRetryShare;
-  if (mParent->mIdentified) {
-    mChain = mParent->mChain;
-    mChain.mFinishBy = std::min(mChain.mFinishBy, mDeadline);
-  }
-}
-
 PeerCall
 EntryCall::PeerCallFor(core::TimePoint aNow) const
 {
@@ -197,6 +92,7 @@
   call.mDemandRankPermille = permille(mDemandRank);
   call.mFinishWithin = ToMilliseconds(mChain.mFinishBy - aNow);
   call.mCallingNode = mInternal ? mEntry.mCallingNode : 0;
+  call.mTenant = mTenant == nullptr ? "" : mTenant->mName;
   return call;
 }
 
@@ -480,6 +376,9 @@
       error.mRetryAfter = DefaultRetryAfter(error.mKind);
     }
     lines += RetryAfterLine(error.mRetryAfter);
+  } else if (error.mKind == core::ErrorKind::Unauthorized) {
+    lines += proxy::HeaderLine("WWW-Authenticate",
+                               mEntry.mComponents.mPool.Names().mKeyScheme);
   }
   mEntry.mComponents.mRegistry
     .CounterOf("nutmegrock_entry_refused_total",
@@ -516,13 +415,15 @@
 {
   const core::TimePoint now = mEntry.mComponents.mNow();
   mEntry.mComponents.mLog.LogRequest(fmt::format(
-    "event=request id={} from={} route={} service={} routes_version={} "
+    "event=request id={} from={} route={} tenant={} service={} "
+    "routes_version={} "
     "status={} reason=\"{}\" attempts={} zone={} last_server={} "
     "last_load_permille={} "
     "elapsed_ms={} time_ms={} rank={:.3f} retries_left={:.0f}",
     mExchange->Head().mRequestId,
     CallerKind(),
     mRoute == nullptr ? "-" : mRoute->mName,
+    mTenant == nullptr ? "-" : mTenant->mName,
     mService.empty() ? "-" : mService,
     mRoutes ? mRoutes->Version() : 0,
     aStatus,
--- a/src/nutmegrock/gateway/EntryCall.h
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -71,6 +71,11 @@
   void OnResponseFailed(const core::Error& aError);
   void OnRequestSent();
   bool FindRoute();
+  /// Checks the key of the request if its route needs one.
+  bool FindTenant();
+  /// Rank of the request by its priorities. aPart in [0, 1) orders the requests
+  /// of equal priorities.
+  double RankWith(double aPart);
   void SetDeadline();
   bool Admit();
   /// Finds the run that made a nested call, and sets mChain and mDemandRank.
@@ -108,6 +113,8 @@
   proxy::ServerExchangePtr mExchange;
   routes::RouteSetPtr mRoutes;
   const routes::Route* mRoute = nullptr;
+  /// Null if the request needs no key.
+  const routes::Tenant* mTenant = nullptr;
   std::string mService;
   /// Availability zone in which the request is to run.
   std::string mZone;
--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -30,9 +30,6 @@
 constexpr milliseconds kSlowTickInterval{ 250 };
 constexpr milliseconds kPoolTickInterval{ 100 };
 constexpr std::chrono::seconds kControlTimeout{ 2 };
-/// Timeout of a request for another node's routes. Short, since the connection
-/// may have gone silent, and the next request uses a new one.
-constexpr milliseconds kRoutesTimeout{ 1'000 };
 /// Time after which a health check without a complete response is cancelled.
 constexpr milliseconds kProbeTimeout{ 2'000 };
 /// Threads for the store client; at most three calls run concurrently.
@@ -311,30 +308,6 @@
   return true;
 }
 
-void
-GatewayRuntime::Components::OpenRoutes()
-{
-  mRoutes.OnChange([this](const routes::RouteSetPtr& aRoutes) {
-    boost::asio::post(mIo, [this, aRoutes] { OnRoutes(aRoutes); });
-  });
-  routes::RouteSync::Hooks hooks;
-  hooks.mPull = [this](const core::Address& aFrom,
-                       routes::RouteSync::PullCallback aCallback) {
-    mPeerClient->Control(aFrom,
-                         {},
-                         routes::RouteSync::kMethod,
-                         {},
-                         core::Clock::now() + kRoutesTimeout,
-                         std::move(aCallback));
-  };
-  hooks.mLog = [](const std::string& aLine) { spdlog::info("{}", aLine); };
-  hooks.mOnStoreRegained = [this] {
-    boost::asio::post(mIo, [this] { mMembership->OnStoreRegained(); });
-  };
-  mRouteSync = std::make_unique<routes::RouteSync>(
-    mPorts.mRoutes, mPorts.mDecodeRoutes, mRoutes, std::move(hooks));
-}
-
 core::Expected<bool>
 GatewayRuntime::Components::OpenMembership()
 {
@@ -452,37 +425,6 @@
                             aView->mByService.size()));
 }
 
-void
-GatewayRuntime::Components::OnRoutes(const routes::RouteSetPtr& aRoutes)
-{
-  mCallerListener->SetLimits(aRoutes->Limits());
-  mEntry->OnRoutesChanged();
-  std::uint32_t last_priority = 0;
-  for (const routes::Route& route : aRoutes->Routes()) {
-    last_priority = std::max(last_priority, route.mPriority);
-  }
-  mLoads.SetOpenRank(
-    std::min(overload::kOpenRank, static_cast<double>(last_priority) + 1));
-  mMembership->NotifyVersion(aRoutes->Version());
-}
-
-std::string
-GatewayRuntime::Components::ServiceOf(const std::string& aRoute) const
-{
-  const routes::RouteSetPtr routes = mRoutes.Current();
-  const routes::Route* route = routes ? routes->FindByName(aRoute) : nullptr;
-  if (route == nullptr) {
-    return {};
-  }
-  return std::max_element(route->mTargets.begin(),
-                          route->mTargets.end(),
-                          [](const routes::RouteTarget& aLeft,
-                             const routes::RouteTarget& aRight) {
-                            return aLeft.mWeight < aRight.mWeight;
-                          })
-    ->mService;
-}
-
 std::uint32_t
 GatewayRuntime::Components::PublishableSlots() const
 {
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -75,6 +75,8 @@
                   std::optional<routing::EjectionReason> aReason);
   void OnView(const membership::MemberViewPtr& aView);
   void OnRoutes(const routes::RouteSetPtr& aRoutes);
+  /// Logs and counts the routes and tenants that could not be read.
+  void ReportSkipped(const routes::RouteSetSource& aSource);
   std::string ServiceOf(const std::string& aRoute) const;
   void OnSavedState(const LearnedState& aState);
   void SaveCosts(core::TimePoint aNow);
--- a/src/nutmegrock/gateway/PeerCall.cpp
+++ b/src/nutmegrock/gateway/PeerCall.cpp
@@ -6,10 +6,18 @@
 
 namespace nutmegrock::gateway {
 
+namespace {
+
+/// Number of fields without that of the tenant, which is left out if empty, so
+/// that nodes of the version before tenants understand the others.
+constexpr std::size_t kFieldCount = 11;
+
+} // namespace
+
 std::string
 Encode(const PeerCall& aCall)
 {
-  return fmt::format("{:x};{};{};{};{};{};{};{};{};{};{:x}",
+  return fmt::format("{:x};{};{};{};{};{};{};{};{};{};{:x}{}{}",
                      aCall.mTarget.mBits,
                      aCall.mService,
                      aCall.mCallerService,
@@ -20,19 +28,26 @@
                      aCall.mRankPermille,
                      aCall.mDemandRankPermille,
                      aCall.mFinishWithin.count(),
-                     aCall.mCallingNode);
+                     aCall.mCallingNode,
+                     aCall.mTenant.empty() ? "" : ";",
+                     EscapeText(aCall.mTenant));
 }
 
 core::Expected<PeerCall>
 DecodePeerCall(std::string_view aText)
 {
-  constexpr std::size_t kFieldCount = 11;
   const auto fields = SplitText(aText, ';');
   const auto fail = [] {
     return core::Fail(core::ErrorKind::ProtocolError,
                       "the request does not come from a node of this version");
   };
-  if (fields.size() != kFieldCount) {
+  const bool has_tenant = fields.size() == kFieldCount + 1;
+  if (fields.size() != kFieldCount && !has_tenant) {
+    return fail();
+  }
+  const auto tenant =
+    has_tenant ? UnescapeText(fields[kFieldCount]) : std::string();
+  if (!tenant || has_tenant == tenant->empty()) {
     return fail();
   }
   const auto target = ParseNumber<std::uint64_t>(fields[0], 16);
@@ -58,6 +73,7 @@
   call.mDemandRankPermille = *demand_rank;
   call.mFinishWithin = std::chrono::milliseconds(*finish);
   call.mCallingNode = *calling_node;
+  call.mTenant = *tenant;
   return call;
 }
 
--- a/src/nutmegrock/gateway/PeerCall.h
+++ b/src/nutmegrock/gateway/PeerCall.h
@@ -38,6 +38,8 @@
   /// Identifies the node whose backend server made the call among the callers
   /// of a service; 0 for a request of a caller.
   std::uint32_t mCallingNode = 0;
+  /// Name of the tenant that sent the request; empty for none.
+  std::string mTenant;
 
   bool operator==(const PeerCall&) const = default;
 };
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -57,7 +57,10 @@
     proxy::HeaderLine(names.mRequestId, mHead.mRequestId) +
       proxy::HeaderLine(names.mDeadlineMs, fmt::to_string(remaining.count())) +
       proxy::HeaderLine(names.mExpectedServer, mServing.mServer.Latest()->mId) +
-      proxy::HeaderLine(names.mCallerService, mCall.mCallerService));
+      proxy::HeaderLine(names.mCallerService, mCall.mCallerService) +
+      (mCall.mTenant.empty()
+         ? std::string()
+         : proxy::HeaderLine(names.mTenant, mCall.mTenant)));
   request.mRequestId = mHead.mRequestId;
   request.mFraming = mHead.mFraming;
   request.mIsHead = mHead.mMethod == "HEAD";
--- a/src/nutmegrock/gateway/TextFields.h
+++ b/src/nutmegrock/gateway/TextFields.h
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -42,6 +43,52 @@
   return value;
 }
 
+/// Escapes the characters that separate fields and all that are not printable
+/// as "%XX", so that any text can be a field of a header value.
+inline std::string
+EscapeText(std::string_view aText)
+{
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  constexpr unsigned char kDelete = 0x7f;
+  std::string text;
+  text.reserve(aText.size());
+  for (const unsigned char byte : aText) {
+    if (byte <= ' ' || byte >= kDelete || byte == '%' || byte == ';' ||
+        byte == ',') {
+      text += '%';
+      text += kDigits[byte >> 4U];
+      text += kDigits[byte & 0xfU];
+    } else {
+      text += static_cast<char>(byte);
+    }
+  }
+  return text;
+}
+
+/// Reverts EscapeText(); returns nothing for a text that it does not produce.
+inline std::optional<std::string>
+UnescapeText(std::string_view aText)
+{
+  std::string text;
+  text.reserve(aText.size());
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] != '%') {
+      text += aText[i];
+      continue;
+    }
+    constexpr std::size_t kHexDigits = 2;
+    constexpr int kHexBase = 16;
+    const std::string_view digits = aText.substr(i + 1, kHexDigits);
+    const auto byte = ParseNumber<unsigned>(digits, kHexBase);
+    if (!byte || digits.size() != kHexDigits) {
+      return std::nullopt;
+    }
+    text += static_cast<char>(*byte);
+    i += kHexDigits;
+  }
+  return text;
+}
+
 /// Fractions are written in thousandths.
 inline std::int64_t
 ToThousandths(double aValue)
--- a/src/nutmegrock/proxy/HeaderNames.h
+++ b/src/nutmegrock/proxy/HeaderNames.h
@@ -29,6 +29,12 @@
   std::string mRateLimit = "Nutmegrock-Rate-Limit";
   /// In responses, with the value 1: the backend server is leaving.
   std::string mLeaving = "Nutmegrock-Leaving";
+  /// In requests to the backend server: name of the tenant. Never accepted from
+  /// callers.
+  std::string mTenant = "Nutmegrock-Tenant";
+  /// In requests of callers: the authentication scheme and the key of a tenant.
+  std::string mKey = "Authorization";
+  std::string mKeyScheme = "Bearer";
 };
 
 /// Between nodes, in requests: call metadata for the serving node. Never
--- a/src/nutmegrock/proxy/MessageHead.h
+++ b/src/nutmegrock/proxy/MessageHead.h
@@ -42,6 +42,9 @@
   std::optional<std::chrono::milliseconds> mTimeout;
   /// Value of kPeerCallHeader.
   std::string mPeerCall;
+  /// The header lines with the key of a tenant as received; usually one or
+  /// none. They are forwarded unless the node checks keys itself.
+  std::string mKeyLines;
   bool mExpectsContinue = false;
 };
 
--- a/src/nutmegrock/proxy/MessageParser.cpp
+++ b/src/nutmegrock/proxy/MessageParser.cpp
@@ -178,9 +178,10 @@
       mHead.mPeerCall = ToString(aValue);
       return true;
     }
-    // Both are set only by nodes.
+    // All are set only by nodes.
     return EqualsIgnoreCase(aName, mNames.mCallerService) ||
-           EqualsIgnoreCase(aName, mNames.mExpectedServer);
+           EqualsIgnoreCase(aName, mNames.mExpectedServer) ||
+           EqualsIgnoreCase(aName, mNames.mTenant);
   } else {
     if (EqualsIgnoreCase(aName, kPeerNoteHeader)) {
       mHead.mPeerNote = ToString(aValue);
@@ -204,12 +205,31 @@
 
 template<bool IsRequest>
 void
-MessageParser<IsRequest>::AddHeaderLine(Text aName, Text aValue)
+MessageParser<IsRequest>::AddHeaderLine(std::string& aLines,
+                                        Text aName,
+                                        Text aValue)
+{
+  aLines.append(aName.data(), aName.size());
+  aLines += ": ";
+  aLines.append(aValue.data(), aValue.size());
+  aLines += "\r\n";
+}
+
+template<bool IsRequest>
+void
+MessageParser<IsRequest>::DropHeaderLines(std::string& aLines, Text aName)
 {
-  mHead.mHeaderLines.append(aName.data(), aName.size());
-  mHead.mHeaderLines += ": ";
-  mHead.mHeaderLines.append(aValue.data(), aValue.size());
-  mHead.mHeaderLines += "\r\n";
+  std::size_t at = 0;
+  while (at < aLines.size()) {
+    const std::size_t end = aLines.find("\r\n", at) + 2;
+    const std::size_t colon = aLines.find(':', at);
+    if (EqualsIgnoreCase(Text(aLines.data() + at, colon - at),
+                         { aName.data(), aName.size() })) {
+      aLines.erase(at, end - at);
+    } else {
+      at = end;
+    }
+  }
 }
 
 template<bool IsRequest>
@@ -239,7 +259,13 @@
   if (aField == Field::unknown && StoreKnownField(aName, aValue)) {
     return;
   }
-  AddHeaderLine(aName, aValue);
+  if constexpr (IsRequest) {
+    if (EqualsIgnoreCase(aName, mNames.mKey)) {
+      AddHeaderLine(mHead.mKeyLines, aName, aValue);
+      return;
+    }
+  }
+  AddHeaderLine(mHead.mHeaderLines, aName, aValue);
 }
 
 template<bool IsRequest>
@@ -260,17 +286,9 @@
         EqualsIgnoreCase(option, "keep-alive")) {
       continue;
     }
-    // Drops the headers that the sender listed in Connection.
-    std::size_t at = 0;
-    while (at < mHead.mHeaderLines.size()) {
-      const std::size_t end = mHead.mHeaderLines.find("\r\n", at) + 2;
-      const std::size_t colon = mHead.mHeaderLines.find(':', at);
-      if (EqualsIgnoreCase(Text(mHead.mHeaderLines.data() + at, colon - at),
-                           { option.data(), option.size() })) {
-        mHead.mHeaderLines.erase(at, end - at);
-      } else {
-        at = end;
-      }
+    DropHeaderLines(mHead.mHeaderLines, option);
+    if constexpr (IsRequest) {
+      DropHeaderLines(mHead.mKeyLines, option);
     }
   }
   mHooks.mOnHead();
--- a/src/nutmegrock/proxy/MessageParser.h
+++ b/src/nutmegrock/proxy/MessageParser.h
@@ -74,7 +74,9 @@
   /// Stores a field that has a member of its own. Returns false if the field
   /// must be forwarded as well.
   bool StoreKnownField(Text aName, Text aValue);
-  void AddHeaderLine(Text aName, Text aValue);
+  static void AddHeaderLine(std::string& aLines, Text aName, Text aValue);
+  /// Removes the header lines with a name that the sender listed in Connection.
+  static void DropHeaderLines(std::string& aLines, Text aName);
 
   const HeaderNames& mNames;
   const ParserHooks mHooks;
--- a/src/nutmegrock/proxy/RequestText.h
+++ b/src/nutmegrock/proxy/RequestText.h
@@ -18,12 +18,14 @@
   // line.
   constexpr std::size_t kExtraBytes = 128;
   text.reserve(aHead.mMethod.size() + aHead.mTarget.size() +
-               aHead.mHeaderLines.size() + aOwnLines.size() + kExtraBytes);
+               aHead.mHeaderLines.size() + aHead.mKeyLines.size() +
+               aOwnLines.size() + kExtraBytes);
   text += aHead.mMethod;
   text += ' ';
   text += aHead.mTarget;
   text += " HTTP/1.1\r\n";
   text += aHead.mHeaderLines;
+  text += aHead.mKeyLines;
   text += aOwnLines;
   AddFraming(text, aHead.mFraming, aHead.mLength);
   text += "\r\n";
--- a/src/nutmegrock/proxy/ServerExchange.h
+++ b/src/nutmegrock/proxy/ServerExchange.h
@@ -23,6 +23,8 @@
                  RequestHead aHead);
 
   const RequestHead& Head() const { return mHead; }
+  /// Drops the key of a tenant, so that it is not forwarded.
+  void DropKey() { mHead.mKeyLines.clear(); }
   /// Name of the header with the request id.
   const std::string& RequestIdName() const { return mRequestIdName; }
 
--- a/tests/adapter/RowStoreTest.cpp
+++ b/tests/adapter/RowStoreTest.cpp
@@ -1,10 +1,13 @@
 #include "platform/RowStore.h"
+#include "core/Digest.h"
 #include "core/Time.h"
 #include "routes/RouteSync.h"
 #include "tests/routes/NumberDocument.h"
 #include "tests/store/ScriptedServer.h"
 
+#include <cpprest/asyncrt_utils.h>
 #include <doctest/doctest.h>
+#include <vector>
 
 using namespace nutmegrock;
 using namespace nutmegrock::platform;
@@ -166,6 +169,27 @@
         routes::StoredRoutes{ "", 13 });
 }
 
+// Guards against keys of tenants that reach other nodes with the document.
+TEST_CASE("the store's document is handed on without keys")
+{
+  const std::string document =
+    R"({"version":"r5","tenants":[{"name":"acme","apiKeys":["s3cret"]}]})";
+  const std::string base64 = utility::conversions::to_base64(
+    std::vector<unsigned char>(document.begin(), document.end()));
+  ScriptedServer server({ { MakeResponse("200 OK", RowsOf(base64, 10)) },
+                          { MakeResponse("200 OK", RowsOf(base64, 11)) } });
+  const auto store = *RowStore::Make(server.Url());
+  for (const auto& stored :
+       { store->Read(),
+         store->WaitForChange(10, std::chrono::milliseconds(10)) }) {
+    REQUIRE(stored.has_value());
+    CHECK(stored->mDocument.find("acme") != std::string::npos);
+    CHECK(stored->mDocument.find(core::Sha256Hex("s3cret")) !=
+          std::string::npos);
+    CHECK(stored->mDocument.find("s3cret") == std::string::npos);
+  }
+}
+
 // Guards against a node that goes on with a store that has moved.
 TEST_CASE("calls go to the new address of the store")
 {
--- a/tests/proxy/MessageParserTest.cpp
+++ b/tests/proxy/MessageParserTest.cpp
@@ -1,8 +1,11 @@
 #include "proxy/MessageParser.h"
+#include "proxy/RequestText.h"
+#include "proxy/TenantKey.h"
 
 #include <boost/beast/http/error.hpp>
 #include <doctest/doctest.h>
 #include <string>
+#include <utility>
 
 using namespace nutmegrock::proxy;
 
@@ -126,6 +129,54 @@
   }
 }
 
+// Guards against a tenant that a caller makes up, and against a key that is
+// forwarded to the backend server with the other headers.
+TEST_CASE("the key is kept apart and a caller's tenant is dropped")
+{
+  const Parsed parsed =
+    ParseIn<RequestParser>("GET / HTTP/1.1\r\nNutmegrock-Tenant: forged\r\n"
+                           "authorization:  Bearer k1 \r\nX-Own: kept\r\n"
+                           "nutmegrock-TENANT: forged\r\n\r\n",
+                           3);
+  REQUIRE(parsed.mDone);
+  CHECK(parsed.mRequest.mHeaderLines == "X-Own: kept\r\n");
+  CHECK(parsed.mRequest.mKeyLines == "authorization: Bearer k1\r\n");
+  CHECK(TenantKeyOf(parsed.mRequest, HeaderNames()) == "k1");
+  // Without tenants the key goes to the backend server as before.
+  CHECK(RequestText(parsed.mRequest, "") == "GET / HTTP/1.1\r\nX-Own: kept\r\n"
+                                            "authorization: Bearer k1\r\n\r\n");
+  const Parsed hop =
+    ParseIn<RequestParser>("GET / HTTP/1.1\r\nAuthorization: Bearer k1\r\n"
+                           "Connection: authorization\r\n\r\n",
+                           64);
+  REQUIRE(hop.mDone);
+  CHECK(hop.mRequest.mKeyLines.empty());
+}
+
+TEST_CASE("only one key of the right scheme is a key")
+{
+  const std::pair<const char*, const char*> cases[] = {
+    { "Authorization: Bearer k1\r\n", "k1" },
+    { "Authorization: bEARER   k1\r\n", "k1" },
+    { "Authorization: Bearer k1 k2\r\n", "k1 k2" },
+    { "Authorization: Bearer k: 1\r\n", "k: 1" },
+    { "", "" },
+    { "Authorization: \r\n", "" },
+    { "Authorization: Bearer\r\n", "" },
+    { "Authorization: Bearer \r\n", "" },
+    { "Authorization: k1\r\n", "" },
+    { "Authorization: Basic k1\r\n", "" },
+    { "Authorization: Bearerk1\r\n", "" },
+    { "Authorization: Bearer k1\r\nAuthorization: Bearer k1\r\n", "" },
+  };
+  for (const auto& [lines, key] : cases) {
+    CAPTURE(lines);
+    RequestHead head;
+    head.mKeyLines = lines;
+    CHECK(TenantKeyOf(head, HeaderNames()) == key);
+  }
+}
+
 // Guards against unbounded memory: a server sends a chunk extension or trailers
 // that never end.
 TEST_CASE("framing without end is rejected before it exceeds the header limit")
--- a/tests/routes/RouteSetTest.cpp
+++ b/tests/routes/RouteSetTest.cpp
@@ -127,6 +127,66 @@
   }
 }
 
+TEST_CASE("a skipped route covers its prefix and no other")
+{
+  RouteSetSource source = MakeSource(1);
+  source.mSkippedRoutes = { { "shop.example", "/pay/gift/", "odd" },
+                            { "shop.example", "/pay/", "twice" },
+                            { "other.example", "/", "odd" },
+                            { "third.example", "", "no prefix" } };
+  const auto set = *RouteSet::Create(source);
+  CHECK(set->IsSkipped("Shop.example:80", "/pay/gift/1"));
+  CHECK(set->Find("shop.example", "/pay/gift/1") == nullptr);
+  CHECK(!set->IsSkipped("shop.example", "/pay/1"));
+  CHECK(set->Find("shop.example", "/pay/1")->mName == "pay");
+  CHECK(set->IsSkipped("other.example", "/x"));
+  CHECK(!set->IsSkipped("third.example", "/x"));
+  CHECK(set->FindByName("") == nullptr);
+}
+
+// Guards against a key that another tenant, or none, is identified by.
+TEST_CASE("a tenant is found by the digest of each of its keys and by its name")
+{
+  RouteSetSource source = MakeSource(1);
+  CHECK(!(*RouteSet::Create(source))->NeedsKeys());
+  source.mTenants = { { "a", { "d1", "d2" }, 1, 10, 5 },
+                      { "b", { "d2", "d3" }, std::nullopt, 0, 0 },
+                      { "revoked", {}, std::nullopt, 0, 0 } };
+  const auto set = *RouteSet::Create(source);
+  CHECK(set->NeedsKeys());
+  CHECK(*set->FindTenant("d1") == source.mTenants[0]);
+  CHECK(set->FindTenant("d2")->mName == "a");
+  CHECK(set->FindTenant("d3")->mName == "b");
+  for (const char* unknown : { "", "d", "d4", "a", "D1" }) {
+    CHECK(set->FindTenant(unknown) == nullptr);
+  }
+  CHECK(*set->FindTenantByName("revoked") == source.mTenants[2]);
+  CHECK(set->FindTenantByName("d1") == nullptr);
+  // Tenants that could not be read still make keys necessary.
+  RouteSetSource unreadable = MakeSource(1);
+  unreadable.mNeedsKeys = true;
+  CHECK((*RouteSet::Create(unreadable))->NeedsKeys());
+}
+
+TEST_CASE("a tenant whose name no header can have is refused")
+{
+  for (const std::string& name : { std::string(),
+                                   std::string(" a"),
+                                   std::string("a "),
+                                   std::string("a\r\nX: 1"),
+                                   std::string("a\0b", 3),
+                                   std::string("\x7f"),
+                                   std::string(257, 'a') }) {
+    RouteSetSource source = MakeSource(1);
+    source.mTenants = { { name, {}, std::nullopt, 0, 0 } };
+    CHECK(!RouteSet::Create(source).has_value());
+    source.mTenants = { { "a", {}, std::nullopt, 0, 0 },
+                        { "a", {}, std::nullopt, 0, 0 } };
+    CHECK(!RouteSet::Create(source).has_value());
+  }
+  CHECK(IsValidTenantName("Blue Whale; 100%"));
+}
+
 // Guards against a late response of the store reverting to an older version.
 TEST_CASE("the version in force never decreases")
 {
