Do not complete a response whose connection had a failed send

Cause: Channel::Flush() dropped the outgoing bytes when send() failed and went on reading. The failed send() takes the pending error from the socket, so after a reset the following recv() returned 0 and the end of the connection counted as clean. A response without a length then counted as complete. The connection also went back to the pool if the response had a length.

Change: the channel keeps that a send has failed. Its end is then never clean, nothing is sent after the dropped bytes, the connection is not used for another request, and an accepted channel is reset.

--- a/src/nutmegrock/proxy/Channel.cpp
+++ b/src/nutmegrock/proxy/Channel.cpp
@@ -152,7 +152,9 @@
     return;
   }
   if (bytes <= 0) {
-    End(bytes == 0);
+    // A failed send takes the error from the socket, and the read then reports
+    // the end of the stream after a reset, too.
+    End(bytes == 0 && !mSendFailed);
     return;
   }
   mHooks.mOnBytes({ sBuffer.data(), static_cast<std::size_t>(bytes) });
@@ -203,7 +205,7 @@
 void
 Channel::Write(std::string_view aBytes)
 {
-  if (mClosed) {
+  if (mClosed || mSendFailed) {
     return;
   }
   mOut += aBytes;
@@ -237,13 +239,7 @@
                               Unsent(),
                               MSG_DONTWAIT | MSG_NOSIGNAL);
     if (sent < 0 && errno != EAGAIN && errno != EINTR) {
-      // The peer may have responded before it closed, so its bytes are read
-      // first.
-      mOut.clear();
-      mSent = 0;
-      if (mHooks.mOnSent) {
-        mHooks.mOnSent();
-      }
+      OnSendFailed();
       return;
     }
     mSent += sent > 0 ? static_cast<std::size_t>(sent) : 0;
@@ -266,6 +262,29 @@
   }
 }
 
+// The bytes that are dropped leave a gap, so none may follow them.
+void
+Channel::OnSendFailed()
+{
+  mSendFailed = true;
+  mOut.clear();
+  mSent = 0;
+  if (mAccepted) {
+    // The end of the stream could be taken for the end of a response.
+    Code ignored;
+    mSocket.set_option(net::socket_base::linger(true, 0), ignored);
+    End(false);
+    return;
+  }
+  // The peer may have responded before it closed, so its bytes are read first.
+  // One that did not close learns that the request is incomplete.
+  Code ignored;
+  mSocket.shutdown(Socket::shutdown_send, ignored);
+  if (mHooks.mOnSent) {
+    mHooks.mOnSent();
+  }
+}
+
 void
 Channel::WaitWrite()
 {
--- a/src/nutmegrock/proxy/Channel.h
+++ b/src/nutmegrock/proxy/Channel.h
@@ -18,7 +18,8 @@
   /// Bytes have arrived. The view is valid during the call only.
   std::function<void(std::string_view)> mOnBytes;
   /// The connection has ended. aClean is true if the other side closed it,
-  /// false after an error. Not called after Close(). While an accepted
+  /// false after an error, also of an earlier send. Not called after Close().
+  /// While an accepted
   /// connection is paused its end is noticed, too; bytes that were not read are
   /// then dropped.
   std::function<void(bool aClean)> mOnEnd;
@@ -52,6 +53,9 @@
   /// Appends bytes to the outgoing buffer, which is sent at the end of this
   /// event loop iteration.
   void Write(std::string_view aBytes);
+  /// True after a send has failed. Nothing is sent any more; a connected
+  /// channel reads what the other side sent before, an accepted one ends.
+  bool HasSendFailed() const { return mSendFailed; }
   /// Bytes not yet handed to the system.
   std::size_t Unsent() const { return mOut.size() - mSent; }
   /// Pauses or resumes reading, as back pressure on the sender.
@@ -78,6 +82,7 @@
   void OnReadable();
   void ScheduleFlush();
   void Flush();
+  void OnSendFailed();
   void WaitWrite();
   void End(bool aClean);
 
@@ -94,6 +99,7 @@
   bool mAccepted = false;
   bool mWatching = false;
   bool mShutdown = false;
+  bool mSendFailed = false;
   bool mClosed = false;
 };
 
--- a/src/nutmegrock/proxy/ClientConnection.cpp
+++ b/src/nutmegrock/proxy/ClientConnection.cpp
@@ -321,7 +321,7 @@
   }
   mBusy = false;
   mSink.reset();
-  if (!mKeepAlive) {
+  if (!mKeepAlive || mChannel->HasSendFailed()) {
     Close();
     return;
   }
--- a/tests/gateway/PathTest.cpp
+++ b/tests/gateway/PathTest.cpp
@@ -965,3 +965,40 @@
     CHECK(server.WaitForClose());
   }
 }
+
+// Guards against a part of a response that is forwarded as the whole one: the
+// server answers an upload early, without a length, and resets the connection
+// while the node still writes the upload. Whether the write or the read notices
+// the reset first differs between the attempts.
+TEST_CASE("a response that is reset during its upload is not complete")
+{
+  constexpr std::size_t kBytes = std::size_t{ 8 } * 1024 * 1024;
+  constexpr int kAttempts = 60;
+  for (const bool as_node : { false, true }) {
+    CAPTURE(as_node);
+    Node node;
+    int complete = 0;
+    for (int i = 0; i < kAttempts; ++i) {
+      RawSocket client = ConnectTo(node, as_node);
+      std::thread writer([&] {
+        client.TryWrite(UploadHead(node, as_node, 1200, kBytes) +
+                          std::string(kBytes, 'b'),
+                        milliseconds(100));
+      });
+      RawSocket server = node.Server().Accept();
+      server.ReadUntil("\r\n\r\n");
+      server.Write("HTTP/1.1 200 OK\r\nNutmegrock-Request: id-1\r\n"
+                   "Nutmegrock-Seal: s\r\n\r\npart");
+      server.ResetOnClose();
+      server.Close();
+      const std::string response = client.ReadUntil("0\r\n\r\n");
+      const bool has_end =
+        response.ends_with("0\r\n\r\n") ||
+        response.find("Content-Length: 4\r\n") != std::string::npos;
+      complete += response.starts_with("HTTP/1.1 200") && has_end ? 1 : 0;
+      client.Close();
+      writer.join();
+    }
+    CHECK(complete == 0);
+  }
+}
