--- a/src/nutmegrock/gateway/EntryCallAdmission.cpp
+++ b/src/nutmegrock/gateway/EntryCallAdmission.cpp
@@ -67,9 +67,14 @@
   return true;
 }
 
+// A caller that sends many requests without waiting for the responses must not
+// take capacity from those that do.
 double
 EntryCall::RankWith(double aPart)
 {
+  if (mExchange->IsAhead()) {
+    return static_cast<double>(overload::kPriorities - 1) + aPart;
+  }
   const std::uint32_t tenant =
     mTenant == nullptr ? 0 : mTenant->mPriority.value_or(0);
   return mEntry.OrderOf(*mRoutes).Rank(tenant, mRoute->mPriority, aPart);
