--- a/src/nutmegrock/gateway/Entry.h
+++ b/src/nutmegrock/gateway/Entry.h
@@ -19,6 +19,7 @@
 
 namespace nutmegrock::gateway {
 
+class AllowanceExchange;
 class EntryCall;
 
 struct EntrySettings
@@ -49,6 +50,12 @@
   Entry& operator=(const Entry&) = delete;
   ~Entry();
 
+  /// Limits the requests of tenants; without it they are unlimited. It must
+  /// outlive this object.
+  void SetAllowances(AllowanceExchange* aAllowances)
+  {
+    mTenantAllowances = aAllowances;
+  }
   /// Accepts a request.
   std::shared_ptr<proxy::RequestSink> Handle(
     const proxy::ServerExchangePtr& aExchange);
@@ -83,6 +90,7 @@
   routing::Router& mRouter;
   overload::EntryAdmission& mAdmission;
   retry::RetryAllowance& mAllowance;
+  AllowanceExchange* mTenantAllowances = nullptr;
   routes::SplitPicker mSplitPicker;
   ZoneTraffic mZoneTraffic;
   overload::ZonePlacement mPlacement;
--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -282,6 +282,7 @@
   transport::peer::PeerClientSettings client;
   client.mIncarnation = mSelf;
   mPeerClient = transport::peer::PeerClient::Create(mIo, client);
+  OpenAllowances();
   transport::peer::PeerServerSettings server;
   server.mAddress = mSettings.mListen.mPeer;
   server.mIncarnation = mSelf;
@@ -294,15 +295,11 @@
                             "requests are accepted only on the node listener"),
                  {} });
     },
-    [this](core::Incarnation,
+    [this](core::Incarnation aFrom,
            const std::string& aMethod,
            const std::string& aArgument,
            const std::function<void(core::Expected<std::string>)>& aResponse) {
-      if (aMethod == routes::RouteSync::kMethod) {
-        aResponse(mRouteSync->HandlePull());
-      } else {
-        aResponse(mMembership->HandleControl(aMethod, aArgument));
-      }
+      aResponse(HandleControl(aFrom, aMethod, aArgument));
     });
   if (!opened) {
     return tl::make_unexpected(opened.error());
@@ -439,6 +436,7 @@
   mAllowance.SetNodes(aView->Alive());
   mServices = aView->mByService.size();
   mRouteSync->SetRank(aView->RankOf(mSelf));
+  mTenantAllowances->OnView(*aView, mMembership->HasJoined());
   // One node of each service writes the costs. While views differ two nodes may
   // write, which the store's versions make safe.
   const auto& siblings = aView->OfService(mSettings.mService);
@@ -457,6 +455,7 @@
 {
   mCallerListener->SetLimits(aRoutes->Limits());
   mEntry->OnRoutesChanged();
+  mTenantAllowances->OnRoutes(*aRoutes);
   std::uint32_t last_priority = 0;
   for (const routes::Route& route : aRoutes->Routes()) {
     last_priority = std::max(last_priority, route.mPriority);
@@ -580,6 +579,7 @@
   mServing->Tick();
   mAdmission.Tick(now);
   mSheddingLog.Tick(now, mAdmission.CutoffsInForce(), mCosts);
+  TickAllowances();
   if (now - mPoolTickAt >= kPoolTickInterval) {
     mPoolTickAt = now;
     mPool->Tick();
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/AllowanceExchange.h"
 #include "gateway/Entry.h"
 #include "gateway/GatewayRuntime.h"
 #include "gateway/LearnedCosts.h"
@@ -53,9 +54,15 @@
   void OpenMetrics();
   core::Expected<bool> OpenPeers();
   core::Expected<bool> OpenMembership();
+  void OpenAllowances();
   void OpenRoutes();
   void OpenLearnedCosts();
 
+  /// Handles a control request of another node.
+  core::Expected<std::string> HandleControl(core::Incarnation aFrom,
+                                            const std::string& aMethod,
+                                            const std::string& aArgument);
+  void TickAllowances();
   std::shared_ptr<proxy::RequestSink> HandleNotice(
     const proxy::ServerExchangePtr& aExchange);
   void OnNotice(proxy::ServerExchange& aExchange, const std::string& aBody);
@@ -122,6 +129,7 @@
   HttpListenerPtr mMetricsListener;
   bool mMetricsBusy = false;
   std::unique_ptr<transport::peer::PeerClient> mPeerClient;
+  std::shared_ptr<AllowanceExchange> mTenantAllowances;
   std::unique_ptr<transport::peer::PeerServer> mPeerServer;
   std::unique_ptr<routes::RouteSync> mRouteSync;
   std::unique_ptr<membership::udp::MembershipService> mMembership;
@@ -142,6 +150,8 @@
   core::TimePoint mProbedAt;
   /// Empty until the signal to stop.
   std::optional<StopSequence> mStopping;
+  /// True if the allowances know that this node has found the others.
+  bool mAllowancesJoined = false;
   /// True if other nodes have been notified that this one stops.
   bool mLeaving = false;
   bool mDone = false;
--- a/src/nutmegrock/gateway/GatewayControl.cpp
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -148,6 +148,7 @@
                         mLoads.Load(now, service).value_or(0),
                         cutoff);
   }
+  text += mTenantAllowances->StatusText();
   for (const auto& [route, cost] : mCosts.All()) {
     text += fmt::format("route {} complete {}", route, cost.mComplete);
     for (const overload::ServiceCost& part : cost.mServices) {
@@ -223,6 +224,7 @@
   const StopActions actions = mStopping->Next(aNow, idle);
   if (actions.mAnnounceLeave && !mLeaving) {
     mLeaving = true;
+    mTenantAllowances->StartLeaving();
     PublishState();
   }
   if (actions.mRefuseWork) {
