Take tokens of tenants at the entry node

A request of a tenant waits for a token after the overload admission and before its first attempt. Its body is paused at 64 KB meanwhile. A request above the allowance gets 429 with Retry-After.

--- a/src/nutmegrock/core/ErrorKind.cpp
+++ b/src/nutmegrock/core/ErrorKind.cpp
@@ -211,9 +211,14 @@
             RunCertainty::Unknown,
             RetryAdvice::No },
   ErrorRow{ Internal, "internal", 500, RunCertainty::Unknown, RetryAdvice::No },
+  ErrorRow{ AllowanceExceeded,
+            "allowance_exceeded",
+            429,
+            RunCertainty::NotRun,
+            RetryAdvice::Later },
 };
 
-static_assert(kRows.size() == static_cast<std::size_t>(Internal) + 1,
+static_assert(kRows.size() == static_cast<std::size_t>(AllowanceExceeded) + 1,
               "every error kind needs one row");
 
 } // namespace
--- a/src/nutmegrock/core/ErrorKind.h
+++ b/src/nutmegrock/core/ErrorKind.h
@@ -72,7 +72,8 @@
   InvalidSettings,
   InvalidProfiles,
   ProtocolError,
-  Internal
+  Internal,
+  AllowanceExceeded
 };
 
 /// Properties of an error kind.
--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -67,6 +67,12 @@
   if (!Admit()) {
     return;
   }
+  TakeAllowance();
+}
+
+void
+EntryCall::Proceed()
+{
   mService = mEntry.mSplitPicker.Pick(*mRoute);
   FindChain();
   mEntry.mAllowance.OnRequest(mArrived, mService, mChain.mRetryShare);
@@ -197,6 +203,8 @@
   if (mAttempt) {
     mAttemptBytes += aBytes.size();
     mExchange->PassBody(*mAttempt, aBytes);
+  } else if (mWaitsForToken) {
+    PauseWhileWaiting();
   }
 }
 
@@ -280,6 +288,11 @@
     return;
   }
   mAttemptOpen = false;
+  if (aOutcome != routing::AttemptOutcome::Unavailable &&
+      aOutcome != routing::AttemptOutcome::Refused) {
+    // The request may have run.
+    mTokenUntil.reset();
+  }
   mEntry.mZoneTraffic.Count(
     mService, mChoice.mZone != mEntry.mSettings.mZone, mAttemptBytes);
   const core::TimePoint now = mEntry.mComponents.mNow();
@@ -371,7 +384,7 @@
     lines += proxy::HeaderLine(mEntry.mComponents.mPool.Names().mRequestId,
                                mExchange->Head().mRequestId);
   }
-  if (status == 503) {
+  if (status == 503 || error.mKind == core::ErrorKind::AllowanceExceeded) {
     if (error.mRetryAfter.count() <= 0) {
       error.mRetryAfter = DefaultRetryAfter(error.mKind);
     }
@@ -447,6 +460,7 @@
     return;
   }
   mDone = true;
+  ReturnToken();
   if (mParent && mParent->mIdentified) {
     mEntry.mComponents.mRuns.OnCallEnd(mEntry.mComponents.mNow(),
                                        mParent->mRun);
--- a/src/nutmegrock/gateway/EntryCall.h
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -4,6 +4,7 @@
 #include "gateway/Entry.h"
 #include "gateway/PeerNote.h"
 #include "proxy/Streams.h"
+#include "quota/AllowanceClient.h"
 #include "routes/RouteSet.h"
 
 #include <cstdint>
@@ -78,6 +79,15 @@
   double RankWith(double aPart);
   void SetDeadline();
   bool Admit();
+  /// Asks for a token of the tenant and proceeds with it.
+  void TakeAllowance();
+  void OnAllowance(const quota::AllowanceDecision& aDecision);
+  /// The request is admitted and may be sent.
+  void Proceed();
+  /// Bounds the body that is kept while the request waits for a token.
+  void PauseWhileWaiting();
+  /// Gives back the token of a request that has not been sent to a server.
+  void ReturnToken();
   /// Finds the run that made a nested call, and sets mChain and mDemandRank.
   void FindChain();
   void SendAttempt();
@@ -134,6 +144,13 @@
   core::TimePoint mArrived;
   core::TimePoint mDeadline;
 
+  /// True while the request waits for a token of its tenant.
+  bool mWaitsForToken = false;
+  /// See AllowanceClient::Take().
+  std::uint64_t mTicket = 0;
+  /// Time until which the token can be given back, if there is one.
+  std::optional<core::TimePoint> mTokenUntil;
+
   // The current attempt.
   std::shared_ptr<AttemptSink> mSink;
   std::uint64_t mAttemptNumber = 0;
--- a/src/nutmegrock/gateway/EntryCallAdmission.cpp
+++ b/src/nutmegrock/gateway/EntryCallAdmission.cpp
@@ -1,10 +1,12 @@
 // What a request is and whether it is admitted: its route, tenant and rank.
 #include "core/Digest.h"
+#include "gateway/AllowanceExchange.h"
 #include "gateway/EntryCall.h"
 #include "proxy/TenantKey.h"
 
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
+#include <utility>
 
 namespace nutmegrock::gateway {
 
@@ -154,4 +156,72 @@
   }
 }
 
+// Only requests with a tenant's key are limited; calls of servers and requests
+// of anonymous routes have none.
+void
+EntryCall::TakeAllowance()
+{
+  if (mTenant == nullptr || mEntry.mTenantAllowances == nullptr) {
+    Proceed();
+    return;
+  }
+  mWaitsForToken = true;
+  mTicket = mEntry.mTenantAllowances->Take(
+    mTenant->mName,
+    [weak = weak_from_this()](const quota::AllowanceDecision& aDecision) {
+      if (const auto self = weak.lock()) {
+        self->OnAllowance(aDecision);
+      }
+    });
+}
+
+void
+EntryCall::OnAllowance(const quota::AllowanceDecision& aDecision)
+{
+  mWaitsForToken = false;
+  mTicket = 0;
+  if (mDone) {
+    return;
+  }
+  if (!aDecision.mGranted) {
+    core::Error error = core::MakeError(
+      core::ErrorKind::AllowanceExceeded,
+      fmt::format("tenant {} is above its allowance, decided by {}",
+                  mTenant->mName,
+                  quota::NameOf(aDecision.mSource)));
+    error.mRetryAfter = aDecision.mRetryAfter;
+    Fail(error);
+    return;
+  }
+  mTokenUntil = aDecision.mReturnableUntil;
+  Proceed();
+  // Otherwise reading goes on when bytes have been sent, or ends with the
+  // response.
+  if (mAttempt && mAttempt->Unsent() <= proxy::kMaxUnsent) {
+    mExchange->PauseBody(false);
+  }
+}
+
+// The bytes that were read with the last ones may follow; they fit into the
+// part of the body that is kept.
+void
+EntryCall::PauseWhileWaiting()
+{
+  if (mReplay.size() >= proxy::kMaxUnsent) {
+    mExchange->PauseBody(true);
+  }
+}
+
+void
+EntryCall::ReturnToken()
+{
+  if (mTicket != 0) {
+    mEntry.mTenantAllowances->Cancel(std::exchange(mTicket, 0));
+  }
+  if (mTokenUntil) {
+    mEntry.mTenantAllowances->Return(mTenant->mName, *mTokenUntil);
+  }
+  mTokenUntil.reset();
+}
+
 } // namespace nutmegrock::gateway
--- a/src/nutmegrock/quota/AllowanceOwner.cpp
+++ b/src/nutmegrock/quota/AllowanceOwner.cpp
@@ -242,7 +242,7 @@
     return aCeded.mTo == aTo || aCeded.mUntil <= aNow;
   });
   if (mCeded.size() < kMaxMembers) {
-    mCeded.push_back({ aTo, std::move(aOwners), aNow + kKnownTime });
+    mCeded.push_back({ aTo, std::move(aOwners), aNow + kTakeoverTime });
   }
 }
 
--- a/tests/gateway/PathNode.h
+++ b/tests/gateway/PathNode.h
@@ -121,6 +121,7 @@
     REQUIRE(mRoutes.Activate(*routes::RouteSet::Create(aSource)));
   }
   metrics::Registry& Metrics() { return mRegistry; }
+  boost::asio::io_context& Io() { return mIo; }
   RawServer& Server() { return mServer; }
   RawServer& Peer() { return mPeer; }
   gateway::Serving& ServingHalf() { return *mServing; }
