--- a/src/nutmegrock/gateway/Entry.h
+++ b/src/nutmegrock/gateway/Entry.h
@@ -20,6 +20,7 @@
 
 namespace nutmegrock::gateway {
 
+class AllowanceExchange;
 class EntryCall;
 
 /// The order of the priorities of tenants and routes. Tenants without a
@@ -55,6 +56,12 @@
   Entry& operator=(const Entry&) = delete;
   ~Entry();
 
+  /// Limits the requests of tenants; without it they are unlimited. It must
+  /// outlive this object.
+  void SetAllowances(AllowanceExchange* aAllowances)
+  {
+    mTenantAllowances = aAllowances;
+  }
   /// Accepts a request.
   std::shared_ptr<proxy::RequestSink> Handle(
     const proxy::ServerExchangePtr& aExchange);
@@ -91,6 +98,7 @@
   routing::Router& mRouter;
   overload::EntryAdmission& mAdmission;
   retry::RetryAllowance& mAllowance;
+  AllowanceExchange* mTenantAllowances = nullptr;
   routes::SplitPicker mSplitPicker;
   ZoneTraffic mZoneTraffic;
   overload::ZonePlacement mPlacement;
--- a/src/nutmegrock/gateway/GatewayRoutes.cpp
+++ b/src/nutmegrock/gateway/GatewayRoutes.cpp
@@ -50,6 +50,7 @@
 {
   mCallerListener->SetLimits(aRoutes->Limits());
   mEntry->OnRoutesChanged();
+  mTenantAllowances->OnRoutes(*aRoutes);
   mLoads.SetOpenRank(PriorityOrderOf(*aRoutes).OpenRank());
   ReportSkipped(aRoutes->Source());
   mMembership->NotifyVersion(aRoutes->Version());
