Choose servers by the work that they finish per second

Servers of one service differ in speed by a factor of two to three, and weights by slots let slow ones queue while fast ones have room. A health check with the new fourth value of the load header also counted as one of a server without slots.

The node beside a server averages the work time that the server reports and uses it for the load of its queue and for hopeless calls. It passes it on in the note of each response (field f, left out at 100). Entry nodes weight servers by slots times speed, with bounds and a lifetime. They also compare the run times of a route with those of the other servers, so that a server that is five times slower than it reports gets less before it is ejected. Loads and cutoffs of zones go by capacity. Without the value all stays as it was.

--- a/src/nutmegrock/core/Level.h
+++ b/src/nutmegrock/core/Level.h
@@ -3,7 +3,9 @@
 #include "core/Importance.h"
 #include "core/RequestId.h"
 
+#include <chrono>
 #include <compare>
+#include <cstdint>
 
 namespace nutmegrock::core {
 
@@ -24,6 +26,10 @@
   auto operator<=>(const Level&) const = default;
 };
 
+/// Value of CallFeedback::mWorkPercent for a server on which work takes as long
+/// as usual, or that does not report it.
+constexpr std::uint32_t kUsualWorkPercent = 100;
+
 /// Load and level that a serving node reports to its caller with every
 /// response.
 struct CallFeedback
@@ -39,6 +45,15 @@
   /// As mLoadPermille, for the most crowded part of the calls, which only some
   /// of them wait for; not sent between nodes with profiles.
   std::uint32_t mOccupancyPermille = 0;
+  /// How long work takes at the server at present, in percent of the usual
+  /// time; not sent between nodes with profiles.
+  std::uint32_t mWorkPercent = kUsualWorkPercent;
+  /// Identifies calls that take equally long at equal servers, such as those of
+  /// one route; 0 if unknown.
+  std::uint64_t mWorkKind = 0;
+  /// Time from the start of the run to the head of its response, in whole
+  /// milliseconds; only meaningful with mWorkKind.
+  std::chrono::milliseconds mRunTime{ 0 };
 
   bool operator==(const CallFeedback&) const = default;
 };
--- a/src/nutmegrock/gateway/EntryCallResponse.cpp
+++ b/src/nutmegrock/gateway/EntryCallResponse.cpp
@@ -1,5 +1,6 @@
 #include "gateway/EntryCall.h"
 
+#include "core/Hash.h"
 #include "proxy/MessageText.h"
 
 #include <algorithm>
@@ -18,6 +19,14 @@
 /// limit.
 constexpr double kReplaceableShare = 0.4;
 
+/// Work that the server finishes per second, relative to its slots.
+double
+SpeedOf(const PeerNote& aNote)
+{
+  constexpr double kPercent = 100;
+  return kPercent / std::max(1U, aNote.mWorkPercent);
+}
+
 } // namespace
 
 void
@@ -31,6 +40,9 @@
   };
   mFeedback.mLoadPermille = permille(aNote.mLoad);
   mFeedback.mOccupancyPermille = permille(aNote.mOccupancy);
+  mFeedback.mWorkPercent = aNote.mWorkPercent;
+  mFeedback.mWorkKind = core::HashOf(mRoute->mName);
+  mFeedback.mRunTime = aNote.mRunTime;
   mServerLeaving = aNote.mLeaving;
   mAttemptQueueTime = aNote.mQueueTime;
   mEntry.mComponents.mLoads.OnServerLoad(now,
@@ -38,7 +50,9 @@
                                            mChoice.mZone,
                                            mChoice.mIncarnation,
                                            aNote.mLoad,
-                                           aNote.mCutoff });
+                                           aNote.mCutoff,
+                                           1,
+                                           SpeedOf(aNote) });
   for (const DownstreamCutoff& downstream : aNote.mDownstream) {
     mEntry.mComponents.mLoads.OnServerLoad(
       now,
--- a/src/nutmegrock/gateway/GatewayControl.cpp
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -122,7 +122,7 @@
   std::string text =
     fmt::format("service {} zone {} incarnation {}\nroutes version {}\n"
                 "store answering {}\nmembers {}\nserver {} running {} waiting "
-                "{} limit {} load {:.3f}\n",
+                "{} limit {} load {:.3f} work_time {}%\n",
                 mSettings.mService,
                 mSettings.mAvailabilityZone,
                 mSelf.ToString(),
@@ -133,7 +133,8 @@
                 mServing->Queue().Running(),
                 mServing->Queue().Waiting(),
                 mServing->Queue().Limit(),
-                mServing->Queue().Load(now));
+                mServing->Queue().Load(now),
+                mServing->ServerWorkTime().Percent(now));
   for (const std::string& service : mServing->Queue().Downstream()) {
     const auto limit = mServing->Queue().DownstreamLimit(service);
     text += fmt::format("runs that call {} running {} limit {} cutoff {:.3f}\n",
--- a/src/nutmegrock/gateway/PeerNote.cpp
+++ b/src/nutmegrock/gateway/PeerNote.cpp
@@ -3,6 +3,7 @@
 #include "gateway/CostText.h"
 #include "gateway/TextFields.h"
 
+#include <algorithm>
 #include <iterator>
 #include <spdlog/fmt/fmt.h>
 
@@ -102,6 +103,16 @@
   return value.has_value();
 }
 
+bool
+ReadPercent(std::string_view aValue, std::uint32_t& aTarget)
+{
+  constexpr std::uint32_t kMin = 10;
+  constexpr std::uint32_t kMax = 1000;
+  const auto value = ParseNumber<std::uint32_t>(aValue);
+  aTarget = std::clamp(value.value_or(aTarget), kMin, kMax);
+  return value.has_value();
+}
+
 bool
 ReadField(std::string_view aField, PeerNote& aNote)
 {
@@ -125,6 +136,8 @@
       return ReadMilliseconds(value, aNote.mQueueTime);
     case 't':
       return ReadMilliseconds(value, aNote.mRunTime);
+    case 'f':
+      return ReadPercent(value, aNote.mWorkPercent);
     case 's':
       aNote.mLeaving = value == "1";
       return true;
@@ -181,6 +194,9 @@
   if (aNote.mRunTime.count() > 0) {
     fmt::format_to(out, ";t={}", aNote.mRunTime.count());
   }
+  if (aNote.mWorkPercent != core::kUsualWorkPercent) {
+    fmt::format_to(out, ";f={}", aNote.mWorkPercent);
+  }
   if (aNote.mCost) {
     text += ";c=" + EncodeCost(*aNote.mCost);
   }
--- a/src/nutmegrock/gateway/PeerNote.h
+++ b/src/nutmegrock/gateway/PeerNote.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Error.h"
+#include "core/Level.h"
 #include "overload/RouteCosts.h"
 #include "overload/ServiceLoads.h"
 
@@ -43,6 +44,9 @@
   std::chrono::milliseconds mQueueTime{ 0 };
   /// Time from then to the head of the server's response.
   std::chrono::milliseconds mRunTime{ 0 };
+  /// How long work takes at the server, in percent of the usual time; see
+  /// overload::WorkTime. Not sent if it is the usual time.
+  std::uint32_t mWorkPercent = core::kUsualWorkPercent;
   /// The server accepts no new work.
   bool mLeaving = false;
   /// Version of the routes in force at the serving node.
--- a/src/nutmegrock/gateway/ServerProbe.cpp
+++ b/src/nutmegrock/gateway/ServerProbe.cpp
@@ -1,6 +1,6 @@
 #include "gateway/ServerProbe.h"
 
-#include "gateway/TextFields.h"
+#include "gateway/ServerLoad.h"
 #include "proxy/MessageText.h"
 
 #include <utility>
@@ -54,13 +54,13 @@
 void
 ServerProbe::OnResponseHead(const proxy::ResponseHead& aHead)
 {
-  // The load has the format "running,waiting,slots".
-  const auto load = SplitText(aHead.mLoad, ',');
-  const auto slots = load.size() == 3 ? ParseNumber<std::uint32_t>(load[2])
-                                      : std::optional<std::uint32_t>();
+  const ServerLoad load = ParseServerLoad(aHead.mLoad);
   if (aHead.IsSuccess() && !aHead.mServerId.empty()) {
-    mHandler(
-      { aHead.mServerId, slots.value_or(0), aHead.mRateLimit, aHead.mLeaving });
+    mHandler({ aHead.mServerId,
+               load.mSlots.value_or(0),
+               aHead.mRateLimit,
+               aHead.mLeaving,
+               load.mWorkPercent });
   } else if (aHead.mStatus == kUnavailable && !aHead.mNotRun) {
     ServerHealth health;
     health.mId = aHead.mServerId;
--- a/src/nutmegrock/gateway/ServerProbe.h
+++ b/src/nutmegrock/gateway/ServerProbe.h
@@ -22,6 +22,8 @@
   /// Requests per second that it takes, if it limits them.
   std::optional<double> mRateLimit = std::nullopt;
   bool mLeaving = false;
+  /// See ServerLoad.
+  std::optional<std::uint32_t> mWorkPercent = std::nullopt;
   /// False if the server reports that it leaves or fails.
   bool mHealthy = true;
 
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -1,7 +1,6 @@
 #include "gateway/Serving.h"
 
 #include "gateway/ServingCall.h"
-#include "gateway/TextFields.h"
 
 #include <algorithm>
 #include <cmath>
@@ -30,13 +29,6 @@
 constexpr double kMinDownstreamRate = 0.5;
 /// Runs that call a service from which there is no recent response.
 constexpr std::uint32_t kRunsBeforeResponse = 8;
-/// A run that takes longer than this multiple of its typical time, and than the
-/// minimum below, may have ended without a response.
-constexpr int kLostRunFactor = 4;
-constexpr core::Duration kMinLostRunTime = std::chrono::milliseconds{ 100 };
-/// After this time a reported server load no longer describes its current
-/// slots.
-constexpr std::chrono::milliseconds kServerLoadLifetime{ 200 };
 /// Minimum relative change of a server's rate limit that is logged.
 constexpr double kMinLoggedRateChange = 0.1;
 
@@ -91,6 +83,7 @@
     mComponents.mNow(), aCall.mRoute, aCall.mCallerService);
   auto admitted = Check(aCall);
   if (admitted) {
+    // The queue adds how long work takes at present.
     const core::Duration typical = std::chrono::duration_cast<core::Duration>(
       std::chrono::duration<double>(StatsOf(aCall.mRoute).mRunSeconds));
     call->SetDownstream(DownstreamOf(aCall.mRoute));
@@ -207,6 +200,7 @@
 {
   const core::TimePoint now = mComponents.mNow();
   const auto before = mServer.Latest();
+  OnWorkTime(now, aHealth.mWorkPercent);
   if (!aHealth.mHealthy) {
     if (!mServer.OnUnhealthy(now, aHealth.mId)) {
       return false;
@@ -292,6 +286,7 @@
   if (mQueue.Limit() > 0) {
     mWindows.Update(mQueue.Limit(), mDirectRuns);
   }
+  mQueue.SetWorkTime(mWorkTime.Factor(now));
   Apply(mQueue.Tick(now));
   LimitRuns(now);
   Apply(mQueue.SetLost(now, CountLostCalls(now)));
@@ -306,42 +301,6 @@
   }
 }
 
-void
-Serving::OnServerLoad(std::string_view aLoad)
-{
-  const auto fields = SplitText(aLoad, ',');
-  const auto running = ParseNumber<std::uint32_t>(fields[0]);
-  const auto waiting =
-    fields.size() > 1 ? ParseNumber<std::uint32_t>(fields[1]) : std::nullopt;
-  if (running && waiting) {
-    mServerCalls = *running + *waiting;
-    mServerLoadAt = mComponents.mNow();
-  }
-}
-
-// The server's load report is a hint that may be stale or wrong, so only calls
-// that have taken much longer than is typical count as lost.
-std::uint32_t
-Serving::CountLostCalls(core::TimePoint aNow)
-{
-  if (mServerLoadAt == core::TimePoint{} ||
-      aNow - mServerLoadAt > kServerLoadLifetime ||
-      mServerCalls >= mQueue.Running()) {
-    return 0;
-  }
-  std::uint32_t overdue = 0;
-  for (const auto& [id, call] : mCalls) {
-    const core::Duration typical = std::chrono::duration_cast<core::Duration>(
-      std::chrono::duration<double>(StatsOf(call->Route()).mRunSeconds));
-    overdue +=
-      call->IsRunning() && call->RunTime(aNow) >
-                             std::max(kMinLostRunTime, typical * kLostRunFactor)
-        ? 1
-        : 0;
-  }
-  return std::min(overdue, mQueue.Running() - mServerCalls);
-}
-
 Serving::RouteStats&
 Serving::StatsOf(const std::string& aRoute)
 {
@@ -361,7 +320,8 @@
     return;
   }
   RouteStats& stats = StatsOf(aRoute);
-  const double seconds = std::chrono::duration<double>(aTime).count();
+  const double seconds = std::chrono::duration<double>(aTime).count() /
+                         mWorkTime.Factor(mComponents.mNow());
   stats.mRunSeconds =
     stats.mRunSeconds == 0
       ? seconds
@@ -467,6 +427,7 @@
   note.mOccupancy = mQueue.Occupancy();
   note.mCutoff = mQueue.Cutoff();
   note.mWindow = mWindows.Window();
+  note.mWorkPercent = mWorkTime.Percent(now);
   for (const std::string& service : mQueue.Downstream()) {
     const double rate = mQueue.DownstreamRate(service);
     if (rate >= kMinDownstreamRate) {
@@ -481,7 +442,9 @@
                                     mSettings.mZone,
                                     mSettings.mSelf,
                                     note.mLoad,
-                                    note.mCutoff });
+                                    note.mCutoff,
+                                    1,
+                                    1 / mWorkTime.Factor(now) });
   RouteStats& stats = StatsOf(aRoute);
   if (aWithCost || now - stats.mCostSentAt >= kCostInterval) {
     stats.mCostSentAt = now;
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -17,6 +17,7 @@
 #include "overload/SavedCosts.h"
 #include "overload/ServiceLoads.h"
 #include "overload/WorkQueue.h"
+#include "overload/WorkTime.h"
 #include "proxy/ClientPool.h"
 #include "proxy/MessageHead.h"
 #include "proxy/Streams.h"
@@ -26,6 +27,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -112,6 +114,8 @@
 
   std::size_t InFlight() const { return mCalls.size(); }
   const overload::WorkQueue& Queue() const { return mQueue; }
+  /// How long work takes at the local backend server.
+  const overload::WorkTime& ServerWorkTime() const { return mWorkTime; }
   /// Returns the note for a response of the route. It includes the cost if
   /// aWithCost is set or the cost has not been sent recently.
   PeerNote NoteFor(const std::string& aRoute, bool aWithCost);
@@ -122,6 +126,7 @@
   /// Statistics of a route at this server.
   struct RouteStats
   {
+    /// At the usual speed; see overload::WorkTime.
     double mRunSeconds = 0;
     core::TimePoint mCostSentAt;
     std::string mDownstream;
@@ -138,6 +143,11 @@
   void OnContradicted(const std::string& aId);
   /// The server has reported its load with a response.
   void OnServerLoad(std::string_view aLoad);
+  /// The server has reported how long its work takes.
+  void OnWorkTime(core::TimePoint aNow,
+                  const std::optional<std::uint32_t>& aPercent);
+  /// Typical time of a run of the route at present.
+  core::Duration TypicalTime(core::TimePoint aNow, const std::string& aRoute);
   /// A response of the run of the server with that id and start reports whether
   /// it limits its rate or leaves. Ignored for a run that has been replaced.
   void OnServerState(const std::string& aId,
@@ -174,6 +184,7 @@
   /// Number of running and waiting calls that the server last reported.
   std::uint32_t mServerCalls = 0;
   core::TimePoint mServerLoadAt;
+  overload::WorkTime mWorkTime;
   bool mStopping = false;
 };
 
--- a/src/nutmegrock/overload/ServiceLoads.cpp
+++ b/src/nutmegrock/overload/ServiceLoads.cpp
@@ -1,6 +1,8 @@
 #include "overload/ServiceLoads.h"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 
 namespace nutmegrock::overload {
 
@@ -16,6 +18,11 @@
 /// Maximum number of zones of a service; when exceeded, all are dropped and
 /// learned again. The design has 25.
 constexpr std::size_t kMaxZones = 64;
+/// Time constant of the moving average of a zone's speed. The speeds of single
+/// servers are averaged over zones, whose capacity changes slowly.
+constexpr std::chrono::seconds kSpeedSmoothing{ 1 };
+/// Time after which the speed of a zone without reports is the usual one.
+constexpr std::chrono::seconds kSpeedLifetime{ 30 };
 constexpr char kCallsSeparator = '<';
 
 /// Slots of the service in the zone; 0 if it has no servers there.
@@ -101,9 +108,10 @@
 {
   Zone& zone = ZoneOf(aReport.mService, aReport.mZone);
   zone.mServers[aReport.mServer] = {
-    aReport.mLoad, aReport.mCutoff, aReport.mWeight, aNow
+    aReport.mLoad, aReport.mCutoff, aReport.mWeight, aReport.mSpeed, aNow
   };
   double loads = 0;
+  double speeds = 0;
   double cutoffs = 0;
   double weights = 0;
   std::size_t count = 0;
@@ -113,13 +121,16 @@
       it = zone.mServers.erase(it);
       continue;
     }
-    loads += server.mLoad;
-    cutoffs += server.mWeight * std::min(mOpenRank, server.mCutoff);
-    weights += server.mWeight;
+    const double weight = server.mWeight * server.mSpeed;
+    loads += server.mSpeed * server.mLoad;
+    speeds += server.mSpeed;
+    cutoffs += weight * std::min(mOpenRank, server.mCutoff);
+    weights += weight;
     ++count;
     ++it;
   }
-  zone.mLoad = loads / static_cast<double>(count);
+  zone.mLoad = loads / speeds;
+  LearnSpeed(aNow, speeds / static_cast<double>(count), zone);
   zone.mCutoff = weights > 0 ? cutoffs / weights : kOpenRank;
   zone.mAt = aNow;
 }
@@ -136,6 +147,42 @@
   }
 }
 
+double
+ServiceLoads::SpeedOf(core::TimePoint aNow, const Zone& aZone)
+{
+  return aZone.mSpeedAt == core::TimePoint{} ||
+             aNow - aZone.mSpeedAt > kSpeedLifetime
+           ? 1
+           : aZone.mSpeed;
+}
+
+void
+ServiceLoads::LearnSpeed(core::TimePoint aNow, double aMean, Zone& aZone)
+{
+  const double keep =
+    aZone.mSpeedAt == core::TimePoint{}
+      ? 0
+      : std::exp(-(std::chrono::duration<double>(aNow - aZone.mSpeedAt) /
+                   kSpeedSmoothing));
+  aZone.mSpeed = aMean + (aZone.mSpeed - aMean) * keep;
+  aZone.mSpeedAt = aNow;
+}
+
+double
+ServiceLoads::Capacity(core::TimePoint aNow,
+                       std::string_view aService,
+                       std::string_view aZone) const
+{
+  const auto found = mServices.find(aService);
+  if (found == mServices.end() || found->second.mSlots.empty()) {
+    return 0;
+  }
+  const auto zone = found->second.mZones.find(aZone);
+  const double speed =
+    zone == found->second.mZones.end() ? 1 : SpeedOf(aNow, zone->second);
+  return speed * SlotsIn(found->second.mSlots, aZone);
+}
+
 std::optional<double>
 ServiceLoads::Load(core::TimePoint aNow, std::string_view aService) const
 {
@@ -146,7 +193,8 @@
   double sum = 0;
   double slots = 0;
   for (const auto& [name, zone] : found->second.mZones) {
-    const double weight = SlotsIn(found->second.mSlots, name);
+    const double weight =
+      SlotsIn(found->second.mSlots, name) * SpeedOf(aNow, zone);
     if (IsFresh(aNow, zone)) {
       sum += weight * zone.mLoad;
       slots += weight;
@@ -207,7 +255,8 @@
   double slots = 0;
   for (const auto& [name, zone] : aService.mZones) {
     if (IsFresh(aNow, zone)) {
-      const double weight = SlotsIn(aService.mSlots, name);
+      const double weight =
+        SlotsIn(aService.mSlots, name) * SpeedOf(aNow, zone);
       sum += weight * std::min(mOpenRank, zone.mCutoff);
       slots += weight;
     }
--- a/src/nutmegrock/overload/ServiceLoads.h
+++ b/src/nutmegrock/overload/ServiceLoads.h
@@ -53,6 +53,9 @@
   double mCutoff = kOpenRank;
   /// Weight of the cutoff in that of the zone.
   double mWeight = 1;
+  /// Work that the server finishes per second, relative to that at the usual
+  /// speed with the same slots. Weight of its load in that of the zone.
+  double mSpeed = 1;
 };
 
 /// Slots of a service's servers in one availability zone.
@@ -83,8 +86,13 @@
   void OnServerLoad(core::TimePoint aNow, const ServerReport& aReport);
   /// Another node forwarded a load.
   void OnReport(core::TimePoint aNow, const LoadReport& aReport);
+  /// Capacity of the service's servers in the zone: their slots times the mean
+  /// speed that they have reported recently. 0 if it has no servers there.
+  double Capacity(core::TimePoint aNow,
+                  std::string_view aService,
+                  std::string_view aZone) const;
   /// Mean load of the service over the zones with a fresh report, weighted by
-  /// slots; nullopt without a fresh report.
+  /// capacity; nullopt without a fresh report.
   std::optional<double> Load(core::TimePoint aNow,
                              std::string_view aService) const;
   /// Mean cutoff of the service over the zones with a fresh report; kOpenRank
@@ -113,11 +121,15 @@
     double mLoad = 0;
     double mCutoff = kOpenRank;
     double mWeight = 1;
+    double mSpeed = 1;
     core::TimePoint mAt;
   };
   struct Zone
   {
     std::map<core::Incarnation, ServerLoad> mServers;
+    /// Moving average of the speeds of its servers.
+    double mSpeed = 1;
+    core::TimePoint mSpeedAt;
     double mLoad = 0;
     double mCutoff = kOpenRank;
     core::TimePoint mAt;
@@ -128,6 +140,8 @@
     std::vector<ZoneSlots> mSlots;
   };
 
+  static double SpeedOf(core::TimePoint aNow, const Zone& aZone);
+  static void LearnSpeed(core::TimePoint aNow, double aMean, Zone& aZone);
   static bool IsFresh(core::TimePoint aNow, const Zone& aZone);
   Service& ServiceOf(std::string_view aService);
   double CutoffOf(core::TimePoint aNow, const Service& aService) const;
--- a/src/nutmegrock/overload/WorkQueue.cpp
+++ b/src/nutmegrock/overload/WorkQueue.cpp
@@ -18,12 +18,6 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
-bool
-IsTooLate(core::TimePoint aNow, const WorkItem& aItem)
-{
-  return aNow + aItem.mTypicalTime / 2 > aItem.mDeadline;
-}
-
 } // namespace
 
 WorkQueue::WorkQueue(WorkQueueSettings aSettings)
@@ -38,6 +32,14 @@
     1U, static_cast<std::uint32_t>(std::floor(aSlots * mSettings.mSlotShare)));
 }
 
+bool
+WorkQueue::IsTooLate(core::TimePoint aNow, const WorkItem& aItem) const
+{
+  return aNow + std::chrono::duration_cast<core::Duration>(mWorkTime / 2 *
+                                                           aItem.mTypicalTime) >
+         aItem.mDeadline;
+}
+
 double
 WorkQueue::DecayFactor(core::TimePoint aNow) const
 {
@@ -65,7 +67,7 @@
     mRequestedSeconds * DecayFactor(aNow) / SecondsOf(mSettings.mSmoothing);
   const double backlog = WaitingSeconds() / SecondsOf(mSettings.mDrainTime);
   double load =
-    std::max((rate + backlog) / mLimit,
+    std::max(mWorkTime * (rate + backlog) / mLimit,
              static_cast<double>(SlotsInUse()) / mLimit * kRunningLoad);
   if (mRateLimit) {
     const double calls =
@@ -352,7 +354,8 @@
   if (!mRateLimit || mRequestedCalls <= 0) {
     return aSlots;
   }
-  const double slots = *mRateLimit * mRequestedSeconds / mRequestedCalls;
+  const double slots =
+    *mRateLimit * mWorkTime * mRequestedSeconds / mRequestedCalls;
   return std::clamp(
     static_cast<std::uint32_t>(std::min<double>(aSlots, std::ceil(slots))),
     std::min(1U, aSlots),
--- a/src/nutmegrock/overload/WorkQueue.h
+++ b/src/nutmegrock/overload/WorkQueue.h
@@ -68,8 +68,9 @@
   double mDemandRank = 0;
   /// Time after which the response is no longer useful for the request.
   core::TimePoint mDeadline;
-  /// Typical time of such a call at the server; a call with less than half of
-  /// this left before its deadline is removed from the queue.
+  /// Typical time of such a call at the usual speed of the server; a call with
+  /// less than half of this, times WorkQueue::SetWorkTime(), left before its
+  /// deadline is removed from the queue.
   core::Duration mTypicalTime{ 0 };
   /// Service that the run of the call will call; empty if none. The number of
   /// such runs may be limited.
@@ -95,6 +96,9 @@
 
   /// Sets the number of calls that the server runs concurrently.
   void SetSlots(std::uint32_t aSlots);
+  /// Sets the factor by which work takes longer than usual at present; see
+  /// WorkTime. It applies to all waiting calls and to the load.
+  void SetWorkTime(double aFactor) { mWorkTime = aFactor; }
   /// Sets how many of the started calls no longer hold a slot: the server has
   /// finished them, but their response was lost. Their slots are reused, and
   /// they do not count as load.
@@ -184,6 +188,8 @@
   {
     return mRunning - std::min(mLost, mRunning);
   }
+  /// Too little time is left for the call.
+  bool IsTooLate(core::TimePoint aNow, const WorkItem& aItem) const;
   void Decay(core::TimePoint aNow);
   double DecayFactor(core::TimePoint aNow) const;
   void StartNext(core::TimePoint aNow, WorkChanges& aChanges);
@@ -201,7 +207,8 @@
   bool IsHopeless(core::TimePoint aNow, const Entry& aEntry) const;
   /// Removes the waiting call of the highest rank, if it is above this one.
   bool Evict(double aRank);
-  /// Slot seconds of calls that wait for a slot and not for a service below.
+  /// Slot seconds at the usual speed of calls that wait for a slot and not for
+  /// a service below.
   double WaitingSeconds() const;
   void UpdateCutoffs(core::TimePoint aNow);
 
@@ -209,6 +216,7 @@
   std::uint32_t mLimit = 0;
   std::uint32_t mRunning = 0;
   std::uint32_t mLost = 0;
+  double mWorkTime = 1;
   std::uint64_t mNextArrival = 0;
   Pool mOwn;
   std::map<std::string, Pool, std::less<>> mPools;
--- a/src/nutmegrock/overload/ZonePlacement.cpp
+++ b/src/nutmegrock/overload/ZonePlacement.cpp
@@ -130,7 +130,8 @@
                  mLoads.ZoneLoad(aNow, part.mService, zone_state.mZone)
                    .value_or(kUnknownLoad));
       if (part.mService == heaviest) {
-        zone_state.mSlots = zone->mSlots;
+        zone_state.mSlots =
+          mLoads.Capacity(aNow, part.mService, zone_state.mZone);
       }
     }
     zone_state.mLoad += missing;
--- a/src/nutmegrock/routing/ServiceRouter.cpp
+++ b/src/nutmegrock/routing/ServiceRouter.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds kSpillInterval{ 20 };
 /// Difference of load above which another zone gets no more weight.
 constexpr double kMaxLoadDifference = 1;
+/// Capacity of a zone without servers, which prevents a division by zero; below
+/// that of one slot at the lowest speed.
+constexpr double kMinCapacity = 0.1;
 /// Maximum number of steps combined after a period without requests.
 constexpr double kMaxSpillSteps = 10;
 
@@ -67,7 +70,9 @@
     Entry entry =
       known == mIndexOf.end() ? Entry{} : mEntries.at(known->second);
     entry.mHash = Mix(bits);
-    entry.mWeight = std::max(1U, candidate.mSlots);
+    const double speed = entry.mWeight / entry.mSlots;
+    entry.mSlots = std::max(1U, candidate.mSlots);
+    entry.mWeight = entry.mSlots * speed;
     const bool serving = candidate.mState == CandidateState::Serving;
     if (serving && !entry.mServing) {
       // The leave was that of a server before.
@@ -87,6 +92,7 @@
   mIndexOf = std::move(indexOf);
   mZoneLoadsAt = core::TimePoint::min();
   mEjection.SetServers(incarnations);
+  mSpeeds.SetServers(incarnations);
   for (std::size_t i = 0; i < mEntries.size(); ++i) {
     RefreshEntry(i);
   }
@@ -102,6 +108,13 @@
              mEjection.ReturnedAt(aIndex) + mSettings.mReturnRamp);
 }
 
+void
+ServiceRouter::RefreshWeight(core::TimePoint aNow, std::size_t aIndex)
+{
+  Entry& entry = mEntries.at(aIndex);
+  entry.mWeight = entry.mSlots * mSpeeds.Speed(aNow, aIndex);
+}
+
 std::uint32_t
 ServiceRouter::ZoneIndex(std::string_view aZone) const
 {
@@ -269,28 +282,30 @@
   mZoneLoadsAt = aNow;
   mZoneLoads.resize(mZones.size());
   for (ZoneLoad& zone : mZoneLoads) {
-    zone.mSlots = 0;
+    zone.mCapacity = 0;
     zone.mUsed = 0;
   }
-  double all_slots = 0;
+  double all_capacity = 0;
   double all_used = 0;
   for (std::size_t i = 0; i < mEntries.size(); ++i) {
+    RefreshWeight(aNow, i);
     const Entry& entry = mEntries[i];
     if (!entry.mServing || entry.mEjected) {
       continue;
     }
-    const double used = std::max<double>(mEjection.InFlight(i),
-                                         entry.mWeight * ReportedLoad(aNow, i));
-    all_slots += entry.mWeight;
+    const double used =
+      std::max(mEjection.InFlight(i) * entry.mWeight / entry.mSlots,
+               entry.mWeight * ReportedLoad(aNow, i));
+    all_capacity += entry.mWeight;
     all_used += used;
-    mZoneLoads[entry.mZone].mSlots += entry.mWeight;
+    mZoneLoads[entry.mZone].mCapacity += entry.mWeight;
     mZoneLoads[entry.mZone].mUsed += used;
   }
-  const double all = all_used / std::max(1.0, all_slots);
+  const double all = all_used / std::max(kMinCapacity, all_capacity);
   for (ZoneLoad& zone : mZoneLoads) {
     // Requests move to another zone only while it is less loaded. The share
     // changes in steps, since the effect of a step is reported later.
-    zone.mLoad = zone.mUsed / std::max(1.0, zone.mSlots);
+    zone.mLoad = zone.mUsed / std::max(kMinCapacity, zone.mCapacity);
     const double excess = zone.mLoad - std::max(mSettings.mSpillBegin,
                                                 all + mSettings.mSpillMargin);
     zone.mSpill =
@@ -392,6 +407,9 @@
     entry.mReportedPermille = aFeedback->mLoadPermille;
     entry.mOccupancyPermille = aFeedback->mOccupancyPermille;
     entry.mReportedAt = aNow;
+    mSpeeds.OnResponse(
+      aNow, found->second, *aFeedback, aOutcome == AttemptOutcome::Ok);
+    RefreshWeight(aNow, found->second);
   }
 }
 
--- a/src/nutmegrock/routing/ServiceRouter.h
+++ b/src/nutmegrock/routing/ServiceRouter.h
@@ -5,6 +5,7 @@
 #include "routing/Candidate.h"
 #include "routing/Ejection.h"
 #include "routing/RouterSettings.h"
+#include "routing/ServerSpeeds.h"
 #include "routing/SlowStart.h"
 
 #include <cstdint>
@@ -53,7 +54,9 @@
   {
     /// Hash of the incarnation.
     std::uint64_t mHash = 0;
-    /// Weight after slow start.
+    /// Slots after slow start.
+    double mSlots = 1;
+    /// Work finished per second after slow start: slots times speed.
     double mWeight = 1;
     /// Index in mZones.
     std::uint32_t mZone = 0;
@@ -87,9 +90,9 @@
   /// Load of the servers in one availability zone.
   struct ZoneLoad
   {
-    double mSlots = 0;
+    double mCapacity = 0;
     double mUsed = 0;
-    /// Used share of the slots.
+    /// Used share of the capacity.
     double mLoad = 0;
     /// Share of the requests that leaves the zone.
     double mSpill = 0;
@@ -140,6 +143,7 @@
   Choice MakeChoice(std::size_t aIndex, bool aProbe) const;
   /// Updates the ejection state and the ramp of an entry.
   void RefreshEntry(std::size_t aIndex);
+  void RefreshWeight(core::TimePoint aNow, std::size_t aIndex);
 
   RouterSettings mSettings;
   SlowStart mJoining;
@@ -150,6 +154,7 @@
   std::vector<std::string> mZones;
   std::unordered_map<std::uint64_t, std::size_t> mIndexOf;
   Ejection mEjection;
+  ServerSpeeds mSpeeds;
   std::uint32_t mRequestsSinceProbe = 0;
   /// By index in mZones.
   std::vector<ZoneLoad> mZoneLoads;
--- a/tests/gateway/PeerCodecTest.cpp
+++ b/tests/gateway/PeerCodecTest.cpp
@@ -121,6 +121,21 @@
   CHECK(read->mDownstream == note.mDownstream);
 }
 
+// The usual work time must cost no bytes with each response, and a wrong one
+// must not exclude a server or direct all work to it.
+TEST_CASE("a note carries another than the usual work time")
+{
+  PeerNote note;
+  CHECK(Encode(note).find("f=") == std::string::npos);
+  note.mWorkPercent = 137;
+  CHECK(DecodePeerNote(Encode(note)) == note);
+  CHECK(DecodePeerNote("l=1")->mWorkPercent == 100);
+  CHECK(DecodePeerNote("l=1;f=0")->mWorkPercent == 10);
+  CHECK(DecodePeerNote("l=1;f=4294967295")->mWorkPercent == 1000);
+  CHECK(!DecodePeerNote("l=1;f=").has_value());
+  CHECK(!DecodePeerNote("l=1;f=-1").has_value());
+}
+
 // Guards against interpreting a truncated note as proof that a request has not
 // run.
 TEST_CASE("an invalid note is refused, an unknown field is ignored")
--- a/tests/gateway/ServerProbeTest.cpp
+++ b/tests/gateway/ServerProbeTest.cpp
@@ -1,9 +1,11 @@
 #include "gateway/ServerProbe.h"
 
+#include "gateway/ServerLoad.h"
 #include "tests/transport/IoThread.h"
 #include "tests/transport/RawSocket.h"
 
 #include <doctest/doctest.h>
+#include <string>
 #include <thread>
 
 using namespace nutmegrock;
@@ -74,6 +76,47 @@
   CHECK(probe.Health() == ServerHealth{ "i-1", 4 });
 }
 
+// Guards against a server that counts as having no slots because it reports how
+// long its work takes, too.
+TEST_CASE("a health check reports how long work takes on the server")
+{
+  RawServer server;
+  ProbeThread probe(server.Address());
+  RawSocket connection = server.Accept();
+  connection.ReadUntil("\r\n\r\n");
+  connection.Write("HTTP/1.1 200 OK\r\nNutmegrock-Server: i-1\r\n"
+                   "Nutmegrock-Load: 0,0,4,137\r\n"
+                   "Content-Length: 2\r\n\r\nok");
+  for (int i = 0; i < 400 && !probe.Health(); ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  CHECK(probe.Health() == ServerHealth{ "i-1", 4, {}, false, 137 });
+}
+
+// Guards against an impossible value that excludes a server or gives it all
+// work, and against one that hides the other values.
+TEST_CASE("an impossible work time of a server is ignored")
+{
+  CHECK(ParseServerLoad("1,2,3") == ServerLoad{ 1, 2, 3, {} });
+  CHECK(ParseServerLoad("1,2,3,137") == ServerLoad{ 1, 2, 3, 137 });
+  CHECK(ParseServerLoad("1,2,3,99.6") == ServerLoad{ 1, 2, 3, 100 });
+  CHECK(ParseServerLoad("x,,3,137,new") == ServerLoad{ {}, {}, 3, 137 });
+  for (const char* value : { "",
+                             "0",
+                             "-100",
+                             "nan",
+                             "inf",
+                             "-inf",
+                             "1e300",
+                             "100001",
+                             "x",
+                             "1 0" }) {
+    CAPTURE(value);
+    CHECK(ParseServerLoad(std::string("1,2,3,") + value) ==
+          ServerLoad{ 1, 2, 3, {} });
+  }
+}
+
 // Guards against checks without a result for servers that report no load.
 TEST_CASE("a health check without a load reports the identity")
 {
--- a/tests/overload/ServiceLoadsTest.cpp
+++ b/tests/overload/ServiceLoadsTest.cpp
@@ -143,3 +143,26 @@
   CHECK(loads.Cutoff(kStart, "stock") == kOpenRank);
   CHECK(loads.Cutoff(kStart, "dispatch") == kOpenRank);
 }
+
+// A zone of slow servers has less capacity than one of fast servers with as
+// many slots. Guards against means in which its load counts as much.
+TEST_CASE("loads are weighted by the capacity of servers and zones")
+{
+  ServiceLoads loads;
+  loads.SetZones("stock", { { "a", 10 }, { "b", 10 } });
+  const auto report = [&loads](const char* aZone,
+                               std::uint64_t aServer,
+                               double aLoad,
+                               double aSpeed) {
+    loads.OnServerLoad(
+      kStart, { "stock", aZone, { aServer }, aLoad, kOpenRank, 1, aSpeed });
+  };
+  CHECK(loads.Capacity(kStart, "stock", "a") == 10);
+  CHECK(loads.Capacity(kStart, "stock", "c") == 0);
+  report("a", 1, 1.2, 0.5);
+  CHECK(loads.Capacity(kStart, "stock", "a") == doctest::Approx(5));
+  report("b", 2, 0.9, 1);
+  CHECK(loads.Load(kStart, "stock") == doctest::Approx(1.0));
+  report("b", 3, 0.3, 2);
+  CHECK(loads.ZoneLoad(kStart, "stock", "b") == doctest::Approx(0.5));
+}
--- a/tests/overload/WorkQueueTest.cpp
+++ b/tests/overload/WorkQueueTest.cpp
@@ -789,3 +789,23 @@
   CHECK(std::count(late.begin(), late.end(), important) == 1);
   CHECK(std::count(late.begin(), late.end(), unknown) == 1);
 }
+
+// A server on which work takes twice as long has half of the capacity. Guards
+// against a load, and a check for hopeless calls, that follow a change of the
+// speed only after many runs.
+TEST_CASE("the load and the hopeless calls go by how long work takes now")
+{
+  WorkQueue usual;
+  WorkQueue slow;
+  for (WorkQueue* queue : { &usual, &slow }) {
+    queue->SetSlots(100);
+    for (std::uint64_t id = 1; id <= 850; ++id) {
+      REQUIRE(queue->Offer(kStart, Item(id, 1, 700)).has_value());
+    }
+  }
+  slow.SetWorkTime(2);
+  const double load = usual.Load(kStart);
+  CHECK(slow.Load(kStart) == doctest::Approx(2 * load));
+  CHECK(usual.Offer(kStart, Item(851, 1, 15)).has_value());
+  CHECK_FALSE(slow.Offer(kStart, Item(851, 1, 15)).has_value());
+}
