--- a/src/nutmegrock/quota/AllowanceOwner.cpp
+++ b/src/nutmegrock/quota/AllowanceOwner.cpp
@@ -32,6 +32,8 @@
 constexpr double kMinUse = 0.5;
 /// Interval of updates of the withheld rate, which visit all nodes.
 constexpr milliseconds kWithholdInterval{ 200 };
+/// Interval of checks whether this node is cut off, which visit all nodes.
+constexpr milliseconds kIsolationInterval{ 100 };
 /// Time after which a silent node is forgotten.
 constexpr std::chrono::seconds kForgetTime{ 60 };
 constexpr std::chrono::seconds kForgetInterval{ 1 };
@@ -261,12 +263,15 @@
 void
 AllowanceOwner::CheckIsolation(core::TimePoint aNow)
 {
-  if (!mChoice || mNodes.empty()) {
+  if (!mChoice || mNodes.empty() ||
+      aNow - mIsolationCheckedAt < kIsolationInterval) {
     return;
   }
+  mIsolationCheckedAt = aNow;
+  const core::Duration silence = SilenceTime(mChoice->Largest(aNow));
   const auto silent =
     std::count_if(mNodes.begin(), mNodes.end(), [&](const auto& aNode) {
-      return IsSilent(aNow, aNode.second);
+      return IsSilent(aNow, silence, aNode.second);
     });
   const bool isolated = static_cast<std::size_t>(silent) * 2 > mNodes.size();
   if (std::exchange(mIsIsolated, isolated) == isolated) {
@@ -302,9 +307,10 @@
     return 0;
   }
   const std::size_t members = mChoice->Largest(aNow);
+  const core::Duration silence = SilenceTime(members);
   double share = 0;
   for (const auto& [bits, node] : mNodes) {
-    if (IsSilent(aNow, node)) {
+    if (IsSilent(aNow, silence, node)) {
       const auto grants = aTenant.mByNode.find(bits);
       share += FallbackShare(
         grants == aTenant.mByNode.end() ? 0 : grants->second.mToldShare,
@@ -336,11 +342,13 @@
 }
 
 bool
-AllowanceOwner::IsSilent(core::TimePoint aNow, const Node& aNode) const
+AllowanceOwner::IsSilent(core::TimePoint aNow,
+                         core::Duration aSilenceTime,
+                         const Node& aNode)
 {
   return aNode.mState == TakeState::Fallback ||
          (aNode.mState == TakeState::Normal &&
-          aNow - aNode.mHeardAt >= SilenceTime(mChoice->Largest(aNow)));
+          aNow - aNode.mHeardAt >= aSilenceTime);
 }
 
 void
--- a/src/nutmegrock/quota/AllowanceOwner.h
+++ b/src/nutmegrock/quota/AllowanceOwner.h
@@ -172,7 +172,9 @@
   void WithholdFallback(core::TimePoint aNow, Tenant& aTenant) const;
   double WithheldShare(core::TimePoint aNow, const Tenant& aTenant) const;
   /// Returns true if the node may be using its fallback buckets.
-  bool IsSilent(core::TimePoint aNow, const Node& aNode) const;
+  static bool IsSilent(core::TimePoint aNow,
+                       core::Duration aSilenceTime,
+                       const Node& aNode);
   void ForgetNodes(core::TimePoint aNow);
 
   const core::TimePoint mStarted;
@@ -186,6 +188,7 @@
   /// Nodes heard in the last minute.
   std::unordered_map<std::uint64_t, Node> mNodes;
   core::TimePoint mForgottenAt;
+  core::TimePoint mIsolationCheckedAt;
   std::vector<Ceded> mCeded;
   core::TimePoint mCedeRequestsAt;
   bool mIsIsolated = false;
