--- a/tests/quota/AllowanceModel.cpp
+++ b/tests/quota/AllowanceModel.cpp
@@ -361,6 +361,7 @@
     }
   });
   ++mMessages;
+  mContacts += aAsk.mRequest.mItems.empty() ? 2 : 0;
   if (!mNodes[aNode].mConnected) {
     return;
   }
--- a/tests/quota/AllowanceModel.h
+++ b/tests/quota/AllowanceModel.h
@@ -60,6 +60,8 @@
 
   /// Control messages between nodes, requests and responses.
   std::uint64_t Messages() const { return mMessages; }
+  /// Those of messages without a tenant.
+  std::uint64_t Contacts() const { return mContacts; }
   std::uint64_t Requests() const { return mRequests; }
   /// Largest number of requests executed in any 5 s, as a part of the bound.
   double WorstUse(std::size_t aTenant, core::TimePoint aFrom) const;
@@ -123,6 +125,7 @@
   std::vector<TenantUse> mTenants;
   std::vector<std::uint64_t> mDemandVersion;
   std::uint64_t mMessages = 0;
+  std::uint64_t mContacts = 0;
   std::uint64_t mRequests = 0;
   std::uint64_t mNextIncarnation = 1;
 };
--- a/tests/quota/AllowanceModelTest.cpp
+++ b/tests/quota/AllowanceModelTest.cpp
@@ -80,7 +80,10 @@
     MESSAGE("seed " << seed << ": refused "
                     << RefusedOfOthers(model, kTenants, start)
                     << ", worst tenant " << worst << ", messages a request "
-                    << messages << ", worst use " << WorstUse(model));
+                    << messages << ", of these contacts "
+                    << static_cast<double>(model.Contacts()) /
+                         static_cast<double>(model.Messages())
+                    << ", worst use " << WorstUse(model));
     CHECK(worst < 0.02);
     CHECK(RefusedOfOthers(model, kTenants, start) < 0.001);
     CHECK(messages < 2.5);
