Refuse responses and requests whose head or framing is ambiguous

Cause: Boost.Beast's parser accepts any status of three digits, ignores transfer codings that it does not know, and joins folded lines. A status below 200, 000 and 101 too, counted as an interim response, and the node waited; a response with an unknown coding beside a length passed as a 200 whose body was still encoded; a request with the coding "chunked, chunked" had no body, so that its body was read as the next request.

Change: MessageParser refuses a status outside 100 to 599 and 101, folded values (in requests only those of the framing), and a transfer coding other than one "chunked", in HTTP/1.0 or beside a length.

--- a/src/nutmegrock/proxy/MessageParser.cpp
+++ b/src/nutmegrock/proxy/MessageParser.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
 #include <cmath>
+#include <functional>
 #include <utility>
 
 namespace nutmegrock::proxy {
@@ -75,6 +76,19 @@
   return value;
 }
 
+constexpr int kHttp11 = 11;
+
+/// Returns true if a final or an interim response may have this status. A
+/// switch to another protocol is never requested.
+bool
+IsValidStatus(int aStatus)
+{
+  constexpr int kMin = 100;
+  constexpr int kSwitchingProtocols = 101;
+  constexpr int kMax = 599;
+  return aStatus >= kMin && aStatus <= kMax && aStatus != kSwitchingProtocols;
+}
+
 /// Returns true if the field concerns one connection only.
 bool
 IsHopByHop(http::field aField)
@@ -115,6 +129,7 @@
 std::size_t
 MessageParser<IsRequest>::Put(std::string_view aBytes, Code& aCode)
 {
+  mInputEnd = aBytes.data() + aBytes.size();
   const std::size_t used =
     Base::put(boost::asio::const_buffer(aBytes.data(), aBytes.size()), aCode);
   if (aCode == http::error::need_more &&
@@ -136,9 +151,10 @@
 MessageParser<IsRequest>::on_request_impl(Verb,
                                           Text aMethod,
                                           Text aTarget,
-                                          int,
+                                          int aVersion,
                                           Code&)
 {
+  mVersion = aVersion;
   if constexpr (IsRequest) {
     mHead.mMethod = ToString(aMethod);
     mHead.mTarget = ToString(aTarget);
@@ -149,15 +165,57 @@
 void
 MessageParser<IsRequest>::on_response_impl(int aStatus,
                                            Text aReason,
-                                           int,
-                                           Code&)
+                                           int aVersion,
+                                           Code& aCode)
 {
+  mVersion = aVersion;
+  if (!IsValidStatus(aStatus)) {
+    aCode = http::error::bad_status;
+    return;
+  }
   if constexpr (!IsRequest) {
     mHead.mStatus = static_cast<unsigned>(aStatus);
     mHead.mReason = ToString(aReason);
   }
 }
 
+template<bool IsRequest>
+bool
+MessageParser<IsRequest>::IsFolded(Text aName, Text aValue) const
+{
+  // A value of one line follows its name in the input. The base class copies
+  // other values, except those with a single line that is not empty.
+  const std::less<> less;
+  const char* begin = aName.data() + aName.size();
+  if (less(aValue.data(), begin) ||
+      less(mInputEnd, aValue.data() + aValue.size())) {
+    return true;
+  }
+  const Text between(begin, static_cast<std::size_t>(aValue.data() - begin));
+  return between.find('\n') != Text::npos;
+}
+
+template<bool IsRequest>
+typename MessageParser<IsRequest>::Code
+MessageParser<IsRequest>::CheckField(Field aField,
+                                     Text aName,
+                                     Text aValue) const
+{
+  const bool is_coding = aField == Field::transfer_encoding;
+  const bool is_framing = is_coding || aField == Field::content_length;
+  // Requests with folded lines were always forwarded, with one line instead.
+  if ((!IsRequest || is_framing) && IsFolded(aName, aValue)) {
+    return http::error::bad_value;
+  }
+  // The base class ignores codings that it does not know. It refuses a coding
+  // beside a length, a second "chunked", and lengths that differ.
+  if (is_coding &&
+      (mVersion < kHttp11 || !EqualsIgnoreCase(aValue, "chunked"))) {
+    return http::error::bad_transfer_encoding;
+  }
+  return {};
+}
+
 template<bool IsRequest>
 bool
 MessageParser<IsRequest>::StoreKnownField(Text aName, Text aValue)
@@ -217,8 +275,12 @@
 MessageParser<IsRequest>::on_field_impl(Field aField,
                                         Text aName,
                                         Text aValue,
-                                        Code&)
+                                        Code& aCode)
 {
+  aCode = CheckField(aField, aName, aValue);
+  if (aCode) {
+    return;
+  }
   if (aField == Field::connection) {
     mConnectionOptions += ToString(aValue) + ",";
     return;
--- a/src/nutmegrock/proxy/MessageParser.h
+++ b/src/nutmegrock/proxy/MessageParser.h
@@ -21,8 +21,10 @@
 };
 
 /// Parses one HTTP/1.1 message incrementally, based on Boost.Beast's parser,
-/// which checks the syntax and removes the framing of bodies. Keeps the header
-/// lines as text, so that they are forwarded without being serialized again.
+/// which checks the syntax and removes the framing of bodies. Refuses further
+/// messages that other programs may delimit differently, see
+/// docs/design/response-checks.md. Keeps the header lines as text, so that they
+/// are forwarded without being serialized again.
 template<bool IsRequest>
 class MessageParser : private boost::beast::http::basic_parser<IsRequest>
 {
@@ -71,6 +73,11 @@
   void on_finish_impl(Code&) override;
   // NOLINTEND(readability-identifier-naming)
 
+  /// Returns an error if the field must not be forwarded or does not tell the
+  /// end of the body clearly.
+  Code CheckField(Field aField, Text aName, Text aValue) const;
+  /// Returns true if the value extends over several lines.
+  bool IsFolded(Text aName, Text aValue) const;
   /// Stores a field that has a member of its own. Returns false if the field
   /// must be forwarded as well.
   bool StoreKnownField(Text aName, Text aValue);
@@ -80,6 +87,10 @@
   const ParserHooks mHooks;
   const std::uint32_t mMaxHeaderBytes;
   Head mHead;
+  /// 10 for HTTP/1.0, 11 for HTTP/1.1.
+  int mVersion = 0;
+  /// End of the bytes passed to Put(), which is running.
+  const char* mInputEnd = nullptr;
   /// Header names listed in Connection, which must not be forwarded.
   std::string mConnectionOptions;
 };
--- a/tests/proxy/MessageParserTest.cpp
+++ b/tests/proxy/MessageParserTest.cpp
@@ -145,3 +145,174 @@
     }
   }
 }
+
+namespace {
+
+/// Ways in which a body can be framed, with a body.
+const std::string kFramings[] = {
+  "Content-Length: 3\r\n\r\nabc",
+  "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+  "\r\nabc",
+};
+
+/// Returns true if the response is refused in pieces of any size.
+bool
+IsRefused(const std::string& aText)
+{
+  bool refused = true;
+  for (const std::size_t piece : { 1U, 7U, 4096U }) {
+    refused = refused && ParseIn<ResponseParser>(aText, piece, true).mFailed;
+  }
+  return refused;
+}
+
+/// Returns true if the response is accepted in pieces of any size.
+bool
+IsAccepted(const std::string& aText)
+{
+  bool accepted = true;
+  for (const std::size_t piece : { 1U, 7U, 4096U }) {
+    accepted = accepted && ParseIn<ResponseParser>(aText, piece, true).mDone;
+  }
+  return accepted;
+}
+
+} // namespace
+
+// Guards against responses that are forwarded with a status that clients cannot
+// read, and against waiting for the final response after one that is none: an
+// upgrade is never requested.
+TEST_CASE("a response with a status that cannot be forwarded is refused")
+{
+  for (const std::string& framing : kFramings) {
+    CAPTURE(framing);
+    for (const char* status : { "000", "001", "099", "101", "600", "999" }) {
+      CAPTURE(status);
+      CHECK(IsRefused("HTTP/1.1 " + std::string(status) + " OK\r\n" + framing));
+    }
+    CHECK(IsAccepted("HTTP/1.1 200 OK\r\n" + framing));
+    CHECK(IsAccepted("HTTP/1.1 599 \r\n" + framing));
+  }
+  CHECK(
+    !ParseIn<ResponseParser>("HTTP/1.1 103 Early Hints\r\n\r\n", 7).mFailed);
+}
+
+// Guards against header lines that another program reads in another way, so
+// that it sees other headers or another body than this node.
+TEST_CASE("a response with an invalid header line is refused")
+{
+  const std::string lines[] = {
+    "X-A : 1\r\n",
+    "X A: 1\r\n",
+    "X\x01"
+    "A: 1\r\n",
+    "X\x7f"
+    "A: 1\r\n",
+    std::string("X\0A: 1\r\n", 9),
+    "X\tA: 1\r\n",
+    ": 1\r\n",
+    " X-A: 1\r\n",
+    "X-A\r\n",
+    "X-A: 1\r\n 2\r\n",
+    "X-A: 1\r\n\t2\r\n",
+    "X-A:\r\n 2\r\n",
+    "X-A: 1\r\n \r\n",
+    "X-A: a\x01"
+    "b\r\n",
+    "X-A: a\x7f"
+    "b\r\n",
+    "X-A: a\nX-B: b\r\n",
+    "X-A: a\rX-B: b\r\n",
+    std::string("X-A: a\0b\r\n", 10),
+  };
+  for (const std::string& framing : kFramings) {
+    CAPTURE(framing);
+    for (const std::string& line : lines) {
+      CAPTURE(line);
+      CHECK(IsRefused("HTTP/1.1 200 OK\r\n" + line + framing));
+    }
+    CHECK(IsAccepted("HTTP/1.1 200 OK\r\nX-A: a\tb\xc3\xa9 \r\nX-B:\r\n" +
+                     framing));
+  }
+}
+
+// Guards against a response whose coding this node does not know and passes on
+// as the body, and against two statements about the end of a body.
+TEST_CASE("a response with an ambiguous framing is refused")
+{
+  const std::string chunks = "\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (const char* coding : { "gzip",
+                              "identity",
+                              "gzip, chunked",
+                              "chunked, gzip",
+                              "chunked, chunked",
+                              "chunked;a=b",
+                              "xchunked",
+                              "chunked,",
+                              "" }) {
+    CAPTURE(coding);
+    const std::string line =
+      "Transfer-Encoding: " + std::string(coding) + "\r\n";
+    CHECK(IsRefused("HTTP/1.1 200 OK\r\n" + line + chunks));
+    CHECK(IsRefused("HTTP/1.1 200 OK\r\n" + line + "\r\nabc"));
+    CHECK(
+      IsRefused("HTTP/1.1 200 OK\r\n" + line + "Content-Length: 3\r\n\r\nabc"));
+    CHECK(
+      IsRefused("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + line + "\r\nabc"));
+    CHECK(IsRefused("HTTP/1.1 200 OK\r\n" + line +
+                    "Transfer-Encoding: chunked\r\n" + chunks));
+  }
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  for (const std::string& lines :
+       { "Content-Length: 3\r\n" + chunked,
+         chunked + "Content-Length: 3\r\n",
+         chunked + chunked,
+         std::string("Content-Length: 3\r\nContent-Length: 4\r\n"),
+         std::string("Content-Length: 3, 4\r\n"),
+         std::string("Content-Length: +3\r\n"),
+         std::string("Content-Length: 3x\r\n"),
+         std::string("Content-Length:\r\n") }) {
+    CAPTURE(lines);
+    CHECK(IsRefused("HTTP/1.1 200 OK\r\n" + lines + chunks));
+    CHECK(IsRefused("HTTP/1.1 200 OK\r\n" + lines + "\r\nabc"));
+  }
+  // Chunks are unknown in HTTP/1.0.
+  CHECK(IsRefused("HTTP/1.0 200 OK\r\n" + chunked + chunks));
+  CHECK(
+    IsAccepted("HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked \r\n" + chunks));
+  CHECK(IsAccepted("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+                   "Content-Length: 3\r\n\r\nabc"));
+}
+
+// Guards against requests that another program in front of this node delimits
+// in another way, so that a part of a body becomes a request of its own.
+TEST_CASE("a request with an ambiguous framing is refused")
+{
+  const std::string begin = "POST / HTTP/1.1\r\nHost: h\r\n";
+  const std::string chunks = "\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (const std::string& lines :
+       { std::string("Transfer-Encoding: gzip\r\n"),
+         std::string("Transfer-Encoding: identity\r\n"),
+         std::string("Transfer-Encoding: gzip, chunked\r\n"),
+         std::string("Transfer-Encoding: chunked, chunked\r\n"),
+         std::string("Transfer-Encoding: xchunked\r\n"),
+         std::string("Transfer-Encoding:\r\n chunked\r\n"),
+         std::string("Content-Length:\r\n 3\r\n"),
+         std::string("Transfer-Encoding: gzip\r\nContent-Length: 3\r\n"),
+         std::string("Content-Length: 3\r\nTransfer-Encoding: gzip\r\n"),
+         std::string("Transfer-Encoding : chunked\r\n"),
+         std::string("Content-Length : 3\r\n") }) {
+    CAPTURE(lines);
+    for (const std::size_t piece : { 1U, 7U, 4096U }) {
+      CHECK(ParseIn<RequestParser>(begin + lines + chunks, piece).mFailed);
+    }
+  }
+  CHECK(ParseIn<RequestParser>("POST / HTTP/1.0\r\nTransfer-Encoding: chunked"
+                               "\r\n" +
+                                 chunks,
+                               7)
+          .mFailed);
+  CHECK(
+    ParseIn<RequestParser>(begin + "Transfer-Encoding: Chunked\r\n" + chunks, 7)
+      .mDone);
+}
