Send no chunks to callers of HTTP/1.0 and reset incomplete responses

Cause: a response without a length was sent chunked to every caller. A caller of HTTP/1.0 does not know chunks: it took them for the body, and the close of a connection in the middle of the response for its end.

Change: its body ends with the connection. The connection is set to reset on close until the whole response is handed to the system, so a failure in between, also the end of the process, shows as a reset.

--- a/src/nutmegrock/proxy/Channel.cpp
+++ b/src/nutmegrock/proxy/Channel.cpp
@@ -253,6 +253,9 @@
       mOut.shrink_to_fit();
     }
     if (mShutdown) {
+      if (mResetOnClose) {
+        SetResetOnClose(false);
+      }
       Code ignored;
       mSocket.shutdown(Socket::shutdown_send, ignored);
     }
@@ -271,8 +274,7 @@
   mSent = 0;
   if (mAccepted) {
     // The end of the stream could be taken for the end of a response.
-    Code ignored;
-    mSocket.set_option(net::socket_base::linger(true, 0), ignored);
+    SetResetOnClose(true);
     End(false);
     return;
   }
@@ -305,6 +307,14 @@
   ScheduleFlush();
 }
 
+void
+Channel::SetResetOnClose(bool aReset)
+{
+  mResetOnClose = aReset;
+  Code ignored;
+  mSocket.set_option(net::socket_base::linger(aReset, 0), ignored);
+}
+
 void
 Channel::End(bool aClean)
 {
--- a/src/nutmegrock/proxy/Channel.h
+++ b/src/nutmegrock/proxy/Channel.h
@@ -62,6 +62,10 @@
   void SetPaused(bool aPaused);
   /// Shuts down sending once the outgoing buffer is empty.
   void ShutdownAfterSend();
+  /// Sets whether a close, or the end of this process, resets the connection,
+  /// so that the other side does not take it for the end of a complete
+  /// response. ShutdownAfterSend() ends that once the outgoing buffer is empty.
+  void SetResetOnClose(bool aReset);
   /// Closes at once; no hook runs afterwards.
   void Close();
   /// Closes like Close(). Bytes that the other side has not received are
@@ -100,6 +104,7 @@
   bool mWatching = false;
   bool mShutdown = false;
   bool mSendFailed = false;
+  bool mResetOnClose = false;
   bool mClosed = false;
 };
 
--- a/src/nutmegrock/proxy/MessageHead.h
+++ b/src/nutmegrock/proxy/MessageHead.h
@@ -43,6 +43,8 @@
   /// Value of kPeerCallHeader.
   std::string mPeerCall;
   bool mExpectsContinue = false;
+  /// False for senders of HTTP/1.0, which do not know chunked bodies.
+  bool mTakesChunks = true;
 };
 
 /// Status line and headers of a response.
--- a/src/nutmegrock/proxy/MessageParser.cpp
+++ b/src/nutmegrock/proxy/MessageParser.cpp
@@ -158,6 +158,7 @@
   if constexpr (IsRequest) {
     mHead.mMethod = ToString(aMethod);
     mHead.mTarget = ToString(aTarget);
+    mHead.mTakesChunks = aVersion >= kHttp11;
   }
 }
 
--- a/src/nutmegrock/proxy/ServerConnection.h
+++ b/src/nutmegrock/proxy/ServerConnection.h
@@ -30,6 +30,7 @@
   /// Writes bytes of responses to the channel.
   void Write(std::string_view aBytes);
   std::size_t Unsent() const;
+  void SetResetOnClose(bool aReset) { mChannel->SetResetOnClose(aReset); }
   /// Returns true if the response to this request must announce the close of
   /// the connection: no further request is read, and this one is the last.
   bool ClosesAfter(const ServerExchange& aExchange);
--- a/src/nutmegrock/proxy/ServerExchange.cpp
+++ b/src/nutmegrock/proxy/ServerExchange.cpp
@@ -38,16 +38,20 @@
   const bool head_only = mHead.mMethod == "HEAD";
   const bool empty = aHead.mStatus == 204 || aHead.mStatus == 304;
   mNoBody = head_only || empty;
-  mChunked = aHead.mFraming == BodyFraming::Chunked ||
-             aHead.mFraming == BodyFraming::UntilClose;
+  const bool no_length = aHead.mFraming == BodyFraming::Chunked ||
+                         aHead.mFraming == BodyFraming::UntilClose;
+  mChunked = no_length && mHead.mTakesChunks;
+  mUntilClose = no_length && !mHead.mTakesChunks;
   // A caller that still waits for an interim response may leave out the body.
   const bool closes = connection->ClosesAfter(*this);
-  mClose = mClose || !mHead.mKeepAlive || mContinueDue || closes;
+  mClose = mClose || !mHead.mKeepAlive || mContinueDue || closes || mUntilClose;
   mContinueDue = false;
   std::string text = StatusLine(aHead.mStatus, aHead.mReason);
   text += aHead.mHeaderLines;
   text += aExtraLines;
-  if (!empty) {
+  if (mUntilClose) {
+    connection->SetResetOnClose(true);
+  } else if (!empty) {
     const bool none = aHead.mFraming == BodyFraming::None;
     AddFraming(text,
                none ? BodyFraming::Length : aHead.mFraming,
--- a/src/nutmegrock/proxy/ServerExchange.h
+++ b/src/nutmegrock/proxy/ServerExchange.h
@@ -27,7 +27,8 @@
   const std::string& RequestIdName() const { return mRequestIdName; }
 
   /// Begins the response. aExtraLines are further header lines. A body of
-  /// unknown length is sent chunked.
+  /// unknown length is sent chunked, or ends with the connection if the caller
+  /// does not know chunks.
   void SendHead(const ResponseHead& aHead, std::string_view aExtraLines);
   void SendBody(std::string_view aBytes);
   /// Completes the response.
@@ -65,6 +66,8 @@
   std::string mBuffered;
   bool mIsFront = false;
   bool mChunked = false;
+  /// The body ends with the connection, which is reset if it ends before.
+  bool mUntilClose = false;
   bool mNoBody = false;
   bool mHeadSent = false;
   bool mEnded = false;
--- a/tests/proxy/ConnectionTest.cpp
+++ b/tests/proxy/ConnectionTest.cpp
@@ -280,6 +280,36 @@
   CHECK(!text.ends_with("0\r\n\r\n"));
 }
 
+// Guards against callers that do not know chunks: they would take the end of
+// the connection for the end of the response, and chunks for its body.
+TEST_CASE("a response to HTTP/1.0 ends with its connection or is reset")
+{
+  for (const bool complete : { true, false }) {
+    CAPTURE(complete);
+    IoThread thread;
+    PendingRequests pending(thread);
+    RawSocket client(pending.mListener->LocalAddress());
+    client.Write("GET /1 HTTP/1.0\r\n\r\n");
+    pending.WaitFor(1);
+    thread.Run([&] {
+      ResponseHead head;
+      head.mStatus = 200;
+      head.mFraming = BodyFraming::Chunked;
+      pending.mExchanges[0]->SendHead(head, {});
+      pending.mExchanges[0]->SendBody("part");
+    });
+    std::string text = client.ReadUntil("\r\n\r\n");
+    CHECK(text.find("Transfer-Encoding") == std::string::npos);
+    thread.Run([&] {
+      ServerExchange& exchange = *pending.mExchanges[0];
+      complete ? exchange.End() : exchange.Abort();
+    });
+    text = client.ReadToEnd();
+    CHECK(client.WasReset() == !complete);
+    CHECK((!complete || text == "part"));
+  }
+}
+
 // Guards against a late second copy of a response, without an id, that is taken
 // for the response to the next request on the connection: callers got the
 // answer to somebody else's request, or were told that theirs had not run.
--- a/tests/transport/RawSocket.h
+++ b/tests/transport/RawSocket.h
@@ -94,8 +94,11 @@
     boost::system::error_code code;
     boost::asio::read(mSocket, boost::asio::dynamic_buffer(bytes), code);
     mTimedOut = code == boost::asio::error::would_block;
+    mReset = code == boost::asio::error::connection_reset;
     return bytes;
   }
+  /// Returns true if ReadToEnd() ended with a reset.
+  bool WasReset() const { return mReset; }
   /// Discards what the other side still sends. Returns true if it closes before
   /// the timeout.
   bool WaitForClose()
@@ -144,6 +147,7 @@
     std::make_shared<boost::asio::io_context>();
   Socket mSocket;
   bool mTimedOut = false;
+  bool mReset = false;
 };
 
 /// A blocking listening socket.
