Count a health check only when its response is complete

Cause: ServerProbe reported the server as healthy with the head of the response, also if the connection was reset afterwards.

Change: the result is reported at the end of the response.

Measured, before: "a health check without a complete response tells nothing" in test_gateway, 2 of 2 cases failed. After: test_gateway passes, 52 cases.

--- a/src/nutmegrock/gateway/ServerProbe.cpp
+++ b/src/nutmegrock/gateway/ServerProbe.cpp
@@ -59,13 +59,23 @@
   const auto slots = load.size() == 3 ? ParseNumber<std::uint32_t>(load[2])
                                       : std::optional<std::uint32_t>();
   if (aHead.IsSuccess() && !aHead.mServerId.empty()) {
-    mHandler(
-      { aHead.mServerId, slots.value_or(0), aHead.mRateLimit, aHead.mLeaving });
+    mHealth = {
+      aHead.mServerId, slots.value_or(0), aHead.mRateLimit, aHead.mLeaving
+    };
   } else if (aHead.mStatus == kUnavailable && !aHead.mNotRun) {
     ServerHealth health;
     health.mId = aHead.mServerId;
     health.mHealthy = false;
-    mHandler(health);
+    mHealth = health;
+  }
+}
+
+void
+ServerProbe::OnResponseEnd()
+{
+  mRequest.reset();
+  if (mHealth) {
+    mHandler(*mHealth);
   }
 }
 
--- a/src/nutmegrock/gateway/ServerProbe.h
+++ b/src/nutmegrock/gateway/ServerProbe.h
@@ -36,8 +36,8 @@
 
   /// Sends the check. Calls the handler when the server is healthy and reports
   /// its identity, or says that it leaves or fails. A check that the server was
-  /// too busy for, or that gets no response, tells nothing. Destroying the
-  /// probe cancels it.
+  /// too busy for, or that gets no complete response, tells nothing. Destroying
+  /// the probe cancels it.
   static std::shared_ptr<ServerProbe> Send(proxy::ClientPool& aPool,
                                            const core::Address& aServer,
                                            const std::string& aPath,
@@ -50,12 +50,14 @@
 
   void OnResponseHead(const proxy::ResponseHead& aHead) override;
   void OnResponseBody(std::string_view aBytes) override;
-  void OnResponseEnd() override { mRequest.reset(); }
+  void OnResponseEnd() override;
   void OnResponseFailed(const core::Error&) override { mRequest.reset(); }
   void OnRequestSent() override {}
 
 private:
   const Handler mHandler;
+  /// What the head says; reported when the response is complete.
+  std::optional<ServerHealth> mHealth;
   std::size_t mBodyBytes = 0;
   proxy::OutgoingRequestPtr mRequest;
 };
--- a/tests/gateway/ServerProbeTest.cpp
+++ b/tests/gateway/ServerProbeTest.cpp
@@ -133,3 +133,22 @@
   probe.Cancel();
   CHECK(connection.WaitForClose());
 }
+
+// Guards against a server that is taken for healthy because of the begin of a
+// response that it did not complete.
+TEST_CASE("a health check without a complete response tells nothing")
+{
+  for (const char* body : { "Content-Length: 20\r\n\r\npart", "\r\npart" }) {
+    CAPTURE(body);
+    RawServer server;
+    ProbeThread probe(server.Address());
+    RawSocket connection = server.Accept();
+    connection.ReadUntil("\r\n\r\n");
+    connection.Write(kHealthy + body);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    connection.ResetOnClose();
+    connection.Close();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    CHECK(!probe.Health().has_value());
+  }
+}
