Refuse unknown transfer codings in transport/http

The parser ignores codings that it does not know, so a response with "gzip" beside a length, or "gzip, chunked", passed with its encoded body, and a call with "chunked, chunked" had no body.

Change: HasClearFraming() checks the heads of responses and of calls. The status was already checked, and bodies that end with the connection were already refused, so a reset never completed one here.

--- a/src/nutmegrock/transport/http/BackendExchange.cpp
+++ b/src/nutmegrock/transport/http/BackendExchange.cpp
@@ -311,14 +311,16 @@
                          "no valid response: " + aCode.message()));
     return;
   }
-  const unsigned status = mParser->get().result_int();
-  if (status >= 100 && status < 200 && status != 101) {
+  const auto& message = mParser->get();
+  const unsigned status = message.result_int();
+  const bool clear = HasClearFraming(message, message.version());
+  if (clear && status >= 100 && status < 200 && status != 101) {
     ReadHead();
     return;
   }
   // A body that ends with the connection cannot be distinguished from a
   // truncated one.
-  if (status < 200 || status > 599 || mParser->need_eof()) {
+  if (!clear || status < 200 || status > 599 || mParser->need_eof()) {
     Fail(core::MakeError(
       core::ErrorKind::BackendProtocol,
       fmt::format("response {} without a verifiable end", status)));
--- a/src/nutmegrock/transport/http/HeaderRules.cpp
+++ b/src/nutmegrock/transport/http/HeaderRules.cpp
@@ -5,6 +5,7 @@
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <cctype>
+#include <iterator>
 
 namespace nutmegrock::transport::http {
 
@@ -82,6 +83,21 @@
     });
 }
 
+bool
+HasClearFraming(const beast_http::fields& aFields, unsigned aVersion)
+{
+  constexpr unsigned kHttp11 = 11;
+  const auto codings =
+    aFields.equal_range(beast_http::field::transfer_encoding);
+  if (codings.first == codings.second) {
+    return true;
+  }
+  return aVersion >= kHttp11 && std::next(codings.first) == codings.second &&
+         boost::algorithm::iequals(ToStringView(codings.first->value()),
+                                   "chunked") &&
+         aFields.find(beast_http::field::content_length) == aFields.end();
+}
+
 Headers
 EndToEndHeaders(const beast_http::fields& aFields)
 {
--- a/src/nutmegrock/transport/http/HeaderRules.h
+++ b/src/nutmegrock/transport/http/HeaderRules.h
@@ -27,6 +27,12 @@
 bool
 IsHopByHop(std::string_view aName);
 
+/// Returns true if the headers tell the end of the body clearly: at most one
+/// transfer coding, which is "chunked", and none beside a length or in a
+/// message of HTTP/1.0. The parser ignores other codings.
+bool
+HasClearFraming(const boost::beast::http::fields& aFields, unsigned aVersion);
+
 /// Returns the headers to forward: all except hop-by-hop headers and those
 /// listed in the Connection header.
 Headers
--- a/src/nutmegrock/transport/http/RequestHead.cpp
+++ b/src/nutmegrock/transport/http/RequestHead.cpp
@@ -25,6 +25,10 @@
   if (message.version() != 11) {
     return core::Fail(core::ErrorKind::BadRequest, "only HTTP/1.1 is accepted");
   }
+  if (!HasClearFraming(message, message.version())) {
+    return core::Fail(core::ErrorKind::BadRequest,
+                      "the only accepted transfer coding is chunked");
+  }
   CallHead head;
   head.mMethod = ToString(message.method_string());
   head.mTarget = ToString(message.target());
--- a/tests/transport/ListenerFaultTest.cpp
+++ b/tests/transport/ListenerFaultTest.cpp
@@ -73,6 +73,19 @@
                  "Transfer-Encoding: chunked\r\n\r\n",
                  "400",
                  "bad_request" },
+           Case{ "PUT /a HTTP/1.1\r\nTransfer-Encoding: gzip\r\n"
+                 "Content-Length: 5\r\n\r\nabcde",
+                 "400",
+                 "bad_request" },
+           Case{
+             "PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked, chunked\r\n\r\n"
+             "0\r\n\r\n",
+             "400",
+             "bad_request" },
+           Case{ "PUT /a HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+                 "0\r\n\r\n",
+                 "400",
+                 "bad_request" },
            Case{ "PUT /a HTTP/1.1\r\nContent-Length: 101\r\n\r\n",
                  "413",
                  "body_too_large" },
