Check the heads of responses of the store

Cause: the HTTP library accepts any status and header name, ignores codings that it does not know, and reads a body with several lengths until the connection ends.

Change: StoreClient refuses a status outside 200 to 599, invalid header names, a transfer coding other than "chunked" or beside a length, and a length that is no number. A reset fails the call already: the library reports a failed write as an error.

--- a/src/nutmegrock/store/http/StoreClient.cpp
+++ b/src/nutmegrock/store/http/StoreClient.cpp
@@ -2,6 +2,9 @@
 
 #include "core/Address.h"
 
+#include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
+#include <cctype>
 #include <cpprest/http_client.h>
 #include <future>
 #include <mutex>
@@ -37,10 +40,57 @@
   return found == aResponse.headers().end() ? "" : found->second;
 }
 
+bool
+IsTokenCharacter(char aCharacter)
+{
+  return std::isalnum(static_cast<unsigned char>(aCharacter)) != 0 ||
+         std::string_view("!#$%&'*+-.^_`|~").find(aCharacter) !=
+           std::string_view::npos;
+}
+
+/// Throws if the head is not that of a valid response, or does not tell the end
+/// of its body clearly. The HTTP library accepts any status, header names with
+/// other characters, codings that it does not know, and a length that is no
+/// number.
+void
+CheckHead(const http_response& aResponse)
+{
+  constexpr web::http::status_code kMinStatus = 200;
+  constexpr web::http::status_code kMaxStatus = 599;
+  if (aResponse.status_code() < kMinStatus ||
+      aResponse.status_code() > kMaxStatus) {
+    throw std::runtime_error(
+      fmt::format("the status {} is not valid", aResponse.status_code()));
+  }
+  const auto& headers = aResponse.headers();
+  for (const auto& [name, value] : headers) {
+    if (name.empty() ||
+        !std::all_of(name.begin(), name.end(), IsTokenCharacter)) {
+      throw std::runtime_error("a header name of the response is not valid");
+    }
+  }
+  const auto coding = headers.find("Transfer-Encoding");
+  const auto length = headers.find("Content-Length");
+  const bool has_length = length != headers.end();
+  if (coding != headers.end() &&
+      (has_length || !boost::algorithm::iequals(coding->second, "chunked"))) {
+    throw std::runtime_error("the response has an ambiguous transfer coding");
+  }
+  const auto is_digit = [](char aDigit) {
+    return aDigit >= '0' && aDigit <= '9';
+  };
+  if (has_length &&
+      (length->second.empty() ||
+       !std::all_of(length->second.begin(), length->second.end(), is_digit))) {
+    throw std::runtime_error("the length of the response is not valid");
+  }
+}
+
 /// Reads the whole body; an incomplete body fails the task.
 pplx::task<Response>
 ReadResponse(const http_response& aResponse, std::size_t aMaxBytes)
 {
+  CheckHead(aResponse);
   if (aResponse.headers().content_length() > aMaxBytes) {
     throw std::runtime_error(
       fmt::format("the response is longer than {} bytes", aMaxBytes));
--- a/tests/store/HttpAdapterTest.cpp
+++ b/tests/store/HttpAdapterTest.cpp
@@ -50,6 +50,26 @@
       { "weak version", ResponseOf("200 OK", "ETag: W/\"7\"\r\n", "value") },
       { "server error", ResponseOf("500 Error", "ETag: \"7\"\r\n", "value") },
       { "redirect", ResponseOf("302 Found", "Location: /x\r\n", "") },
+      { "status 000", ResponseOf("000 OK", "ETag: \"7\"\r\n", "value") },
+      { "status 999", ResponseOf("999 OK", "ETag: \"7\"\r\n", "value") },
+      { "header name with a space",
+        ResponseOf("200 OK", "ETag: \"7\"\r\nX A: 1\r\n", "value") },
+      { "unknown coding",
+        ResponseOf(
+          "200 OK", "ETag: \"7\"\r\nTransfer-Encoding: gzip\r\n", "value") },
+      { "unknown coding and chunks",
+        "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nTransfer-Encoding: gzip, chunked"
+        "\r\n\r\n5\r\nvalue\r\n0\r\n\r\n" },
+      { "chunks beside a length",
+        "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nTransfer-Encoding: chunked\r\n"
+        "Content-Length: 5\r\n\r\n5\r\nvalue\r\n0\r\n\r\n" },
+      { "several lengths",
+        "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 5\r\n"
+        "Content-Length: 9\r\n\r\nvalue" },
+      { "chunks",
+        "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n5\r\nvalue\r\n0\r\n\r\n",
+        true },
       { "too long", ResponseOf("200 OK", "ETag: \"7\"\r\n", "0123456789x") },
     };
     for (const Case& entry : cases) {
