--- a/src/nutmegrock/gateway/ServerProbe.cpp
+++ b/src/nutmegrock/gateway/ServerProbe.cpp
@@ -56,16 +56,25 @@
 {
   const ServerLoad load = ParseServerLoad(aHead.mLoad);
   if (aHead.IsSuccess() && !aHead.mServerId.empty()) {
-    mHandler({ aHead.mServerId,
-               load.mSlots.value_or(0),
-               aHead.mRateLimit,
-               aHead.mLeaving,
-               load.mWorkPercent });
+    mHealth = { aHead.mServerId,
+                load.mSlots.value_or(0),
+                aHead.mRateLimit,
+                aHead.mLeaving,
+                load.mWorkPercent };
   } else if (aHead.mStatus == kUnavailable && !aHead.mNotRun) {
     ServerHealth health;
     health.mId = aHead.mServerId;
     health.mHealthy = false;
-    mHandler(health);
+    mHealth = health;
+  }
+}
+
+void
+ServerProbe::OnResponseEnd()
+{
+  mRequest.reset();
+  if (mHealth) {
+    mHandler(*mHealth);
   }
 }
 
--- a/src/nutmegrock/proxy/MessageHead.h
+++ b/src/nutmegrock/proxy/MessageHead.h
@@ -46,6 +46,8 @@
   /// none. They are forwarded unless the node checks keys itself.
   std::string mKeyLines;
   bool mExpectsContinue = false;
+  /// False for senders of HTTP/1.0, which do not know chunked bodies.
+  bool mTakesChunks = true;
 };
 
 /// Status line and headers of a response.
