--- a/src/nutmegrock/overload/EntryAdmission.cpp
+++ b/src/nutmegrock/overload/EntryAdmission.cpp
@@ -1,6 +1,7 @@
 #include "overload/EntryAdmission.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace nutmegrock::overload {
 
@@ -53,26 +54,37 @@
   return found == zones.end() ? aMean : found->second;
 }
 
-EntryDecision
-EntryAdmission::Decide(const EntryRequest& aRequest) const
+ScarceService
+EntryAdmission::FindScarce(std::string_view aRoute,
+                           std::string_view aZone) const
 {
-  EntryDecision decision;
-  decision.mRank =
-    aRequest.mRank.value_or(RankOf(aRequest.mPriority, aRequest.mHash));
-  const RouteCost* cost = mCosts.Find(aRequest.mRoute);
+  ScarceService scarce;
+  const RouteCost* cost = mCutoffs.empty() ? nullptr : mCosts.Find(aRoute);
   if (cost == nullptr) {
-    return decision;
+    return scarce;
   }
   for (const auto& [name, mean] : mCutoffs) {
-    const double cutoff = CutoffIn(aRequest.mZone, name, mean);
+    const double cutoff = CutoffIn(aZone, name, mean);
     const auto [service, caller] = ServicesOfName(name);
-    const bool leads_to = cost->SlotSecondsAt(service) > 0 &&
-                          (caller.empty() || cost->SlotSecondsAt(caller) > 0);
-    if (leads_to && cutoff < decision.mCutoff) {
-      decision.mService = name;
-      decision.mCutoff = cutoff;
+    const double seconds = cost->SlotSecondsAt(service);
+    const bool leads_to =
+      seconds > 0 && (caller.empty() || cost->SlotSecondsAt(caller) > 0);
+    if (leads_to && cutoff < scarce.mCutoff) {
+      scarce = { name, cutoff, seconds };
     }
   }
+  return scarce;
+}
+
+EntryDecision
+EntryAdmission::Decide(const EntryRequest& aRequest) const
+{
+  EntryDecision decision;
+  decision.mRank =
+    aRequest.mRank.value_or(RankOf(aRequest.mPriority, aRequest.mHash));
+  ScarceService scarce = FindScarce(aRequest.mRoute, aRequest.mZone);
+  decision.mService = std::move(scarce.mName);
+  decision.mCutoff = scarce.mCutoff;
   decision.mAdmitted = decision.mRank <= decision.mCutoff + kMargin;
   if (decision.mAdmitted) {
     decision.mService.clear();
--- a/src/nutmegrock/overload/EntryAdmission.h
+++ b/src/nutmegrock/overload/EntryAdmission.h
@@ -32,6 +32,16 @@
 std::chrono::milliseconds
 RetryDelay(std::chrono::milliseconds aLatencyObjective, std::uint64_t aHash);
 
+/// The scarcest service that a request leads to.
+struct ScarceService
+{
+  /// Service, or calls of a service; empty if there is room at all of them.
+  std::string mName;
+  double mCutoff = kOpenRank;
+  /// Time for which the request holds slots of the service, in seconds.
+  double mCost = 0;
+};
+
 /// Decision about a request and its cause.
 struct EntryDecision
 {
@@ -61,6 +71,9 @@
   /// Both must outlive this object.
   EntryAdmission(const RouteCosts& aCosts, const ServiceLoads& aLoads);
 
+  /// Finds the service with the lowest cutoff of the last Tick() in the zone.
+  ScarceService FindScarce(std::string_view aRoute,
+                           std::string_view aZone) const;
   /// Decides by the cutoffs of the last Tick().
   EntryDecision Decide(const EntryRequest& aRequest) const;
   /// Updates the cutoffs from the loads. To be called about every 20 ms.
