Rank requests of tenants by FairOrder at the entry node

EntryCall chooses the fraction of the rank while the configuration has tenants; otherwise it is the hash as before. Exchanges know how many requests of their connection were in progress before them. Calls whose request is not known get a lower fraction with FairOrder, since that leaves the upper part to requests in excess.

--- a/src/nutmegrock/gateway/Entry.h
+++ b/src/nutmegrock/gateway/Entry.h
@@ -4,6 +4,7 @@
 #include "gateway/Serving.h"
 #include "gateway/ZoneTraffic.h"
 #include "overload/EntryAdmission.h"
+#include "overload/FairOrder.h"
 #include "overload/PriorityOrder.h"
 #include "overload/ZonePlacement.h"
 #include "proxy/ServerExchange.h"
@@ -94,6 +95,7 @@
   routes::SplitPicker mSplitPicker;
   ZoneTraffic mZoneTraffic;
   overload::ZonePlacement mPlacement;
+  overload::FairOrder mFairOrder;
   overload::PriorityOrder mOrder;
   /// Version of the routes that mOrder is for.
   std::uint64_t mOrderVersion = 0;
--- a/src/nutmegrock/gateway/EntryCall.h
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -76,6 +76,9 @@
   /// Rank of the request by its priorities. aPart in [0, 1) orders the requests
   /// of equal priorities.
   double RankWith(double aPart);
+  /// That part, by the use that tenants make of a scarce service. Without
+  /// tenants it follows from the identity of the request alone.
+  double FairPart();
   void SetDeadline();
   bool Admit();
   /// Finds the run that made a nested call, and sets mChain and mDemandRank.
--- a/src/nutmegrock/gateway/EntryCallAdmission.cpp
+++ b/src/nutmegrock/gateway/EntryCallAdmission.cpp
@@ -15,6 +15,9 @@
 /// Part of the rank that a request shares with all its calls, for calls whose
 /// request is not known.
 constexpr double kUnknownRank = 0.9;
+/// The same if FairOrder ranks the requests, most of which it places below
+/// 0.75.
+constexpr double kUnknownFairRank = 0.65;
 
 } // namespace
 
@@ -75,6 +78,22 @@
   return mEntry.OrderOf(*mRoutes).Rank(tenant, mRoute->mPriority, aPart);
 }
 
+double
+EntryCall::FairPart()
+{
+  if (!mRoutes->NeedsKeys()) {
+    return overload::PartOf(mHash);
+  }
+  const auto scarce = mEntry.mAdmission.FindScarce(mRoute->mName, mZone);
+  overload::FairRequest request;
+  request.mTenant = mTenant == nullptr ? std::string_view() : mTenant->mName;
+  request.mHash = mHash;
+  request.mAhead = mExchange->Ahead();
+  request.mService = overload::ServicesOfName(scarce.mName).first;
+  request.mCost = scarce.mCost;
+  return mEntry.mFairOrder.PartOf(mArrived, request);
+}
+
 void
 EntryCall::SetDeadline()
 {
@@ -96,7 +115,7 @@
   request.mPriority = mRoute->mPriority;
   request.mLatencyObjective = mRoute->mLatencyObjective;
   request.mHash = mHash;
-  request.mRank = RankWith(overload::PartOf(mHash));
+  request.mRank = RankWith(FairPart());
   const auto decision = mEntry.mAdmission.Decide(request);
   mChain.mRank = decision.mRank;
   if (decision.mAdmitted) {
@@ -127,7 +146,8 @@
     mDemandRank = mChain.mRank;
     return;
   }
-  mChain.mRank = RankWith(kUnknownRank);
+  mChain.mRank =
+    RankWith(mRoutes->NeedsKeys() ? kUnknownFairRank : kUnknownRank);
   mChain.mRetryShare = mEntry.mComponents.mRetryShares.Share();
   mDemandRank = mChain.mRank;
   const auto timeout = mExchange->Head().mTimeout;
--- a/src/nutmegrock/proxy/ServerConnection.cpp
+++ b/src/nutmegrock/proxy/ServerConnection.cpp
@@ -127,6 +127,7 @@
   auto exchange = std::make_shared<ServerExchange>(
     weak_from_this(), std::move(mParser->MessageHead()));
   exchange->mRequestIdName = mListener.Names().mRequestId;
+  exchange->mAhead = mExchanges.size();
   mExchanges.push_back(exchange);
   exchange->mIsFront = mExchanges.size() == 1;
   mReading = exchange;
--- a/src/nutmegrock/proxy/ServerExchange.h
+++ b/src/nutmegrock/proxy/ServerExchange.h
@@ -23,6 +23,8 @@
                  RequestHead aHead);
 
   const RequestHead& Head() const { return mHead; }
+  /// Requests before it on its connection that were in progress on arrival.
+  std::size_t Ahead() const { return mAhead; }
   /// Drops the key of a tenant, so that it is not forwarded.
   void DropKey() { mHead.mKeyLines.clear(); }
   /// Name of the header with the request id.
@@ -65,6 +67,7 @@
   std::shared_ptr<RequestSink> mSink;
   /// Bytes that wait until the responses to earlier requests are sent.
   std::string mBuffered;
+  std::size_t mAhead = 0;
   bool mIsFront = false;
   bool mChunked = false;
   bool mNoBody = false;
--- a/tests/gateway/PathNode.h
+++ b/tests/gateway/PathNode.h
@@ -115,6 +115,19 @@
   {
     Do([&] { mCosts.Learn(aRoute, { {}, true, aInternal }); });
   }
+  /// Makes the route lead to the service, which serves up to this rank.
+  void MakeScarce(const std::string& aRoute,
+                  const std::string& aService,
+                  double aCutoff)
+  {
+    Do([&] {
+      const core::TimePoint now = core::Clock::now();
+      mCosts.Learn(aRoute, { { { aService, 0.1 } }, true, false });
+      mLoads.OnServerLoad(
+        now, { aService, "", core::Incarnation{ 99 }, 1, aCutoff });
+      mAdmission.Tick(now);
+    });
+  }
   /// Puts routes in force; each call needs a higher version.
   void Activate(const routes::RouteSetSource& aSource)
   {
--- a/tests/gateway/TenantPathTest.cpp
+++ b/tests/gateway/TenantPathTest.cpp
@@ -1,9 +1,12 @@
 #include "core/Digest.h"
+#include "core/Hash.h"
 #include "gateway/PeerCall.h"
 #include "tests/gateway/PathNode.h"
 
+#include <algorithm>
 #include <cmath>
 #include <doctest/doctest.h>
+#include <vector>
 
 using namespace nutmegrock;
 using namespace nutmegrock::gateway;
@@ -214,6 +217,18 @@
 
 namespace {
 
+/// The rank in the head of a request between nodes.
+double
+RankIn(const std::string& aHead)
+{
+  const std::string name = std::string(proxy::kPeerCallHeader) + ": ";
+  const std::size_t begin = aHead.find(name) + name.size();
+  const auto call =
+    DecodePeerCall(aHead.substr(begin, aHead.find("\r\n", begin) - begin));
+  REQUIRE(call.has_value());
+  return call->mRankPermille * 0.001;
+}
+
 /// The rank that a node passes on for a request with this key.
 double
 RankOfKey(Node& aNode, const std::string& aKey)
@@ -221,13 +236,7 @@
   RawSocket client = aNode.Connect();
   client.Write(RequestOf("part", "Authorization: Bearer " + aKey + "\r\n"));
   RawSocket peer = aNode.Peer().Accept();
-  const std::string head = peer.ReadUntil("\r\n\r\n");
-  const std::string name = std::string(proxy::kPeerCallHeader) + ": ";
-  const std::size_t begin = head.find(name) + name.size();
-  const auto call =
-    DecodePeerCall(head.substr(begin, head.find("\r\n", begin) - begin));
-  REQUIRE(call.has_value());
-  return call->mRankPermille * 0.001;
+  return RankIn(peer.ReadUntil("\r\n\r\n"));
 }
 
 } // namespace
@@ -245,6 +254,37 @@
   CHECK(std::floor(RankOfKey(node, "k1")) == 3);
 }
 
+// Guards against an order of requests under overload that is not used, or that
+// is used where the configuration has no tenants.
+TEST_CASE("under overload the place of a request is that of its tenant")
+{
+  const double random = overload::PartOf(core::HashOf("id-1"));
+  for (const bool tenants : { false, true }) {
+    CAPTURE(tenants);
+    Node node;
+    node.MakeScarce("part", "tracker", 2.99);
+    if (tenants) {
+      node.Activate(MakeTenantRoutes(4));
+    }
+    // The order leaves a part above the usual requests to those in excess.
+    const double usual = RankOfKey(node, "k1") - 2;
+    CHECK(usual ==
+          doctest::Approx(tenants ? 0.65 * random : random).epsilon(0.002));
+    RawSocket client = node.Connect();
+    const std::string request = RequestOf("part", kKeyLine);
+    client.Write(request + request);
+    std::vector<RawSocket> peers;
+    std::vector<double> ranks;
+    for (int i = 0; i < 2; ++i) {
+      peers.push_back(node.Peer().Accept());
+      ranks.push_back(RankIn(peers.back().ReadUntil("\r\n\r\n")) - 2);
+    }
+    CHECK(std::min(ranks[0], ranks[1]) == doctest::Approx(usual));
+    // The second is behind the first.
+    CHECK((std::max(ranks[0], ranks[1]) > usual + 0.01) == tenants);
+  }
+}
+
 // Guards against a node that keeps a large response until it is complete, which
 // takes memory and time.
 TEST_CASE("a download is forwarded before it is complete")
