--- a/src/nutmegrock/proxy/ServerConnection.cpp
+++ b/src/nutmegrock/proxy/ServerConnection.cpp
@@ -205,9 +205,10 @@
   auto exchange = std::make_shared<ServerExchange>(
     weak_from_this(), std::move(mParser->MessageHead()));
   exchange->mRequestIdName = mListener.Names().mRequestId;
-  exchange->mAhead = mAhead >= kMaxPipelined;
+  exchange->mInFlightBefore = mExchanges.size();
+  exchange->mIsAhead = mAhead >= kMaxPipelined;
   ++mAhead;
-  if (exchange->mAhead && ++mTurn >= kMaxPerTurn) {
+  if (exchange->mIsAhead && ++mTurn >= kMaxPerTurn) {
     HoldUntil(mListener.Now());
   }
   mExchanges.push_back(exchange);
--- a/src/nutmegrock/proxy/ServerExchange.cpp
+++ b/src/nutmegrock/proxy/ServerExchange.cpp
@@ -115,7 +115,7 @@
 {
   constexpr unsigned kRefused = 503;
   if (const auto connection = mConnection.lock();
-      connection && mAhead && aStatus == kRefused) {
+      connection && mIsAhead && aStatus == kRefused) {
     connection->OnAheadRefused();
   }
   ResponseHead head;
--- a/src/nutmegrock/proxy/ServerExchange.h
+++ b/src/nutmegrock/proxy/ServerExchange.h
@@ -23,6 +23,8 @@
                  RequestHead aHead);
 
   const RequestHead& Head() const { return mHead; }
+  /// Requests before it on its connection that were in progress on arrival.
+  std::size_t InFlightBefore() const { return mInFlightBefore; }
   /// Drops the key of a tenant, so that it is not forwarded.
   void DropKey() { mHead.mKeyLines.clear(); }
   /// Name of the header with the request id.
@@ -53,7 +55,7 @@
 
   /// The caller has sent several requests before it without waiting for their
   /// responses.
-  bool IsAhead() const { return mAhead; }
+  bool IsAhead() const { return mIsAhead; }
   bool HasResponse() const { return mHeadSent; }
   bool IsEnded() const { return mEnded; }
 
@@ -69,8 +71,9 @@
   std::shared_ptr<RequestSink> mSink;
   /// Bytes that wait until the responses to earlier requests are sent.
   std::string mBuffered;
+  std::size_t mInFlightBefore = 0;
   bool mIsFront = false;
-  bool mAhead = false;
+  bool mIsAhead = false;
   bool mChunked = false;
   /// The body ends with the connection, which is reset if it ends before.
   bool mUntilClose = false;
