Close connections without progress when connections or memory are short

Cause: at the limit of connections only idle ones made room, so 200 callers that sent half a head or most of a body kept all others out: on the listeners for callers and nodes until the time limits, on the one for notices for good. Memory of bodies and responses in transit had no limit per process.

Now a new connection takes the place of the idle one or, if there is none, of the one whose caller has neither sent nor read 4 KB for the longest time, at least half a second; never of one whose request this node has to answer. Connections account the memory of their requests; above a fifth of the machine's memory (limits.memory_mb, 160 by default) those without progress are closed first, the largest first. A caller without progress for 60 s is closed in any case. A caller that reads its last response slowly no longer counts as idle. Buffers from 128 KB on are returned to the system when freed.

--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -3,6 +3,7 @@
 #include "gateway/BoundedSettings.h"
 #include "gateway/DescriptorLimit.h"
 #include "gateway/InboundCall.h"
+#include "gateway/MemoryLimit.h"
 #include "gateway/RouterDefaults.h"
 #include "gateway/SimpleRequest.h"
 #include "node/IoThreads.h"
@@ -40,6 +41,7 @@
 /// Minimum relative change of the slots that a limited rate can use that is
 /// published; they follow the calls of the moment.
 constexpr double kMinSlotChange = 0.3;
+constexpr std::size_t kMegabyte = std::size_t{ 1024 } * 1024;
 
 std::int64_t
 WallClockMs()
@@ -81,6 +83,8 @@
   , mAdmission(mCosts, mLoads)
   , mSheddingLog([this](std::string_view aLine) { mLog.LogState(aLine); })
   , mAllowance(AllowanceOf(mSettings.mBounds))
+  , mBuffers(BufferLimitFor(mSettings.mMemoryMb),
+             [this] { boost::asio::post(mIo, [this] { FreeMemory(); }); })
 {
 }
 
@@ -95,6 +99,7 @@
 core::Expected<bool>
 GatewayRuntime::Components::Open()
 {
+  ReturnLargeBuffers();
   store::http::InitializeThreadPool(kStoreThreads);
   using Step = core::Expected<bool> (Components::*)();
   // Handlers run only after Run() starts mIo, so they may use components opened
@@ -113,12 +118,14 @@
   OpenLearnedCosts();
   mRouteSync->Start();
   mLog.LogState(fmt::format(
-    "event=start service={} zone={} incarnation={} caller={} peer={}",
+    "event=start service={} zone={} incarnation={} caller={} peer={} "
+    "buffer_mb={}",
     mSettings.mService,
     mSettings.mAvailabilityZone,
     mSelf.ToString(),
     mSettings.mListen.mCaller.ToString(),
-    mSettings.mListen.mPeer.ToString()));
+    mSettings.mListen.mPeer.ToString(),
+    mBuffers.Limit() / kMegabyte));
   return true;
 }
 
@@ -155,7 +162,8 @@
     [this] { return mServices; },
     [this](const core::Address& aFrom, std::uint64_t aVersion) {
       mRouteSync->OnVersionSeen(aFrom, aVersion);
-    } });
+    },
+    &mBuffers });
   ServingSettings serving;
   serving.mSelf = mSelf;
   serving.mZone = mSettings.mAvailabilityZone;
@@ -185,6 +193,11 @@
   settings.mAddress = aAddress;
   settings.mMaxConnections = aMaxConnections;
   settings.mNames = mPorts.mNames;
+  settings.mBudget = &mBuffers;
+  settings.mOnClose = [this, aAddress](proxy::CloseReason aReason,
+                                       const proxy::ConnectionState& aState) {
+    OnClientClosed(aAddress, aReason, aState);
+  };
   return proxy::HttpListener::Create(
     mIo,
     std::move(settings),
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -65,6 +65,12 @@
   std::shared_ptr<proxy::RequestSink> HandleMetrics(
     const proxy::ServerExchangePtr& aExchange);
   std::string StatusText() const;
+  /// A connection is about to be closed for the behaviour of its caller.
+  void OnClientClosed(const core::Address& aListener,
+                      proxy::CloseReason aReason,
+                      const proxy::ConnectionState& aState);
+  /// Closes connections that take too much memory.
+  void FreeMemory();
   void UpdateGauges();
 
   void PublishState();
@@ -111,6 +117,7 @@
   std::unique_ptr<routing::Router> mRouter;
   std::unique_ptr<node::CandidateUpdater> mCandidateUpdater;
   std::unique_ptr<proxy::ClientPool> mPool;
+  proxy::BufferBudget mBuffers;
   std::unique_ptr<SharedComponents> mShared;
   std::unique_ptr<Serving> mServing;
   std::unique_ptr<Entry> mEntry;
--- a/src/nutmegrock/gateway/GatewayControl.cpp
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -1,15 +1,18 @@
 // The components of a running node that handle control requests and signals.
 #include "gateway/BoundedSettings.h"
 #include "gateway/GatewayComponents.h"
+#include "gateway/MemoryLimit.h"
 #include "gateway/SimpleRequest.h"
 #include "proxy/MessageText.h"
 #include "settings/SettingsFile.h"
 
+#include <array>
 #include <boost/asio/post.hpp>
 #include <csignal>
 #include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
 #include <thread>
+#include <vector>
 
 namespace nutmegrock::gateway {
 
@@ -115,6 +118,53 @@
   return nullptr;
 }
 
+void
+GatewayRuntime::Components::OnClientClosed(const core::Address& aListener,
+                                           proxy::CloseReason aReason,
+                                           const proxy::ConnectionState& aState)
+{
+  constexpr std::array<std::string_view, 3> kReasons = { "room",
+                                                         "memory",
+                                                         "stalled" };
+  constexpr std::array<std::string_view, 3> kWaits = { "request",
+                                                       "caller",
+                                                       "node" };
+  const auto reason = kReasons.at(static_cast<std::size_t>(aReason));
+  const auto wait = kWaits.at(static_cast<std::size_t>(aState.mWait));
+  mRegistry
+    .CounterOf(
+      "nutmegrock_clients_closed_total",
+      { { "reason", std::string(reason) }, { "waits_for", std::string(wait) } })
+    .Add();
+  const core::TimePoint now = core::Clock::now();
+  if (mLog.ShouldLogRequest(now)) {
+    mLog.LogRequest(fmt::format(
+      "event=client_closed listener={} reason={} waits_for={} since_ms={} "
+      "held_bytes={}",
+      aListener.ToString(),
+      reason,
+      wait,
+      std::chrono::duration_cast<milliseconds>(now - aState.mSince).count(),
+      aState.mBytes));
+  }
+}
+
+void
+GatewayRuntime::Components::FreeMemory()
+{
+  std::vector<proxy::HttpListener*> listeners;
+  for (const HttpListenerPtr* listener : { &mCallerListener,
+                                           &mNodeListener,
+                                           &mNoticeListener,
+                                           &mReadyListener,
+                                           &mMetricsListener }) {
+    if (*listener) {
+      listeners.push_back(listener->get());
+    }
+  }
+  proxy::HttpListener::FreeMemory(core::Clock::now(), mBuffers, listeners);
+}
+
 std::string
 GatewayRuntime::Components::StatusText() const
 {
@@ -122,7 +172,7 @@
   std::string text =
     fmt::format("service {} zone {} incarnation {}\nroutes version {}\n"
                 "store answering {}\nmembers {}\nserver {} running {} waiting "
-                "{} limit {} load {:.3f}\n",
+                "{} limit {} load {:.3f}\nbuffers {} of {} bytes\n",
                 mSettings.mService,
                 mSettings.mAvailabilityZone,
                 mSelf.ToString(),
@@ -133,7 +183,9 @@
                 mServing->Queue().Running(),
                 mServing->Queue().Waiting(),
                 mServing->Queue().Limit(),
-                mServing->Queue().Load(now));
+                mServing->Queue().Load(now),
+                mBuffers.Used(),
+                mBuffers.Limit());
   for (const std::string& service : mServing->Queue().Downstream()) {
     const auto limit = mServing->Queue().DownstreamLimit(service);
     text += fmt::format("runs that call {} running {} limit {} cutoff {:.3f}\n",
@@ -284,6 +336,10 @@
 GatewayRuntime::Components::ApplySettings(
   const settings::GatewaySettings& aLoaded)
 {
+  if (aLoaded.mMemoryMb != mSettings.mMemoryMb) {
+    mSettings.mMemoryMb = aLoaded.mMemoryMb;
+    mBuffers.SetLimit(BufferLimitFor(mSettings.mMemoryMb));
+  }
   mSettings.mLogLevel = aLoaded.mLogLevel;
   spdlog::set_level(spdlog::level::from_str(mSettings.mLogLevel));
   if (aLoaded.mBounds != mSettings.mBounds) {
--- a/src/nutmegrock/gateway/InboundCall.h
+++ b/src/nutmegrock/gateway/InboundCall.h
@@ -27,6 +27,7 @@
   void OnRequestEnd() override;
   void OnDisconnect() override;
   void OnResponseSent() override;
+  std::size_t HeldBytes() const override { return mCall ? mCall->Unsent() : 0; }
 
   void OnResponseHead(const proxy::ResponseHead& aHead) override;
   void OnResponseBody(std::string_view aBytes) override;
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -17,6 +17,7 @@
 #include "overload/SavedCosts.h"
 #include "overload/ServiceLoads.h"
 #include "overload/WorkQueue.h"
+#include "proxy/BufferBudget.h"
 #include "proxy/ClientPool.h"
 #include "proxy/MessageHead.h"
 #include "proxy/Streams.h"
@@ -66,6 +67,8 @@
   /// Reports that another node, at this peer address, has a version of the
   /// routes.
   std::function<void(const core::Address&, std::uint64_t)> mOnVersionSeen;
+  /// Memory of requests in transit; null for no limit.
+  const proxy::BufferBudget* mBuffers = nullptr;
 };
 
 /// Serving half of a node: runs requests at the local backend server. Used on
@@ -156,6 +159,9 @@
   const std::string& DownstreamOf(const std::string& aRoute);
   /// A run failed after it had made calls.
   void CountWastedCalls(const std::string& aRoute, double aCalls);
+  /// Ends running calls whose callers do not send their bodies while others
+  /// wait for a slot.
+  void EndStalledBodies(core::TimePoint aNow);
   /// Updates the limits of runs that call other services.
   void LimitRuns(core::TimePoint aNow);
   void Remove(std::uint64_t aId);
--- a/src/nutmegrock/gateway/SimpleRequest.h
+++ b/src/nutmegrock/gateway/SimpleRequest.h
@@ -45,6 +45,7 @@
   }
   void OnDisconnect() override {}
   void OnResponseSent() override {}
+  std::size_t HeldBytes() const override { return mBody.capacity(); }
 
 private:
   proxy::ServerExchangePtr mExchange;
--- a/src/nutmegrock/proxy/HttpListener.cpp
+++ b/src/nutmegrock/proxy/HttpListener.cpp
@@ -15,8 +15,9 @@
 /// Delay before accepting again after an error, such as running out of file
 /// descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 50 };
-/// Connections idle for a shorter time may have a request on the way.
-constexpr std::chrono::milliseconds kMinIdleTime{ 500 };
+/// Part of the limit of memory, as a divisor, that is freed beyond it, so that
+/// the connections are not searched for each request.
+constexpr std::size_t kFreedDivisor = 10;
 /// Time between two turns of a connection that holds back requests.
 constexpr std::chrono::milliseconds kTurnInterval{ 10 };
 
@@ -113,7 +114,7 @@
       if (aCode) {
         ++mAcceptErrors;
         if (IsOutOfResources(aCode)) {
-          CloseIdleConnection();
+          MakeRoom();
         }
         RetryAccept();
         return;
@@ -137,8 +138,7 @@
 void
 HttpListener::AddConnection(net::ip::tcp::socket aSocket)
 {
-  if (mConnections.size() >= mSettings.mMaxConnections &&
-      !CloseIdleConnection()) {
+  if (mConnections.size() >= mSettings.mMaxConnections && !MakeRoom()) {
     ++mRefused;
     return;
   }
@@ -148,23 +148,59 @@
 }
 
 bool
-HttpListener::CloseIdleConnection()
+HttpListener::MakeRoom()
 {
-  std::shared_ptr<ServerConnection> oldest;
+  std::vector<ConnectionState> states;
+  std::vector<ServerConnection*> connections;
+  states.reserve(mConnections.size());
+  connections.reserve(mConnections.size());
   for (const auto& entry : mConnections) {
-    if (!entry.second->IsBusy() &&
-        (!oldest || entry.second->Since() < oldest->Since())) {
-      oldest = entry.second;
-    }
+    states.push_back(entry.second->State());
+    connections.push_back(entry.first);
   }
-  if (!oldest || mNow() - oldest->Since() < kMinIdleTime) {
+  const auto chosen = ChooseForRoom(mNow(), states);
+  if (!chosen) {
     return false;
   }
   ++mReplaced;
-  oldest->Close();
+  CloseFor(CloseReason::Room, *connections[*chosen]);
   return true;
 }
 
+void
+HttpListener::CloseFor(CloseReason aReason, ServerConnection& aConnection)
+{
+  if (mSettings.mOnClose) {
+    mSettings.mOnClose(aReason, aConnection.State());
+  }
+  aConnection.Close();
+}
+
+void
+HttpListener::FreeMemory(core::TimePoint aNow,
+                         BufferBudget& aBudget,
+                         const std::vector<HttpListener*>& aListeners)
+{
+  std::vector<ConnectionState> states;
+  std::vector<std::pair<HttpListener*, std::shared_ptr<ServerConnection>>>
+    connections;
+  for (HttpListener* listener : aListeners) {
+    for (const auto& entry : listener->mConnections) {
+      states.push_back(entry.second->State());
+      connections.emplace_back(listener, entry.second);
+    }
+  }
+  const std::size_t target = aBudget.Limit() - aBudget.Limit() / kFreedDivisor;
+  if (aBudget.Used() > aBudget.Limit()) {
+    for (const std::size_t index :
+         ChooseForMemory(aNow, states, aBudget.Used() - target)) {
+      const auto& [listener, connection] = connections[index];
+      listener->CloseFor(CloseReason::Memory, *connection);
+    }
+  }
+  aBudget.Rearm();
+}
+
 void
 HttpListener::ResumeLater(std::weak_ptr<ServerConnection> aConnection)
 {
--- a/src/nutmegrock/proxy/HttpListener.h
+++ b/src/nutmegrock/proxy/HttpListener.h
@@ -3,6 +3,8 @@
 #include "core/Address.h"
 #include "core/Error.h"
 #include "core/Time.h"
+#include "proxy/BufferBudget.h"
+#include "proxy/ConnectionChoice.h"
 #include "proxy/HeaderNames.h"
 #include "proxy/ServerConnection.h"
 #include "proxy/ServerExchange.h"
@@ -20,14 +22,29 @@
 
 namespace nutmegrock::proxy {
 
+/// Why a connection is closed for the behaviour of its caller.
+enum class CloseReason : std::uint8_t
+{
+  /// A new connection takes its place.
+  Room,
+  /// The memory of the process is short.
+  Memory,
+  /// The caller makes no progress for too long.
+  Stalled
+};
+
 struct HttpListenerSettings
 {
   core::Address mAddress;
   HeaderNames mNames;
   routes::CallerLimits mLimits;
-  /// Maximum open connections. Beyond it the connection that is idle for the
-  /// longest time is closed, or, if none is idle, the new one.
+  /// Maximum open connections. Beyond it the connection that ChooseForRoom()
+  /// names is closed, or, if there is none, the new one.
   std::size_t mMaxConnections = 2'000;
+  /// Limits the memory of the process. Null for no limit.
+  BufferBudget* mBudget = nullptr;
+  /// Called before a connection is closed for its caller's behaviour.
+  std::function<void(CloseReason, const ConnectionState&)> mOnClose;
 };
 
 /// Accepts HTTP/1.1 connections and passes each request to a handler. Used on
@@ -67,7 +84,7 @@
   /// limit.
   std::uint64_t BadRequests() const { return mBadRequests; }
   std::uint64_t RefusedConnections() const { return mRefused; }
-  /// Idle connections closed for new ones.
+  /// Connections closed for new ones.
   std::uint64_t ReplacedConnections() const { return mReplaced; }
   /// Connections that could not be accepted, such as when the process has no
   /// file descriptor left.
@@ -84,6 +101,20 @@
   /// Times that a connection held back requests that were sent ahead.
   std::uint64_t HeldBack() const { return mHeldBack; }
 
+  /// Closes the connections of the listeners that ChooseForMemory() names, so
+  /// that the budget is kept again.
+  static void FreeMemory(core::TimePoint aNow,
+                         BufferBudget& aBudget,
+                         const std::vector<HttpListener*>& aListeners);
+  void CloseFor(CloseReason aReason, ServerConnection& aConnection);
+  /// A connection takes aNow instead of aBefore bytes of memory.
+  void OnHeld(std::size_t aBefore, std::size_t aNow)
+  {
+    if (mSettings.mBudget != nullptr) {
+      mSettings.mBudget->Change(aBefore, aNow);
+    }
+  }
+
   std::shared_ptr<RequestSink> Handle(const ServerExchangePtr& aExchange);
   void CountBadRequest() { ++mBadRequests; }
   void Remove(ServerConnection* aConnection);
@@ -99,9 +130,9 @@
   void ScheduleResume();
   void ResumeHeld();
   void AddConnection(boost::asio::ip::tcp::socket aSocket);
-  /// Closes the connection that is idle for the longest time. Returns false if
-  /// none is idle.
-  bool CloseIdleConnection();
+  /// Closes the connection that ChooseForRoom() names. Returns false if there
+  /// is none.
+  bool MakeRoom();
 
   HttpListenerSettings mSettings;
   const std::function<core::TimePoint()> mNow;
--- a/src/nutmegrock/proxy/ServerConnection.cpp
+++ b/src/nutmegrock/proxy/ServerConnection.cpp
@@ -40,6 +40,15 @@
 constexpr std::size_t kMaxDrainedBytes = std::size_t{ 1024 } * 1024;
 constexpr std::chrono::seconds kDrainTimeout{ 5 };
 
+/// Bytes that a caller has to send or to read to count as making progress, so
+/// that single bytes do not hold a connection.
+constexpr std::size_t kProgressBytes = std::size_t{ 4 } * 1024;
+
+/// Time after which a connection is closed whose caller neither sends the rest
+/// of a request nor reads a response. Requests on a route end at their time
+/// limit before; others have none.
+constexpr std::chrono::seconds kStallTimeout{ 60 };
+
 unsigned
 StatusOf(const boost::beast::error_code& aCode)
 {
@@ -63,6 +72,7 @@
 ServerConnection::Start(Channel::Socket aSocket)
 {
   mSince = mListener.Now();
+  RestartProgress();
   ChannelHooks hooks;
   hooks.mOnBytes = [self = shared_from_this()](std::string_view aBytes) {
     self->OnBytes(aBytes);
@@ -72,15 +82,83 @@
   mChannel = Channel::Open(std::move(aSocket), std::move(hooks));
 }
 
+void
+ServerConnection::RestartProgress()
+{
+  mProgressAt = mListener.Now();
+  mProgressBytes = 0;
+}
+
+void
+ServerConnection::OnProgress(std::size_t aBytes)
+{
+  mProgressBytes += aBytes;
+  if (mProgressBytes >= kProgressBytes) {
+    RestartProgress();
+  }
+}
+
+ConnectionWait
+ServerConnection::Wait() const
+{
+  if (mLingering || mChannel->Unsent() > 0) {
+    return ConnectionWait::Caller;
+  }
+  if (!mExchanges.empty()) {
+    const ServerExchangePtr& front = mExchanges.front();
+    return front == mReading && !front->IsBodyPaused() ? ConnectionWait::Caller
+                                                       : ConnectionWait::Node;
+  }
+  return mHeadStarted || mReading ? ConnectionWait::Caller
+                                  : ConnectionWait::Request;
+}
+
+ConnectionState
+ServerConnection::State() const
+{
+  const ConnectionWait wait = Wait();
+  return { wait,
+           wait == ConnectionWait::Request ? mSince : mProgressAt,
+           mHeldBytes };
+}
+
+std::size_t
+ServerConnection::HeldBytes() const
+{
+  std::size_t bytes = mInput.capacity() + mChannel->Unsent();
+  for (const ServerExchangePtr& exchange : mExchanges) {
+    bytes += exchange->mBuffered.size() + exchange->mHead.mHeaderLines.size();
+    bytes += exchange->mSink ? exchange->mSink->HeldBytes() : 0;
+  }
+  return bytes;
+}
+
+void
+ServerConnection::Account()
+{
+  const std::size_t bytes = mClosed ? 0 : HeldBytes();
+  mListener.OnHeld(std::exchange(mHeldBytes, bytes), bytes);
+}
+
 void
 ServerConnection::OnSent()
 {
+  const std::size_t unsent = mChannel->Unsent();
+  if (unsent < mUnsentBefore) {
+    OnProgress(mUnsentBefore - unsent);
+    // A caller that reads the last response slowly is not idle.
+    if (unsent > 0 && IsIdle() && !mLingering) {
+      mSince = mListener.Now();
+    }
+  }
+  mUnsentBefore = unsent;
   if (!mExchanges.empty() && mExchanges.front()->mSink) {
     const auto sink = mExchanges.front()->mSink;
     sink->OnResponseSent();
   }
   ParseInput();
   UpdatePause();
+  Account();
 }
 
 bool
@@ -145,6 +223,7 @@
   if (mLingering || mClosed || unwanted) {
     return;
   }
+  OnProgress(aBytes.size());
   if (!mInput.empty()) {
     mInput += aBytes;
     ParseInput();
@@ -155,6 +234,7 @@
     mInput = ParseBytes(aBytes);
   }
   UpdatePause();
+  Account();
 }
 
 std::string_view
@@ -174,6 +254,7 @@
                                                 limits.mMaxBodyBytes);
       mHeadStarted = true;
       mSince = mListener.Now();
+      RestartProgress();
     }
     boost::beast::error_code code;
     const std::size_t used = mParser->Put(aBytes, code);
@@ -202,6 +283,7 @@
 ServerConnection::OnHead()
 {
   mHeadStarted = false;
+  RestartProgress();
   auto exchange = std::make_shared<ServerExchange>(
     weak_from_this(), std::move(mParser->MessageHead()));
   exchange->mRequestIdName = mListener.Names().mRequestId;
@@ -271,6 +353,7 @@
 ServerConnection::OnMessageEnd()
 {
   mParser.reset();
+  RestartProgress();
   const ServerExchangePtr exchange = std::exchange(mReading, nullptr);
   if (!exchange) {
     return;
@@ -404,15 +487,22 @@
   const auto self = shared_from_this();
   DropExchanges();
   mChannel->Close();
+  Account();
   mListener.Remove(this);
 }
 
 void
 ServerConnection::Write(std::string_view aBytes)
 {
-  if (!mClosed) {
-    mChannel->Write(aBytes);
+  if (mClosed) {
+    return;
+  }
+  if (mChannel->Unsent() == 0) {
+    RestartProgress();
   }
+  mChannel->Write(aBytes);
+  mUnsentBefore = mChannel->Unsent();
+  Account();
 }
 
 std::size_t
@@ -454,6 +544,11 @@
 {
   const auto& limits = mListener.Limits();
   const auto age = aNow - mSince;
+  Account();
+  if (Wait() == ConnectionWait::Caller && aNow - mProgressAt > kStallTimeout) {
+    mListener.CloseFor(CloseReason::Stalled, *this);
+    return;
+  }
   if (mLingering) {
     if (age > kLingerTimeout) {
       Close();
--- a/src/nutmegrock/proxy/ServerConnection.h
+++ b/src/nutmegrock/proxy/ServerConnection.h
@@ -2,6 +2,7 @@
 
 #include "core/Time.h"
 #include "proxy/Channel.h"
+#include "proxy/ConnectionChoice.h"
 #include "proxy/MessageParser.h"
 #include "proxy/ServerExchange.h"
 
@@ -47,8 +48,8 @@
   /// True while a request is in flight or half read, or a response is not yet
   /// received by the caller as far as is known.
   bool IsBusy() const;
-  /// Time at which the connection became idle.
-  core::TimePoint Since() const { return mSince; }
+  /// What the connection waits for, since when, and the memory that it takes.
+  ConnectionState State() const;
 
 private:
   void OnBytes(std::string_view aBytes);
@@ -60,6 +61,14 @@
   void HoldUntil(core::TimePoint aTime);
   /// Reports the requests in flight behind the first to the listener.
   void CountPipelined();
+  /// The caller has sent or received bytes.
+  void OnProgress(std::size_t aBytes);
+  /// The caller has begun or ended sending a request, or a response begins.
+  void RestartProgress();
+  ConnectionWait Wait() const;
+  std::size_t HeldBytes() const;
+  /// Reports the memory that the connection takes.
+  void Account();
   void OnHead();
   void OnBody(std::string_view aBytes);
   void OnMessageEnd();
@@ -94,6 +103,12 @@
   /// Time at which the connection became idle, the head that is arriving began,
   /// or lingering began.
   core::TimePoint mSince;
+  /// Time of the last progress of the caller, and its bytes since then.
+  core::TimePoint mProgressAt;
+  std::size_t mProgressBytes = 0;
+  /// Unsent bytes when they were last counted.
+  std::size_t mUnsentBefore = 0;
+  std::size_t mHeldBytes = 0;
   bool mHeadStarted = false;
   bool mNoMoreRequests = false;
   bool mLingering = false;
--- a/src/nutmegrock/proxy/Streams.h
+++ b/src/nutmegrock/proxy/Streams.h
@@ -67,6 +67,8 @@
   virtual void OnDisconnect() = 0;
   /// Bytes of the response were sent; Unsent() has decreased.
   virtual void OnResponseSent() = 0;
+  /// Memory that the bodies of the request and its response take.
+  virtual std::size_t HeldBytes() const { return 0; }
 };
 
 /// Maximum unsent bytes on one side of a request, above which the other side is
--- a/src/nutmegrock/settings/GatewaySettings.cpp
+++ b/src/nutmegrock/settings/GatewaySettings.cpp
@@ -61,6 +61,15 @@
   aReader.Finish();
 }
 
+void
+ReadLimits(YamlReader aReader, GatewaySettings& aSettings)
+{
+  constexpr std::uint64_t kMinMb = 32;
+  constexpr std::uint64_t kMaxMb = 1024UL * 1024;
+  aSettings.mMemoryMb = aReader.Number("memory_mb", kMinMb, kMaxMb, 0);
+  aReader.Finish();
+}
+
 } // namespace
 
 core::Expected<GatewaySettings>
@@ -74,6 +83,7 @@
     ReadListenSection(reader.Map("listen", true), settings.mListen);
     settings.mStore = ReadUrl(reader, "store");
     ReadBounds(reader.Map("bounds", false), settings.mBounds);
+    ReadLimits(reader.Map("limits", false), settings);
     for (const std::string& text : reader.TextList("seeds")) {
       if (const auto address = core::Address::Parse(text)) {
         settings.mSeeds.push_back(*address);
--- a/src/nutmegrock/settings/GatewaySettings.h
+++ b/src/nutmegrock/settings/GatewaySettings.h
@@ -4,6 +4,7 @@
 #include "core/Error.h"
 #include "core/Time.h"
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,8 @@
   /// "http://IP:PORT" of the platform's store.
   std::string mStore;
   GatewayBounds mBounds;
+  /// Memory of the machine in MB; 0 for that of the smallest one.
+  std::size_t mMemoryMb = 0;
   /// Peer addresses of other nodes, used in addition to the store.
   std::vector<core::Address> mSeeds;
   std::string mLogLevel = "info";
--- a/tests/clients/ClientsTest.cpp
+++ b/tests/clients/ClientsTest.cpp
@@ -256,13 +256,12 @@
   Play(OfNodes(kSome), Pipelined("/item/", 5'000));
 }
 
-TEST_CASE("uploads that stop one byte short" * doctest::should_fail())
+TEST_CASE("uploads that stop one byte short")
 {
   Play({ &Site::Caller, kMany }, Upload("/photo/", 100'000, 1));
 }
 
-TEST_CASE("uploads in small pieces that stop one byte short" *
-          doctest::should_fail())
+TEST_CASE("uploads in small pieces that stop one byte short")
 {
   Behaviour behaviour = Upload("/photo/", 20'000, 1);
   behaviour.mPiece = 400;
@@ -270,7 +269,7 @@
   Play({ &Site::Caller, kMany }, behaviour);
 }
 
-TEST_CASE("uploads in chunks without the last one" * doctest::should_fail())
+TEST_CASE("uploads in chunks without the last one")
 {
   Play({ &Site::Caller, kMany }, ChunkedUpload("/photo/", 60'000, 50));
 }
@@ -280,14 +279,12 @@
   Play({}, Upload("/photo/", 1'000'000, 10));
 }
 
-TEST_CASE("bodies on a route without uploads that stop one byte short" *
-          doctest::should_fail())
+TEST_CASE("bodies on a route without uploads that stop one byte short")
 {
   Play({ &Site::Caller, kMany }, Upload("/item/", 100'000, 1));
 }
 
-TEST_CASE("bodies without a route that stop one byte short" *
-          doctest::should_fail())
+TEST_CASE("bodies without a route that stop one byte short")
 {
   Play({ &Site::Caller, kMany }, Upload("/nowhere/", 100'000, 1));
 }
@@ -298,26 +295,22 @@
        Upload("/photo/", 190'000, 1));
 }
 
-TEST_CASE("bodies on the listener for nodes that stop one byte short" *
-          doctest::should_fail())
+TEST_CASE("bodies on the listener for nodes that stop one byte short")
 {
   Play(OfNodes(kMany), Upload("/photo/", 100'000, 1));
 }
 
-TEST_CASE("bodies on the listener for readiness that stop one byte short" *
-          doctest::should_fail())
+TEST_CASE("bodies on the listener for readiness that stop one byte short")
 {
   Play(OfReady(kManyOfNode), Upload("/ready", 50'000, 1));
 }
 
-TEST_CASE("bodies on the listener for notices that stop one byte short" *
-          doctest::should_fail())
+TEST_CASE("bodies on the listener for notices that stop one byte short")
 {
   Play(OfNotices(kManyOfNode), Upload("/", 50'000, 1));
 }
 
-TEST_CASE("bodies on the listener for metrics that stop one byte short" *
-          doctest::should_fail())
+TEST_CASE("bodies on the listener for metrics that stop one byte short")
 {
   Play(OfMetrics(kManyOfNode), Upload("/metrics", 50'000, 1));
 }
@@ -364,7 +357,7 @@
   }
 }
 
-TEST_CASE("heads that stop half-way" * doctest::should_fail())
+TEST_CASE("heads that stop half-way")
 {
   Play({ &Site::Caller, kMany }, HalfHead());
   Play(OfNodes(kMany), HalfHead());
@@ -379,7 +372,7 @@
   Play({ &Site::Caller, kMany }, behaviour);
 }
 
-TEST_CASE("bodies that are sent very slowly" * doctest::should_fail())
+TEST_CASE("bodies that are sent very slowly")
 {
   for (const std::string path : { "/photo/", "/nowhere/" }) {
     CAPTURE(path);
--- a/tests/clients/Group.cpp
+++ b/tests/clients/Group.cpp
@@ -48,6 +48,9 @@
 void
 Group::Settle(double aSeconds) const
 {
+  while (!mBegun) {
+    SleepFor(kStep);
+  }
   const double until = Now() + aSeconds;
   while (Now() < until && Now() < mSentAt + kQuiet) {
     SleepFor(kStep);
@@ -118,6 +121,8 @@
   for (std::size_t i = 0; i < mClients.size() && !mStopping; ++i) {
     Connect(i);
   }
+  mSentAt = Now();
+  mBegun = true;
   while (!mStopping) {
     for (std::size_t i = 0; i < mClients.size() && !mStopping; ++i) {
       Client& client = mClients[i];
--- a/tests/clients/Group.h
+++ b/tests/clients/Group.h
@@ -40,7 +40,8 @@
   Group& operator=(const Group&) = delete;
   ~Group();
 
-  /// Waits until no client has sent anything for 0.3 s, or for the time given.
+  /// Waits until all clients have connected once, and then until none has sent
+  /// anything for 0.3 s, or for the time given.
   void Settle(double aSeconds) const;
   /// Connections that are open now, as far as the clients know.
   std::size_t Connected() const { return mConnected; }
@@ -69,6 +70,7 @@
   std::atomic<std::size_t> mConnected{ 0 };
   std::atomic<std::size_t> mSent{ 0 };
   std::atomic<double> mSentAt{ 0 };
+  std::atomic<bool> mBegun{ false };
   std::atomic<bool> mStopping{ false };
   std::thread mThread;
 };
--- a/tests/settings/GatewaySettingsTest.cpp
+++ b/tests/settings/GatewaySettingsTest.cpp
@@ -30,6 +30,13 @@
   const auto plain = ParseGatewaySettings(kYaml, "node.yaml");
   REQUIRE(plain.has_value());
   CHECK(plain->mBounds == GatewayBounds{});
+  CHECK(plain->mMemoryMb == 0);
+  const auto limited =
+    ParseGatewaySettings(kYaml + "limits:\n  memory_mb: 160\n", "node.yaml");
+  REQUIRE(limited.has_value());
+  CHECK(limited->mMemoryMb == 160);
+  CHECK(ParseGatewaySettings(kYaml + "limits:\nbounds:\n", "node.yaml")
+          .has_value());
   const auto bounded = ParseGatewaySettings(
     kYaml + "bounds:\n  drain_ms: 2500\n  stop_s: 6\n  retry_ratio: 0.15\n"
             "  retry_extra: 120\n  retry_window_s: 10\n",
@@ -52,6 +59,7 @@
     { kYaml + "bounds:\n  retry_ratio: much\n", "line 15: bounds.retry_ratio" },
     { kYaml + "bounds:\n  drain_ms: -1\n", "line 15: bounds.drain_ms" },
     { kYaml + "bounds:\n  odd: 1\n", "bounds.odd" },
+    { kYaml + "limits:\n  memory_mb: 8\n", "line 15: limits.memory_mb" },
     { kYaml + "more: 1\n", "more" },
     { "node: 1\n", "listen" },
     { "{", "line" },
