Take no slot for a body that has not arrived

Cause: a request took a slot of the backend server when its head had arrived, so callers that stop short of the end of their bodies held all slots up to the time limit, and ordinary requests were refused.

Now the entry node collects a body up to the 192 KB that it keeps for retries before it sends the first attempt.

--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -73,7 +73,25 @@
   mService = mEntry.mSplitPicker.Pick(*mRoute);
   FindChain();
   mEntry.mAllowance.OnRequest(mArrived, mService, mChain.mRetryShare);
-  SendAttempt();
+  // A caller that does not send its body must not hold a slot meanwhile.
+  const proxy::RequestHead& head = mExchange->Head();
+  mCollecting =
+    head.mFraming == proxy::BodyFraming::Chunked ||
+    (head.mFraming == proxy::BodyFraming::Length && head.mLength > 0);
+  if (!mCollecting) {
+    SendAttempt();
+  } else if (head.mFraming == proxy::BodyFraming::Length) {
+    mReplay.reserve(std::min<std::size_t>(head.mLength, kMaxReplayBytes));
+  }
+}
+
+void
+EntryCall::StopCollecting()
+{
+  mCollecting = false;
+  if (!mDone) {
+    SendAttempt();
+  }
 }
 
 bool
@@ -298,8 +316,15 @@
 void
 EntryCall::OnRequestBody(std::string_view aBytes)
 {
+  const auto self = shared_from_this();
+  const bool fits = mReplay.size() + aBytes.size() <= kMaxReplayBytes;
+  if (mCollecting && !fits) {
+    StopCollecting();
+  }
   if (mReplayable && !mDone) {
-    if (mReplay.size() + aBytes.size() <= kMaxReplayBytes) {
+    const proxy::BufferBudget* buffers = mEntry.mComponents.mBuffers;
+    const bool tight = buffers != nullptr && buffers->IsTight();
+    if (fits && (mCollecting || !tight)) {
       mReplay += aBytes;
     } else {
       mReplayable = false;
@@ -317,11 +342,20 @@
 EntryCall::OnRequestEnd()
 {
   mBodyEnded = true;
-  if (mAttempt) {
+  if (mCollecting) {
+    StopCollecting();
+  } else if (mAttempt) {
     mAttempt->EndBody();
   }
 }
 
+std::size_t
+EntryCall::HeldBytes() const
+{
+  return mReplay.capacity() + mBuffered.capacity() +
+         (mAttempt ? mAttempt->Unsent() : 0);
+}
+
 void
 EntryCall::OnRequestSent()
 {
--- a/src/nutmegrock/gateway/EntryCall.h
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -35,6 +35,7 @@
   void OnRequestEnd() override;
   void OnDisconnect() override;
   void OnResponseSent() override;
+  std::size_t HeldBytes() const override;
 
 private:
   /// Receives the response to one attempt. Its lifetime ends with the attempt,
@@ -70,6 +71,8 @@
   void OnResponseEnd();
   void OnResponseFailed(const core::Error& aError);
   void OnRequestSent();
+  /// Sends the first attempt with the body so far.
+  void StopCollecting();
   bool FindRoute();
   void SetDeadline();
   bool Admit();
@@ -154,6 +157,9 @@
   std::string mReplay;
   bool mReplayable = true;
   bool mBodyEnded = false;
+  /// The first attempt waits for the end of the body, or for more of it than
+  /// is kept.
+  bool mCollecting = false;
 
   proxy::ResponseHead mHead;
   std::string mBuffered;
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -295,6 +295,7 @@
   Apply(mQueue.Tick(now));
   LimitRuns(now);
   Apply(mQueue.SetLost(now, CountLostCalls(now)));
+  EndStalledBodies(now);
   std::vector<std::shared_ptr<ServingCall>> expired;
   for (const auto& entry : mCalls) {
     if (entry.second->Deadline() <= now) {
@@ -306,6 +307,27 @@
   }
 }
 
+void
+Serving::EndStalledBodies(core::TimePoint aNow)
+{
+  if (mQueue.Waiting() == 0) {
+    return;
+  }
+  std::vector<std::shared_ptr<ServingCall>> stalled;
+  for (const auto& entry : mCalls) {
+    if (entry.second->IsBodyStalled(aNow)) {
+      stalled.push_back(entry.second);
+    }
+  }
+  for (const auto& call : stalled) {
+    mComponents.mRegistry
+      .CounterOf("nutmegrock_bodies_stalled_total",
+                 { { "route", call->Route() } })
+      .Add();
+    call->EndStalled();
+  }
+}
+
 void
 Serving::OnServerLoad(std::string_view aLoad)
 {
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -11,6 +11,12 @@
 namespace {
 
 constexpr double kThousandth = 0.001;
+/// Time without progress after which a body counts as stalled. It covers
+/// retransmissions of a caller at a distance of 50 ms.
+constexpr std::chrono::milliseconds kBodyStallTime{ 250 };
+/// Bytes of a body that count as progress, so that single bytes do not hold a
+/// slot.
+constexpr std::size_t kProgressBytes = std::size_t{ 4 } * 1024;
 /// Status of a request that is meant for another server.
 constexpr unsigned kWrongServer = 421;
 
@@ -70,6 +76,7 @@
   const core::TimePoint now = mServing.mComponents.mNow();
   mState = State::Running;
   mStarted = now;
+  mBodyAt = now;
   mServerId = mServing.mServer.Latest()->mId;
   mServerStartedMs = mServing.mServer.Latest()->mStartedMs;
   mServing.mDirectRuns += mCall.mCallingNode == 0 ? 1 : 0;
@@ -86,6 +93,11 @@
 void
 ServingCall::SendBody(std::string_view aBytes)
 {
+  mBodyProgress += aBytes.size();
+  if (mBodyProgress >= kProgressBytes) {
+    mBodyProgress = 0;
+    mBodyAt = mServing.mComponents.mNow();
+  }
   if (mBackend) {
     mBackend->SendBody(aBytes);
   } else if (mState == State::Waiting) {
@@ -108,6 +120,13 @@
   return mBackend ? mBackend->Unsent() : mBody.size();
 }
 
+bool
+ServingCall::IsBodyStalled(core::TimePoint aNow) const
+{
+  return mState == State::Running && !mBodyEnded && Unsent() == 0 &&
+         aNow - mBodyAt >= kBodyStallTime;
+}
+
 void
 ServingCall::PauseResponse(bool aPaused)
 {
@@ -177,6 +196,19 @@
     core::MakeError(core::ErrorKind::BackendTimeout, "no response in time")));
 }
 
+// The kind tells the entry node that neither the server nor a retry is at
+// issue.
+void
+ServingCall::EndStalled()
+{
+  if (mBackend) {
+    mBackend->Cancel();
+  }
+  Refuse(core::MarkPossiblyRun(
+    core::MakeError(core::ErrorKind::QueueTimeout,
+                    "the body stalled while other calls waited for a slot")));
+}
+
 void
 ServingCall::OnResponseHead(const proxy::ResponseHead& aHead)
 {
--- a/src/nutmegrock/gateway/ServingCall.h
+++ b/src/nutmegrock/gateway/ServingCall.h
@@ -45,6 +45,11 @@
   void Refuse(const core::Error& aError);
   /// The deadline has passed.
   void Expire();
+  /// Returns true if the caller of a running call does not send its body, and
+  /// all that it has sent was passed on.
+  bool IsBodyStalled(core::TimePoint aNow) const;
+  /// Ends the call for that reason.
+  void EndStalled();
 
   void SendBody(std::string_view aBytes) override;
   void EndBody() override;
@@ -88,6 +93,10 @@
   std::int64_t mServerStartedMs = 0;
   /// Body received while the call was waiting.
   std::string mBody;
+  /// Time of the last progress of the body after the start, and its bytes since
+  /// then.
+  core::TimePoint mBodyAt;
+  std::size_t mBodyProgress = 0;
   bool mBodyEnded = false;
   bool mGoodStatus = false;
 };
--- a/tests/clients/ClientsTest.cpp
+++ b/tests/clients/ClientsTest.cpp
@@ -279,6 +279,15 @@
   Play({}, Upload("/photo/", 1'000'000, 10));
 }
 
+// The bodies are longer than what a node keeps, so they have slots of the
+// server.
+TEST_CASE("large uploads that hold the slots of the server")
+{
+  Setup setup;
+  setup.mSettleSeconds = 0.5;
+  Play(setup, Upload("/photo/", 1'000'000, 10));
+}
+
 TEST_CASE("bodies on a route without uploads that stop one byte short")
 {
   Play({ &Site::Caller, kMany }, Upload("/item/", 100'000, 1));
