--- a/src/nutmegrock/gateway/EntryCall.h
+++ b/src/nutmegrock/gateway/EntryCall.h
@@ -36,6 +36,7 @@
   void OnRequestEnd() override;
   void OnDisconnect() override;
   void OnResponseSent() override;
+  std::size_t HeldBytes() const override;
 
 private:
   /// Receives the response to one attempt. Its lifetime ends with the attempt,
@@ -71,6 +72,8 @@
   void OnResponseEnd();
   void OnResponseFailed(const core::Error& aError);
   void OnRequestSent();
+  /// Sends the first attempt with the body so far.
+  void StopCollecting();
   bool FindRoute();
   /// Checks the key of the request if its route needs one.
   bool FindTenant();
@@ -179,6 +182,9 @@
   std::string mReplay;
   bool mReplayable = true;
   bool mBodyEnded = false;
+  /// The first attempt waits for the end of the body, or for more of it than
+  /// is kept.
+  bool mCollecting = false;
 
   proxy::ResponseHead mHead;
   std::string mBuffered;
--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -290,6 +290,7 @@
   Apply(mQueue.Tick(now));
   LimitRuns(now);
   Apply(mQueue.SetLost(now, CountLostCalls(now)));
+  EndStalledBodies(now);
   std::vector<std::shared_ptr<ServingCall>> expired;
   for (const auto& entry : mCalls) {
     if (entry.second->Deadline() <= now) {
@@ -301,6 +302,27 @@
   }
 }
 
+void
+Serving::EndStalledBodies(core::TimePoint aNow)
+{
+  if (mQueue.Waiting() == 0) {
+    return;
+  }
+  std::vector<std::shared_ptr<ServingCall>> stalled;
+  for (const auto& entry : mCalls) {
+    if (entry.second->IsBodyStalled(aNow)) {
+      stalled.push_back(entry.second);
+    }
+  }
+  for (const auto& call : stalled) {
+    mComponents.mRegistry
+      .CounterOf("nutmegrock_bodies_stalled_total",
+                 { { "route", call->Route() } })
+      .Add();
+    call->EndStalled();
+  }
+}
+
 Serving::RouteStats&
 Serving::StatsOf(const std::string& aRoute)
 {
