Send the first attempt if the body ended while the request waited for a token

Bodies count as stalled after 1 s instead of 250 ms, since one retransmission on a lossy link takes longer. A caller that always has a few requests in flight no longer counts as ahead by all requests since its connection was last idle.

--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -79,8 +79,9 @@
   // A caller that does not send its body must not hold a slot meanwhile.
   const proxy::RequestHead& head = mExchange->Head();
   mCollecting =
-    head.mFraming == proxy::BodyFraming::Chunked ||
-    (head.mFraming == proxy::BodyFraming::Length && head.mLength > 0);
+    !mBodyEnded &&
+    (head.mFraming == proxy::BodyFraming::Chunked ||
+     (head.mFraming == proxy::BodyFraming::Length && head.mLength > 0));
   if (!mCollecting) {
     SendAttempt();
   } else if (head.mFraming == proxy::BodyFraming::Length) {
@@ -217,7 +218,7 @@
   if (mReplayable && !mDone) {
     const proxy::BufferBudget* buffers = mEntry.mComponents.mBuffers;
     const bool tight = buffers != nullptr && buffers->IsTight();
-    if (fits && (mCollecting || !tight)) {
+    if (fits && (mCollecting || mWaitsForToken || !tight)) {
       mReplay += aBytes;
     } else {
       mReplayable = false;
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -11,9 +11,9 @@
 namespace {
 
 constexpr double kThousandth = 0.001;
-/// Time without progress after which a body counts as stalled. It covers
-/// retransmissions of a caller at a distance of 50 ms.
-constexpr std::chrono::milliseconds kBodyStallTime{ 250 };
+/// Time without progress after which a body counts as stalled. It covers two
+/// retransmissions on a lossy link, so that a slow caller is not cut off.
+constexpr std::chrono::milliseconds kBodyStallTime{ 1'000 };
 /// Bytes of a body that count as progress, so that single bytes do not hold a
 /// slot.
 constexpr std::size_t kProgressBytes = std::size_t{ 4 } * 1024;
--- a/src/nutmegrock/proxy/ServerConnection.cpp
+++ b/src/nutmegrock/proxy/ServerConnection.cpp
@@ -228,8 +228,10 @@
     mInput += aBytes;
     ParseInput();
   } else {
-    if (mExchanges.empty() && !mParser) {
-      mAhead = 0;
+    // Nothing that was received waits, so the caller is ahead by no more than
+    // what is in flight.
+    if (!mParser) {
+      mAhead = mExchanges.size();
     }
     mInput = ParseBytes(aBytes);
   }
