--- a/src/nutmegrock/gateway/EntryCallAdmission.cpp
+++ b/src/nutmegrock/gateway/EntryCallAdmission.cpp
@@ -222,7 +222,7 @@
   Proceed();
   // Otherwise reading goes on when bytes have been sent, or ends with the
   // response.
-  if (mAttempt && mAttempt->Unsent() <= proxy::kMaxUnsent) {
+  if (mCollecting || (mAttempt && mAttempt->Unsent() <= proxy::kMaxUnsent)) {
     mExchange->PauseBody(false);
   }
 }
