--- a/tests/gateway/AllowanceExchangeTest.cpp
+++ b/tests/gateway/AllowanceExchangeTest.cpp
@@ -291,6 +291,8 @@
   ~LimitedNode()
   {
     mNode.Do([this] {
+      mHeld.clear();
+      mOwner.reset();
       mNode.EntryHalf().EndAll();
       mNode.EntryHalf().SetAllowances(nullptr);
       mExchange.reset();
@@ -315,6 +317,58 @@
       }
     });
   }
+  /// Makes a node the owner that responds to requests for tokens when the test
+  /// says so.
+  void SetHeldOwner()
+  {
+    mNode.Do([this] {
+      mFrozenAt = core::Clock::now() + std::chrono::hours(1);
+      transport::peer::PeerServerSettings settings;
+      settings.mAddress = { "127.0.0.1", 0 };
+      settings.mIncarnation = { 5 };
+      mOwner = std::move(*transport::peer::PeerServer::Create(
+        mNode.Io(),
+        settings,
+        [](const transport::PeerCall&, const transport::PeerResultHandler&) {},
+        [this](core::Incarnation,
+               const std::string&,
+               const std::string& aArgument,
+               const auto& aResponse) {
+          if (aArgument.find('\n') == std::string::npos) {
+            aResponse(std::string("1 owner"));
+          } else {
+            mHeld.push_back(aResponse);
+          }
+        }));
+      membership::Member member;
+      member.mIncarnation = { 5 };
+      member.mAddress = mOwner->LocalAddress();
+      member.mState = membership::MemberState::Serving;
+      membership::MemberView view;
+      view.mMembers = { std::make_shared<membership::Member>(member) };
+      mExchange->OnView(view, true);
+    });
+  }
+  /// Waits for that many requests at the owner.
+  bool WaitForHeld(std::size_t aCount)
+  {
+    const auto until = core::Clock::now() + std::chrono::seconds(30);
+    std::size_t held = 0;
+    while (held < aCount && core::Clock::now() < until) {
+      std::this_thread::sleep_for(milliseconds(10));
+      mNode.Do([&] { held = mHeld.size(); });
+    }
+    return held == aCount;
+  }
+  /// Grants one token to each request at the owner.
+  void Grant()
+  {
+    mNode.Do([this] {
+      for (const auto& response : mHeld) {
+        response(std::string("1 owner\n1 0 0"));
+      }
+    });
+  }
   Node& Get() { return mNode; }
 
 private:
@@ -324,6 +378,8 @@
   /// Set with an owner that responds, so that no tokens are added.
   std::optional<core::TimePoint> mFrozenAt;
   std::unique_ptr<transport::peer::PeerClient> mClient;
+  std::unique_ptr<transport::peer::PeerServer> mOwner;
+  std::vector<std::function<void(core::Expected<std::string>)>> mHeld;
   std::shared_ptr<AllowanceExchange> mExchange;
 };
 
@@ -380,3 +436,56 @@
   client.Write(KeyRequest("pay"));
   CHECK(client.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 429"));
 }
+
+// Guards against a body that is lost, or kept without bound, while the request
+// waits for a token.
+TEST_CASE("a large body that arrives during the wait is complete")
+{
+  LimitedNode limited;
+  limited.SetHeldOwner();
+  // More than a node keeps for retries. RawSocket reads single bytes, so a much
+  // larger body would not end within the deadline.
+  constexpr std::size_t kBytes = 220'000;
+  std::string request = KeyRequest("pay");
+  request.replace(0, 3, "POST");
+  request.insert(request.find("\r\n") + 2,
+                 "Content-Length: " + std::to_string(kBytes) + "\r\n");
+  RawSocket client = limited.Get().Connect();
+  auto written = std::async(std::launch::async, [&] {
+    client.Write(request + std::string(kBytes - 3, 'x') + "END");
+  });
+  REQUIRE(limited.WaitForHeld(1));
+  std::this_thread::sleep_for(milliseconds(100));
+  limited.Grant();
+  RawSocket server = limited.Get().Server().Accept();
+  const std::string received = server.ReadUntil("END");
+  const std::size_t body = received.find("\r\n\r\n") + 4;
+  CHECK(received.size() - body == kBytes);
+  written.get();
+}
+
+// Guards against a request that runs although its caller has gone, and against
+// a token that is lost with it.
+TEST_CASE("a caller that leaves during the wait leaves its token")
+{
+  LimitedNode limited;
+  limited.SetHeldOwner();
+  RawSocket client = limited.Get().Connect();
+  client.Write(KeyRequest("pay"));
+  REQUIRE(limited.WaitForHeld(1));
+  client.Close();
+  const auto until = core::Clock::now() + std::chrono::seconds(30);
+  std::size_t in_flight = 1;
+  while (in_flight > 0 && core::Clock::now() < until) {
+    std::this_thread::sleep_for(milliseconds(10));
+    limited.Get().Do([&] { in_flight = limited.Get().EntryHalf().InFlight(); });
+  }
+  CHECK(in_flight == 0);
+  limited.Grant();
+  RawSocket second = limited.Get().Connect();
+  std::this_thread::sleep_for(milliseconds(200));
+  second.Write(KeyRequest("pay"));
+  RawSocket server = limited.Get().Server().Accept();
+  CHECK(server.ReadUntil("\r\n\r\n").starts_with("GET /pay/1"));
+  CHECK(limited.WaitForHeld(1));
+}
