Follow a store that lost its last writes

Cause: a watch went on from a position that the store had passed before the loss. Routes that were published at a version below it, or while the store was away, were not reported by any wait, and a store that repeats a later position hid all changes until it reached it. The rows that nodes write were not written again until a node restarted or a cost changed.

Change: RouteSync keeps the last known position. When a response names an earlier one, it reads the whole document, logs event=store_rolled_back and calls a hook; the node then writes its seed row and its learned costs again and counts nutmegrock_store_rollbacks_total. The document is also read after a failed call and in place of every 20th wait. A state whose write failed is written when the store answers again.

Not run: a rollback with real nodes.

--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -329,7 +329,13 @@
   };
   hooks.mLog = [](const std::string& aLine) { spdlog::info("{}", aLine); };
   hooks.mOnStoreRegained = [this] {
-    boost::asio::post(mIo, [this] { mMembership->OnStoreRegained(); });
+    boost::asio::post(mIo, [this] {
+      mMembership->OnStoreRegained();
+      mLearnedCosts->Retry();
+    });
+  };
+  hooks.mOnStoreRolledBack = [this] {
+    boost::asio::post(mIo, [this] { OnStoreRolledBack(); });
   };
   mRouteSync = std::make_unique<routes::RouteSync>(
     mPorts.mRoutes, mPorts.mDecodeRoutes, mRoutes, std::move(hooks));
@@ -397,6 +403,15 @@
   mSavedCosts.OnSaved(core::Clock::now(), aState.mCosts, aState.mDownstream);
 }
 
+// The routes in force stay as they are, since their version only rises.
+void
+GatewayRuntime::Components::OnStoreRolledBack()
+{
+  mRegistry.CounterOf("nutmegrock_store_rollbacks_total", {}).Add();
+  mMembership->OnStoreChanged();
+  mSavedCosts.OnLost();
+}
+
 void
 GatewayRuntime::Components::SaveCosts(core::TimePoint aNow)
 {
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -55,6 +55,8 @@
   core::Expected<bool> OpenMembership();
   void OpenRoutes();
   void OpenLearnedCosts();
+  /// The store lost rows that this node may have written.
+  void OnStoreRolledBack();
 
   std::shared_ptr<proxy::RequestSink> HandleNotice(
     const proxy::ServerExchangePtr& aExchange);
--- a/src/nutmegrock/gateway/LearnedCosts.cpp
+++ b/src/nutmegrock/gateway/LearnedCosts.cpp
@@ -44,6 +44,19 @@
   mWake.notify_all();
 }
 
+void
+LearnedCosts::Retry()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    if (mPending || !mFailed) {
+      return;
+    }
+    mPending = std::exchange(mFailed, std::nullopt);
+  }
+  mWake.notify_all();
+}
+
 void
 LearnedCosts::Run()
 {
@@ -64,8 +77,9 @@
     }
     const std::string text = *std::exchange(mPending, std::nullopt);
     lock.unlock();
-    Write(text);
+    const bool written = Write(text);
     lock.lock();
+    mFailed = written ? std::nullopt : std::optional(text);
   }
 }
 
--- a/src/nutmegrock/gateway/LearnedCosts.h
+++ b/src/nutmegrock/gateway/LearnedCosts.h
@@ -41,6 +41,9 @@
   /// Writes the state asynchronously, unless a newer one arrives before. Does
   /// not block.
   void Save(const LearnedState& aState);
+  /// Reports that the store answers again: a state whose write failed is
+  /// written again, unless a newer one was given since. Does not block.
+  void Retry();
 
 private:
   void Run();
@@ -57,6 +60,8 @@
   std::mutex mMutex;
   std::condition_variable mWake;
   std::optional<std::string> mPending;
+  /// The last state, if its write failed.
+  std::optional<std::string> mFailed;
   bool mStopping = false;
   std::thread mThread;
 };
--- a/src/nutmegrock/overload/SavedCosts.cpp
+++ b/src/nutmegrock/overload/SavedCosts.cpp
@@ -60,6 +60,13 @@
   mSavedAt = aNow;
 }
 
+void
+SavedCosts::OnLost()
+{
+  mSaved.clear();
+  mSavedDownstream.clear();
+}
+
 SavedCosts::Costs
 SavedCosts::CompleteCosts(const Costs& aCosts)
 {
--- a/src/nutmegrock/overload/SavedCosts.h
+++ b/src/nutmegrock/overload/SavedCosts.h
@@ -22,6 +22,8 @@
   void OnSaved(core::TimePoint aNow,
                Costs aCosts,
                DownstreamServices aDownstream = {});
+  /// The store may have lost what was written; it is due again.
+  void OnLost();
   /// Returns true if these differ enough from the saved ones to be written now.
   bool IsDue(core::TimePoint aNow,
              const Costs& aCosts,
--- a/src/nutmegrock/routes/RouteSync.cpp
+++ b/src/nutmegrock/routes/RouteSync.cpp
@@ -75,9 +75,11 @@
 RouteSync::RouteSync(std::shared_ptr<RouteStore> aStore,
                      RouteDecoder aDecoder,
                      ActiveRoutes& aActiveRoutes,
-                     Hooks aHooks)
+                     Hooks aHooks,
+                     int aWaitsPerRead)
   : mStore(std::move(aStore))
   , mHooks(std::move(aHooks))
+  , mWaitsPerRead(aWaitsPerRead)
   , mShared(new Shared{ std::move(aDecoder),
                         aActiveRoutes,
                         mHooks.mLog,
@@ -147,6 +149,8 @@
       }
       if (std::exchange(mRestart, false)) {
         mCursor = 0;
+        // The store has another address and may be another one.
+        mKnownCursor = 0;
         backoff = milliseconds(0);
       }
     }
@@ -165,6 +169,11 @@
   const milliseconds wait = WatchWait(mRank);
   const auto min_wait =
     std::chrono::duration_cast<milliseconds>(wait * kMinWaitShare);
+  const core::TimePoint now = core::Clock::now();
+  if (now - mLastRead >= mWaitsPerRead * wait) {
+    mCursor = 0;
+  }
+  mLastRead = mCursor == 0 ? now : mLastRead;
   auto stored = mCursor == 0
                   ? mStore->Read()
                   : mStore->WaitForChange(mCursor, Between(min_wait, wait));
@@ -187,20 +196,42 @@
     }
   }
   if (!stored) {
+    // The store may have lost writes before it answers again, and may have
+    // passed the cursor again by then. Only a read of the whole document finds
+    // what was published meanwhile.
+    mCursor = 0;
     return false;
   }
-  const bool watching = mCursor != 0;
-  mHistoryGone = mHistoryGone && !watching;
-  mCursor = stored->mCursor;
-  if (!stored->mDocument.empty()) {
-    mShared->Activate(stored->mDocument, "store");
-    if (watching) {
+  OnStored(*stored, mCursor != 0);
+  return true;
+}
+
+void
+RouteSync::OnStored(const StoredRoutes& aStored, bool aWatched)
+{
+  mHistoryGone = mHistoryGone && !aWatched;
+  const std::uint64_t known = std::exchange(mKnownCursor, aStored.mCursor);
+  mCursor = aStored.mCursor;
+  if (aStored.mCursor < known) {
+    mHooks.mLog(
+      fmt::format("event=store_rolled_back known={} now={} version_in_force={}",
+                  known,
+                  aStored.mCursor,
+                  mShared->mActiveRoutes.Version()));
+    // Changes up to the cursor of a watch were not reported.
+    mCursor = aWatched ? 0 : mCursor;
+    if (mHooks.mOnStoreRolledBack) {
+      mHooks.mOnStoreRolledBack();
+    }
+  }
+  if (!aStored.mDocument.empty()) {
+    mShared->Activate(aStored.mDocument, "store");
+    if (aWatched) {
       Pause(Between(milliseconds(0), kMaxWatchDelay));
     }
-  } else if (mCursor == 0) {
+  } else if (aStored.mCursor == 0) {
     Pause(kEmptyStoreDelay);
   }
-  return true;
 }
 
 void
--- a/src/nutmegrock/routes/RouteSync.h
+++ b/src/nutmegrock/routes/RouteSync.h
@@ -2,6 +2,7 @@
 
 #include "core/Address.h"
 #include "core/Error.h"
+#include "core/Time.h"
 #include "routes/ActiveRoutes.h"
 #include "routes/RouteStore.h"
 
@@ -36,16 +37,26 @@
     /// Called on the watch's thread when the store answers for the first time
     /// or again after a failure; may be empty.
     std::function<void()> mOnStoreRegained = {};
+    /// Called on the watch's thread when the store's history has become shorter
+    /// than this node knew it: the store lost what was written last. May be
+    /// empty.
+    std::function<void()> mOnStoreRolledBack = {};
   };
 
   /// Control request handled by HandlePull().
   static constexpr const char* kMethod = "routes.pull";
 
+  /// Instead of this many waits the whole document is read. A store that lost
+  /// writes may answer waits after a later position as if nothing had happened;
+  /// this takes 5% more calls.
+  static constexpr int kWaitsPerRead = 20;
+
   /// aActiveRoutes must outlive this object.
   RouteSync(std::shared_ptr<RouteStore> aStore,
             RouteDecoder aDecoder,
             ActiveRoutes& aActiveRoutes,
-            Hooks aHooks);
+            Hooks aHooks,
+            int aWaitsPerRead = kWaitsPerRead);
   RouteSync(const RouteSync&) = delete;
   RouteSync& operator=(const RouteSync&) = delete;
   /// Waits for a store call in progress.
@@ -77,6 +88,9 @@
   void Run();
   /// Returns false when the store failed.
   bool RunOnce();
+  /// Handles a response, whose position in the store's history is mCursor of
+  /// aStored. aWatched is false for a read of the whole document.
+  void OnStored(const StoredRoutes& aStored, bool aWatched);
   void Pause(std::chrono::milliseconds aTime);
   /// A random time in this range.
   std::chrono::milliseconds Between(std::chrono::milliseconds aLeast,
@@ -84,10 +98,16 @@
 
   const std::shared_ptr<RouteStore> mStore;
   const Hooks mHooks;
+  const int mWaitsPerRead;
   /// Kept alive by pull callbacks that run after this object is destroyed.
   std::shared_ptr<Shared> mShared;
   /// Used only by the thread. 0: read the whole document next.
   std::uint64_t mCursor = 0;
+  /// Time of the last read of the whole document; used only by the thread.
+  core::TimePoint mLastRead;
+  /// Last known position in the store's history, also while mCursor is 0; 0 for
+  /// none. Used only by the thread.
+  std::uint64_t mKnownCursor = 0;
   /// True from a lost history to the next successful wait; used only by the
   /// thread.
   bool mHistoryGone = false;
--- a/tests/gateway/LearnedCostsTest.cpp
+++ b/tests/gateway/LearnedCostsTest.cpp
@@ -82,6 +82,46 @@
   CHECK(WaitForRow(*table, EncodeLearned(kState)));
 }
 
+// Failure: the store loses the row, or has an older one whose version is given
+// out again.
+TEST_CASE("a row that the store has lost is written again")
+{
+  const auto table = std::make_shared<FakeTable>();
+  LearnedCosts learned(
+    table, "till", { [](const LearnedState&) {}, [](const std::string&) {} });
+  learned.Save(kState);
+  REQUIRE(WaitForRow(*table, EncodeLearned(kState)));
+  REQUIRE(table->Remove("costs/till").has_value());
+  learned.Save(kState);
+  CHECK(WaitForRow(*table, EncodeLearned(kState)));
+  table->Put("costs/till", "check 1o");
+  learned.Save(kState);
+  CHECK(WaitForRow(*table, EncodeLearned(kState)));
+}
+
+// Failure: the store is away when what was learned is due. Guards against a row
+// that stays missing until the costs change.
+TEST_CASE("a state whose write failed is written when the store answers again")
+{
+  const auto table = std::make_shared<FakeTable>();
+  std::promise<void> failed;
+  auto future = failed.get_future();
+  LearnedCosts learned(
+    table,
+    "till",
+    { [](const LearnedState&) {},
+      [&failed](const std::string&) { failed.set_value(); } });
+  table->mRefuseWrites = true;
+  learned.Save(kState);
+  REQUIRE(future.wait_for(std::chrono::seconds(2)) ==
+          std::future_status::ready);
+  table->mRefuseWrites = false;
+  // The failure is logged just before the state is kept.
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  learned.Retry();
+  CHECK(WaitForRow(*table, EncodeLearned(kState)));
+}
+
 TEST_CASE("an unreadable row is logged and ignored")
 {
   const auto table = std::make_shared<FakeTable>();
--- a/tests/overload/SavedCostsTest.cpp
+++ b/tests/overload/SavedCostsTest.cpp
@@ -40,6 +40,21 @@
   CHECK(saved.IsDue(later, { { "check", { {}, true, false } } }));
 }
 
+// Failure: the store loses what was written. Guards against a row that stays
+// missing until a cost changes.
+TEST_CASE("costs that the store may have lost are saved again")
+{
+  SavedCosts saved;
+  saved.OnSaved(
+    kStart, { { "check", Cost(0.3) } }, { { "check", "dispatch" } });
+  saved.OnLost();
+  const core::TimePoint later = kStart + std::chrono::seconds(20);
+  CHECK(saved.IsDue(later, { { "check", Cost(0.3) } }));
+  CHECK(saved.IsDue(later, {}, { { "check", "dispatch" } }));
+  // Nothing is known that could be saved.
+  CHECK(!saved.IsDue(later, {}));
+}
+
 TEST_CASE("a service that runs of a route call is saved when it changes")
 {
   SavedCosts saved;
--- a/tests/routes/RouteSyncTest.cpp
+++ b/tests/routes/RouteSyncTest.cpp
@@ -276,3 +276,159 @@
   CHECK(store->mReads >= 3);
   CHECK(store->mReads <= 6);
 }
+
+namespace {
+
+/// A store that can lose its last writes. Its history is one counter for all
+/// tables, so the counter grows also when the document stays as it is.
+class RollingBackStore final : public RouteStore
+{
+public:
+  core::Expected<StoredRoutes> Read() override
+  {
+    const std::lock_guard lock(mMutex);
+    if (mDown) {
+      return core::Fail(core::ErrorKind::StoreUnavailable, "down");
+    }
+    return StoredRoutes{ mDocument, mVersion };
+  }
+  core::Expected<StoredRoutes> WaitForChange(std::uint64_t aCursor,
+                                             std::chrono::milliseconds) override
+  {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    const std::lock_guard lock(mMutex);
+    ++mWaits;
+    if (mDown) {
+      return core::Fail(core::ErrorKind::StoreUnavailable, "down");
+    }
+    if (mGone && aCursor > mVersion) {
+      return core::Fail(core::ErrorKind::NotFound, "gone");
+    }
+    return StoredRoutes{ mChanged > aCursor ? mDocument : "",
+                         mRepeatsCursor ? std::max(mVersion, aCursor)
+                                        : mVersion };
+  }
+  /// Sets the state of the store; the document was written as aChanged.
+  void Set(const std::string& aDocument,
+           std::uint64_t aChanged,
+           std::uint64_t aVersion)
+  {
+    const std::lock_guard lock(mMutex);
+    mDocument = aDocument;
+    mChanged = aChanged;
+    mVersion = aVersion;
+  }
+  void WaitForCalls(int aCalls)
+  {
+    const int before = mWaits;
+    CHECK(WaitFor([&] { return mWaits >= before + aCalls; }));
+  }
+
+  /// Waits after a position beyond the end fail.
+  bool mGone = false;
+  /// Waits after a position beyond the end report that position.
+  bool mRepeatsCursor = false;
+  std::atomic<bool> mDown{ false };
+  std::atomic<int> mWaits{ 0 };
+
+private:
+  std::mutex mMutex;
+  std::string mDocument;
+  std::uint64_t mChanged = 0;
+  std::uint64_t mVersion = 0;
+};
+
+/// A watch of such a store that has the version 3 in force and knows the
+/// history up to 100.
+struct WatchedStore
+{
+  explicit WatchedStore(bool aGone = false, bool aRepeatsCursor = false)
+    : mWaitsPerRead(aRepeatsCursor ? 1 : RouteSync::kWaitsPerRead)
+  {
+    mStore->mGone = aGone;
+    mStore->mRepeatsCursor = aRepeatsCursor;
+    mStore->Set("3", 90, 100);
+    mSync.SetRank(0);
+    mSync.Start();
+    REQUIRE(WaitFor([&] { return mActive.Version() == 3; }));
+    mStore->WaitForCalls(2);
+  }
+
+  const int mWaitsPerRead;
+  const std::shared_ptr<RollingBackStore> mStore =
+    std::make_shared<RollingBackStore>();
+  ActiveRoutes mActive;
+  std::atomic<int> mRolledBack{ 0 };
+  RouteSync mSync{ mStore,
+                   DecodeNumber,
+                   mActive,
+                   { [](const core::Address&, const RouteSync::PullCallback&) {
+                    },
+                     [](const std::string&) {},
+                     {},
+                     [this] { ++mRolledBack; } },
+                   mWaitsPerRead };
+};
+
+} // namespace
+
+// Failure: the store loses what was written last, and its versions are given
+// out again. Guards against nodes that wait after a position that the store
+// passes only later, and miss what is published before.
+TEST_CASE("routes published after the store lost writes come into force")
+{
+  for (const bool gone : { false, true }) {
+    CAPTURE(gone);
+    WatchedStore watched(gone);
+    watched.mStore->Set("2", 50, 60);
+    CHECK(WaitFor([&] { return watched.mRolledBack == 1; }));
+    CHECK(watched.mActive.Version() == 3);
+    // Published as 61, while other rows were written.
+    watched.mStore->Set("4", 61, 70);
+    CHECK(WaitFor([&] { return watched.mActive.Version() == 4; }));
+    CHECK(watched.mRolledBack == 1);
+  }
+}
+
+// The same, when the first response after the loss comes later than the new
+// document.
+TEST_CASE("routes published between two calls to a rolled back store are found")
+{
+  WatchedStore watched;
+  watched.mStore->Set("4", 61, 70);
+  CHECK(WaitFor([&] { return watched.mActive.Version() == 4; }));
+  CHECK(watched.mRolledBack == 1);
+}
+
+// The same, when the store was away meanwhile and has passed the known position
+// again.
+TEST_CASE("routes published while the store was away are found")
+{
+  WatchedStore watched;
+  watched.mStore->mDown = true;
+  watched.mStore->WaitForCalls(1);
+  watched.mStore->Set("4", 61, 170);
+  watched.mStore->mDown = false;
+  CHECK(WaitFor([&] { return watched.mActive.Version() == 4; }));
+}
+
+// The same, when waits after the known position show nothing.
+TEST_CASE("a store that repeats a later position is read at intervals")
+{
+  WatchedStore watched(false, true);
+  watched.mStore->Set("4", 61, 70);
+  CHECK(WaitFor([&] { return watched.mActive.Version() == 4; }));
+  CHECK(watched.mRolledBack == 1);
+}
+
+// Guards against rows that all nodes write again although nothing is lost.
+TEST_CASE("a store that fails or has no history has not lost writes")
+{
+  WatchedStore watched;
+  watched.mStore->mDown = true;
+  watched.mStore->WaitForCalls(1);
+  watched.mStore->mDown = false;
+  watched.mStore->Set("4", 101, 101);
+  CHECK(WaitFor([&] { return watched.mActive.Version() == 4; }));
+  CHECK(watched.mRolledBack == 0);
+}
