--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -380,6 +380,15 @@
   mSavedCosts.OnSaved(core::Clock::now(), aState.mCosts, aState.mDownstream);
 }
 
+// The routes in force stay as they are, since their version only rises.
+void
+GatewayRuntime::Components::OnStoreRolledBack()
+{
+  mRegistry.CounterOf("nutmegrock_store_rollbacks_total", {}).Add();
+  mMembership->OnStoreChanged();
+  mSavedCosts.OnLost();
+}
+
 void
 GatewayRuntime::Components::SaveCosts(core::TimePoint aNow)
 {
--- a/src/nutmegrock/gateway/GatewayComponents.h
+++ b/src/nutmegrock/gateway/GatewayComponents.h
@@ -57,6 +57,8 @@
   void OpenAllowances();
   void OpenRoutes();
   void OpenLearnedCosts();
+  /// The store lost rows that this node may have written.
+  void OnStoreRolledBack();
 
   /// Handles a control request of another node.
   core::Expected<std::string> HandleControl(core::Incarnation aFrom,
--- a/src/nutmegrock/gateway/GatewayRoutes.cpp
+++ b/src/nutmegrock/gateway/GatewayRoutes.cpp
@@ -39,7 +39,13 @@
   };
   hooks.mLog = [](const std::string& aLine) { spdlog::info("{}", aLine); };
   hooks.mOnStoreRegained = [this] {
-    boost::asio::post(mIo, [this] { mMembership->OnStoreRegained(); });
+    boost::asio::post(mIo, [this] {
+      mMembership->OnStoreRegained();
+      mLearnedCosts->Retry();
+    });
+  };
+  hooks.mOnStoreRolledBack = [this] {
+    boost::asio::post(mIo, [this] { OnStoreRolledBack(); });
   };
   mRouteSync = std::make_unique<routes::RouteSync>(
     mPorts.mRoutes, mPorts.mDecodeRoutes, mRoutes, std::move(hooks));
