Free the slot of a response that its caller does not read

Cause: a call whose caller does not read its response held its slot of the backend server up to the time limit, and the system buffered megabytes of the response for each such connection.

Now a running call whose response was paused for 1 s ends while other calls wait for a slot; the caller's connection is closed, so that the response cannot appear complete. TCP_NOTSENT_LOWAT of the listening sockets bounds what the system holds to 128 KB besides the window of the caller.

--- a/src/nutmegrock/gateway/Serving.cpp
+++ b/src/nutmegrock/gateway/Serving.cpp
@@ -295,7 +295,7 @@
   Apply(mQueue.Tick(now));
   LimitRuns(now);
   Apply(mQueue.SetLost(now, CountLostCalls(now)));
-  EndStalledBodies(now);
+  EndStalledCalls(now);
   std::vector<std::shared_ptr<ServingCall>> expired;
   for (const auto& entry : mCalls) {
     if (entry.second->Deadline() <= now) {
@@ -308,20 +308,20 @@
 }
 
 void
-Serving::EndStalledBodies(core::TimePoint aNow)
+Serving::EndStalledCalls(core::TimePoint aNow)
 {
   if (mQueue.Waiting() == 0) {
     return;
   }
   std::vector<std::shared_ptr<ServingCall>> stalled;
   for (const auto& entry : mCalls) {
-    if (entry.second->IsBodyStalled(aNow)) {
+    if (entry.second->IsStalled(aNow)) {
       stalled.push_back(entry.second);
     }
   }
   for (const auto& call : stalled) {
     mComponents.mRegistry
-      .CounterOf("nutmegrock_bodies_stalled_total",
+      .CounterOf("nutmegrock_calls_stalled_total",
                  { { "route", call->Route() } })
       .Add();
     call->EndStalled();
--- a/src/nutmegrock/gateway/Serving.h
+++ b/src/nutmegrock/gateway/Serving.h
@@ -159,9 +159,9 @@
   const std::string& DownstreamOf(const std::string& aRoute);
   /// A run failed after it had made calls.
   void CountWastedCalls(const std::string& aRoute, double aCalls);
-  /// Ends running calls whose callers do not send their bodies while others
-  /// wait for a slot.
-  void EndStalledBodies(core::TimePoint aNow);
+  /// Ends running calls whose callers do not send their bodies or read their
+  /// responses while others wait for a slot.
+  void EndStalledCalls(core::TimePoint aNow);
   /// Updates the limits of runs that call other services.
   void LimitRuns(core::TimePoint aNow);
   void Remove(std::uint64_t aId);
--- a/src/nutmegrock/gateway/ServingCall.cpp
+++ b/src/nutmegrock/gateway/ServingCall.cpp
@@ -14,6 +14,10 @@
 /// Time without progress after which a body counts as stalled. It covers
 /// retransmissions of a caller at a distance of 50 ms.
 constexpr std::chrono::milliseconds kBodyStallTime{ 250 };
+/// Time after which a paused response counts as stalled. A pause ends when the
+/// caller has read some 64 KB, so a caller that reads 0.5 Mbit/s is not cut
+/// off.
+constexpr std::chrono::milliseconds kResponseStallTime{ 1'000 };
 /// Bytes of a body that count as progress, so that single bytes do not hold a
 /// slot.
 constexpr std::size_t kProgressBytes = std::size_t{ 4 } * 1024;
@@ -121,15 +125,26 @@
 }
 
 bool
-ServingCall::IsBodyStalled(core::TimePoint aNow) const
+ServingCall::IsStalled(core::TimePoint aNow) const
 {
-  return mState == State::Running && !mBodyEnded && Unsent() == 0 &&
-         aNow - mBodyAt >= kBodyStallTime;
+  if (mState != State::Running) {
+    return false;
+  }
+  const bool sends_nothing =
+    !mBodyEnded && Unsent() == 0 && aNow - mBodyAt >= kBodyStallTime;
+  const bool reads_nothing =
+    mPausedAt && aNow - *mPausedAt >= kResponseStallTime;
+  return sends_nothing || reads_nothing;
 }
 
 void
 ServingCall::PauseResponse(bool aPaused)
 {
+  if (!aPaused) {
+    mPausedAt.reset();
+  } else if (!mPausedAt) {
+    mPausedAt = mServing.mComponents.mNow();
+  }
   if (mBackend && mState == State::Running) {
     mBackend->PauseResponse(aPaused);
   }
@@ -206,7 +221,7 @@
   }
   Refuse(core::MarkPossiblyRun(
     core::MakeError(core::ErrorKind::QueueTimeout,
-                    "the body stalled while other calls waited for a slot")));
+                    "the caller stalled while other calls waited for a slot")));
 }
 
 void
--- a/src/nutmegrock/gateway/ServingCall.h
+++ b/src/nutmegrock/gateway/ServingCall.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -45,9 +46,10 @@
   void Refuse(const core::Error& aError);
   /// The deadline has passed.
   void Expire();
-  /// Returns true if the caller of a running call does not send its body, and
-  /// all that it has sent was passed on.
-  bool IsBodyStalled(core::TimePoint aNow) const;
+  /// Returns true if the caller of a running call does not send its body,
+  /// although all that it has sent was passed on, or does not read the
+  /// response.
+  bool IsStalled(core::TimePoint aNow) const;
   /// Ends the call for that reason.
   void EndStalled();
 
@@ -97,6 +99,8 @@
   /// then.
   core::TimePoint mBodyAt;
   std::size_t mBodyProgress = 0;
+  /// Since when the response is paused, if it is.
+  std::optional<core::TimePoint> mPausedAt;
   bool mBodyEnded = false;
   bool mGoodStatus = false;
 };
--- a/src/nutmegrock/proxy/HttpListener.cpp
+++ b/src/nutmegrock/proxy/HttpListener.cpp
@@ -1,6 +1,8 @@
 #include "proxy/HttpListener.h"
 
+#include <netinet/tcp.h>
 #include <spdlog/fmt/fmt.h>
+#include <sys/socket.h>
 #include <utility>
 #include <vector>
 
@@ -15,6 +17,9 @@
 /// Delay before accepting again after an error, such as running out of file
 /// descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 50 };
+/// Bytes of a response that the system may hold besides those in the window of
+/// the caller. Two of the largest writes, so that sending never pauses.
+constexpr int kMaxSystemUnsent = 128 * 1024;
 /// Part of the limit of memory, as a divisor, that is freed beyond it, so that
 /// the connections are not searched for each request.
 constexpr std::size_t kFreedDivisor = 10;
@@ -74,6 +79,13 @@
     mAcceptor.set_option(net::socket_base::reuse_address(true), code);
   }
   if (!code) {
+    // Without it the system buffers megabytes for a caller that does not read.
+    // A failure leaves that default.
+    setsockopt(mAcceptor.native_handle(),
+               IPPROTO_TCP,
+               TCP_NOTSENT_LOWAT,
+               &kMaxSystemUnsent,
+               sizeof kMaxSystemUnsent);
     mAcceptor.bind(endpoint, code);
   }
   if (!code) {
--- a/tests/adapter/standin/BackendServer.cpp
+++ b/tests/adapter/standin/BackendServer.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::chrono::milliseconds kStep{ 20 };
 constexpr double kStepSeconds = 0.005;
+constexpr std::size_t kLargeBytes = std::size_t{ 4 } * 1024 * 1024;
 
 std::int64_t
 TimeOfDayMs()
@@ -211,11 +212,13 @@
     status = Call(aRequest) == 200 ? 200 : 500;
     stays = !aConnection.IsGone();
   }
+  const bool is_large = aRequest.mSecond.rfind("/large/", 0) == 0;
   FreeSlot();
   return stays && aConnection.Send(ResponseText(
                     status,
                     Lines(id) + "Nutmegrock-Server-Seal: seal." + id + "\r\n",
-                    BodyText(id, mSettings.mService)));
+                    is_large ? std::string(kLargeBytes, 'x')
+                             : BodyText(id, mSettings.mService)));
 }
 
 } // namespace nutmegrock::tests::standin
--- a/tests/adapter/standin/BackendServer.h
+++ b/tests/adapter/standin/BackendServer.h
@@ -15,7 +15,7 @@
 
 /// A backend server beside a node. Queues what exceeds its slots, and drops a
 /// request whose connection closes. A request with the path /nested/ makes a
-/// call of its own through the node.
+/// call of its own through the node, and one with /large/ gets 4 MB.
 class BackendServer
 {
 public:
--- a/tests/clients/ClientsTest.cpp
+++ b/tests/clients/ClientsTest.cpp
@@ -324,6 +324,22 @@
   Play(OfMetrics(kManyOfNode), Upload("/metrics", 50'000, 1));
 }
 
+TEST_CASE("large responses that are not read")
+{
+  for (const std::size_t read : { 0, 2'000 }) {
+    CAPTURE(read);
+    Behaviour behaviour;
+    behaviour.mFirst = [](std::size_t aClient) {
+      return Head("GET", "/large/", fmt::format("l-{}", aClient), "");
+    };
+    behaviour.mReadBytes = read;
+    behaviour.mReconnects = true;
+    Setup setup;
+    setup.mSettleSeconds = 0.5;
+    Play(setup, behaviour);
+  }
+}
+
 TEST_CASE("bodies far over the limit")
 {
   Behaviour behaviour;
--- a/tests/clients/Site.cpp
+++ b/tests/clients/Site.cpp
@@ -66,7 +66,8 @@
                 "config",
                 standin::DocumentText(7,
                                       { { "/item/", "safe", { "till" } },
-                                        { "/photo/", "upload", { "till" } } }));
+                                        { "/photo/", "upload", { "till" } },
+                                        { "/large/", "safe", { "till" } } }));
   WriteSettings();
   StartNode(aDescriptors);
   standin::BackendServer::Settings server;
--- a/tests/gateway/PathTest.cpp
+++ b/tests/gateway/PathTest.cpp
@@ -1003,6 +1003,42 @@
   }
 }
 
+// Guards against the same with responses that their callers do not read.
+TEST_CASE("a response that is not read gives up its slot if other calls wait")
+{
+  constexpr std::size_t kBytes = std::size_t{ 32 } * 1024 * 1024;
+  Node node;
+  RawSocket client = ConnectTo(node, true);
+  client.Write(UploadHead(node, true, 5000, 0));
+  RawSocket download = node.Server().Accept();
+  download.ReadUntil("\r\n\r\n");
+  std::thread writer([&] {
+    download.TryWrite("HTTP/1.1 200 OK\r\nNutmegrock-Request: id-1\r\n"
+                      "Nutmegrock-Seal: s\r\nContent-Length: " +
+                        std::to_string(kBytes) + "\r\n\r\n" +
+                        std::string(kBytes, 'x'),
+                      milliseconds(3000));
+  });
+  std::this_thread::sleep_for(milliseconds(1300));
+  node.Do([&] { CHECK(node.ServingHalf().Queue().Running() == 1); });
+  std::vector<RawSocket> callers;
+  std::vector<RawSocket> servers;
+  for (int i = 0; i < TakenSlots::kRuns; ++i) {
+    callers.push_back(node.Connect());
+    callers.back().Write(Node::Request("pay"));
+    servers.push_back(node.Server().Accept());
+    servers.back().ReadUntil("\r\n\r\n");
+  }
+  for (int i = 0; i < TakenSlots::kRuns; ++i) {
+    servers[i].Write(kWhole);
+    CHECK(callers[i].ReadUntil("ok").starts_with("HTTP/1.1 200"));
+  }
+  const std::string text = client.ReadToEnd();
+  CHECK(text.starts_with("HTTP/1.1 200"));
+  CHECK(text.size() < kBytes);
+  writer.join();
+}
+
 // Guards against a connection that stays open and unread when the backend
 // server answers an upload early and reads no further.
 TEST_CASE("an upload that was answered early does not hold its connection")
