Move requests between zones by expected time and price

Requests left their zone from a load of 0.85 on, whatever time that saved and however large they were, and only those of routes with two services. Single calls left by loads in which zones without reports counted as idle, so equally full zones exchanged calls and downloads: most of the bytes between zones.

A request now leaves when its expected waiting time, from the loads and capacities of the services below its route, exceeds that in another zone plus the way there and its bytes counted as time (1.8 ms and 1 us per byte). The amount evens out the expected times, with regard to other zones that send to the same one and to what is not visible in the loads yet. Single calls leave for the same price. Zones without reports count as nearly as loaded as the known ones. Flows to a zone where most attempts fail end. A counter and a line a second show what leaves and why. The margin for single calls is not needed with a price.

--- a/src/nutmegrock/gateway/Entry.cpp
+++ b/src/nutmegrock/gateway/Entry.cpp
@@ -45,6 +45,9 @@
   , mSplitPicker(mSettings.mSelf.mBits)
   , mZoneTraffic(mComponents.mRegistry)
   , mPlacement(mComponents.mCosts, mComponents.mLoads)
+  , mZoneFlowLog(mComponents.mRegistry, [this](std::string_view aLine) {
+    mComponents.mLog.LogState(aLine);
+  })
 {
 }
 
@@ -72,6 +75,7 @@
   for (const auto& call : expired) {
     call->Expire();
   }
+  mZoneFlowLog.Tick(now, mPlacement);
 }
 
 void
--- a/src/nutmegrock/gateway/Entry.h
+++ b/src/nutmegrock/gateway/Entry.h
@@ -2,6 +2,7 @@
 
 #include "core/Incarnation.h"
 #include "gateway/Serving.h"
+#include "gateway/ZoneFlowLog.h"
 #include "gateway/ZoneTraffic.h"
 #include "overload/EntryAdmission.h"
 #include "overload/ZonePlacement.h"
@@ -86,6 +87,7 @@
   routes::SplitPicker mSplitPicker;
   ZoneTraffic mZoneTraffic;
   overload::ZonePlacement mPlacement;
+  ZoneFlowLog mZoneFlowLog;
   bool mRefusing = false;
   std::unordered_set<std::shared_ptr<EntryCall>> mCalls;
   /// Response counters by route and status, cached.
--- a/src/nutmegrock/gateway/EntryCall.cpp
+++ b/src/nutmegrock/gateway/EntryCall.cpp
@@ -66,7 +66,12 @@
   SetDeadline();
   mHash = core::HashOf(mExchange->Head().mRequestId);
   mZone = mEntry.mPlacement.Place(
-    mArrived, mRoute->mName, mHash, mEntry.mSettings.mZone);
+    mArrived,
+    { mRoute->mName, mHash, mNested, mExchange->Head().mLength },
+    mEntry.mSettings.mZone);
+  if (mZone != mEntry.mSettings.mZone) {
+    mEntry.mZoneFlowLog.CountMoved(mRoute->mName, mZone);
+  }
   if (!Admit()) {
     return;
   }
@@ -204,8 +209,13 @@
 EntryCall::SendAttempt()
 {
   const core::TimePoint now = mEntry.mComponents.mNow();
-  const auto choice =
-    mEntry.mRouter.Choose(now, mService, mHash, mZone, mTried);
+  const auto choice = mEntry.mRouter.Choose(
+    now,
+    mService,
+    mHash,
+    mZone,
+    mTried,
+    mEntry.mPlacement.PriceOf(mRoute->mName, mExchange->Head().mLength));
   if (!choice) {
     core::Error error = choice.error();
     // The service is in the routes but has no servers to try.
@@ -388,6 +398,12 @@
     mService, mChoice.mZone != mEntry.mSettings.mZone, mAttemptBytes);
   const core::TimePoint now = mEntry.mComponents.mNow();
   const bool healthy = aOutcome == routing::AttemptOutcome::Ok;
+  const bool has_failed = aOutcome == routing::AttemptOutcome::Failed ||
+                          aOutcome == routing::AttemptOutcome::TimedOut;
+  if (has_failed || healthy) {
+    mEntry.mPlacement.OnAttempt(
+      now, mRoute->mName, mChoice.mZone, mAttemptBytes, has_failed);
+  }
   mEntry.mRouter.OnEnd(
     now,
     mChoice.mIncarnation,
--- a/src/nutmegrock/gateway/RouterDefaults.h
+++ b/src/nutmegrock/gateway/RouterDefaults.h
@@ -14,9 +14,9 @@
   // Below this load of the local zone calls hardly wait, and traffic between
   // zones costs money.
   settings.mSpillBegin = 0.95;
-  // The remaining imbalance between zones is removed by placing whole requests,
-  // which cross zones once instead of with each call.
-  settings.mSpillMargin = 0.1;
+  // Whole requests leave earlier (ZonePlacement), and each call only for the
+  // price of its bytes.
+  settings.mSpillMargin = 0;
   // Servers of one service differ in speed by up to three times in both
   // deployments. A slower server still adds capacity, and its load shows how
   // much.
--- a/src/nutmegrock/routing/Router.cpp
+++ b/src/nutmegrock/routing/Router.cpp
@@ -83,7 +83,8 @@
                std::string_view aService,
                std::uint64_t aRequestHash,
                std::string_view aZone,
-               std::span<const core::Incarnation> aExcluded)
+               std::span<const core::Incarnation> aExcluded,
+               double aPrice)
 {
   const std::uint64_t key = core::HashOf(aService);
   Shard& shard = ShardOf(key);
@@ -94,7 +95,7 @@
                       fmt::format("no service \"{}\"", aService));
   }
   const auto choice =
-    found->second->Choose(aNow, aRequestHash, aZone, aExcluded);
+    found->second->Choose(aNow, aRequestHash, aZone, aExcluded, aPrice);
   if (!choice) {
     return core::Fail(
       core::ErrorKind::NoBackendServer,
--- a/src/nutmegrock/routing/Router.h
+++ b/src/nutmegrock/routing/Router.h
@@ -50,13 +50,15 @@
               const std::vector<Candidate>& aCandidates);
 
   /// The server for one attempt: the less loaded of the two ranked first by
-  /// weighted rendezvous hash of the request identity. Fails with
+  /// weighted rendezvous hash of the request identity. The request leaves the
+  /// zone aZone only if that is expected to save it aPrice seconds. Fails with
   /// UnknownService or NoBackendServer.
   core::Expected<Choice> Choose(core::TimePoint aNow,
                                 std::string_view aService,
                                 std::uint64_t aRequestHash,
                                 std::string_view aZone,
-                                std::span<const core::Incarnation> aExcluded);
+                                std::span<const core::Incarnation> aExcluded,
+                                double aPrice = 0);
 
   /// An attempt was sent to the server. aTypicalTime as in Ejection::OnStart().
   void OnStart(core::TimePoint aNow,
--- a/src/nutmegrock/routing/ServiceRouter.cpp
+++ b/src/nutmegrock/routing/ServiceRouter.cpp
@@ -23,6 +23,13 @@
 /// Capacity of a zone without servers, which prevents a division by zero; below
 /// that of one slot at the lowest speed.
 constexpr double kMinCapacity = 0.1;
+/// Load of a zone without a fresh report: this, or slightly less than that of
+/// the known zones if it is higher. A zone that is more loaded sends a few
+/// calls there, and their responses tell its load.
+constexpr double kUnknownLoad = 0.9;
+constexpr double kUnknownDifference = 0.03;
+/// Share of the slots of a zone that work as one pool; see ZonePlacement.
+constexpr double kPooledShare = 0.5;
 /// Maximum number of steps combined after a period without requests.
 constexpr double kMaxSpillSteps = 10;
 
@@ -223,12 +230,6 @@
   return std::min(aPermille / 1000.0, kMaxReported) * (1 - age);
 }
 
-double
-ServiceRouter::ReportedLoad(core::TimePoint aNow, std::size_t aIndex) const
-{
-  return ReportedShare(aNow, aIndex, mEntries[aIndex].mReportedPermille);
-}
-
 double
 ServiceRouter::LoadOf(core::TimePoint aNow, std::size_t aIndex) const
 {
@@ -267,6 +268,14 @@
     mZoneLoads[aFrom].mLoad - mZoneLoads[aZone].mLoad, 0.0, kMaxLoadDifference);
 }
 
+double
+ServiceRouter::ExpectedWait(const ZoneLoad& aZone) const
+{
+  return core::ExpectedWait(core::QueueingTime::Of(aZone.mSlots * kPooledShare),
+                            mTypicalSeconds)
+    .At(aZone.mLoad);
+}
+
 void
 ServiceRouter::UpdateZoneLoads(core::TimePoint aNow)
 {
@@ -280,10 +289,12 @@
       : std::min(kMaxSpillSteps,
                  static_cast<double>((aNow - mZoneLoadsAt) / kSpillInterval));
   mZoneLoadsAt = aNow;
+  mTypicalSeconds = std::chrono::duration<double>(mEjection.Median()).count();
   mZoneLoads.resize(mZones.size());
   for (ZoneLoad& zone : mZoneLoads) {
     zone.mCapacity = 0;
     zone.mUsed = 0;
+    zone.mSlots = 0;
   }
   double all_capacity = 0;
   double all_used = 0;
@@ -293,13 +304,32 @@
     if (!entry.mServing || entry.mEjected) {
       continue;
     }
-    const double used =
-      std::max(mEjection.InFlight(i) * entry.mWeight / entry.mSlots,
-               entry.mWeight * ReportedLoad(aNow, i));
+    ZoneLoad& zone = mZoneLoads[entry.mZone];
+    zone.mSlots += entry.mSlots;
+    const std::uint32_t in_flight = mEjection.InFlight(i);
+    const bool reported = entry.mReportedAt > aNow - mSettings.mReportLifetime;
+    if (!reported && in_flight == 0) {
+      // Nothing is known of its load.
+      continue;
+    }
+    const double load = std::max(
+      in_flight / entry.mSlots,
+      reported ? std::min(entry.mReportedPermille / 1000.0, kMaxReported) : 0);
     all_capacity += entry.mWeight;
-    all_used += used;
-    mZoneLoads[entry.mZone].mCapacity += entry.mWeight;
-    mZoneLoads[entry.mZone].mUsed += used;
+    all_used += entry.mWeight * load;
+    zone.mCapacity += entry.mWeight;
+    zone.mUsed += entry.mWeight * load;
+  }
+  const double unknown = std::max(
+    kUnknownLoad,
+    all_used / std::max(kMinCapacity, all_capacity) - kUnknownDifference);
+  for (ZoneLoad& zone : mZoneLoads) {
+    if (zone.mCapacity <= 0) {
+      zone.mCapacity = zone.mSlots;
+      zone.mUsed = unknown * zone.mSlots;
+      all_capacity += zone.mCapacity;
+      all_used += zone.mUsed;
+    }
   }
   const double all = all_used / std::max(kMinCapacity, all_capacity);
   for (ZoneLoad& zone : mZoneLoads) {
@@ -346,7 +376,8 @@
 ServiceRouter::Choose(core::TimePoint aNow,
                       std::uint64_t aRequestHash,
                       std::string_view aZone,
-                      std::span<const core::Incarnation> aExcluded)
+                      std::span<const core::Incarnation> aExcluded,
+                      double aPrice)
 {
   if (const auto probe = ChooseProbe(aNow, aExcluded)) {
     return MakeChoice(*probe, true);
@@ -368,8 +399,13 @@
   if (ranking.mOwnZone.mFirst == Best::kNone) {
     return MakeChoice(LessLoaded(aNow, ranking.mAll), false);
   }
-  const bool leaves = ranking.mOtherZones.mFirst != Best::kNone &&
-                      ToUnitInterval(Mix(aRequestHash)) < SpillShare(zone);
+  const bool leaves =
+    ranking.mOtherZones.mFirst != Best::kNone &&
+    ToUnitInterval(Mix(aRequestHash)) < SpillShare(zone) &&
+    (aPrice <= 0 ||
+     ExpectedWait(mZoneLoads[zone]) -
+         ExpectedWait(mZoneLoads[mEntries[ranking.mOtherZones.mFirst].mZone]) >=
+       aPrice);
   return MakeChoice(
     LessLoaded(aNow, leaves ? ranking.mOtherZones : ranking.mOwnZone), false);
 }
--- a/src/nutmegrock/routing/ServiceRouter.h
+++ b/src/nutmegrock/routing/ServiceRouter.h
@@ -2,6 +2,7 @@
 
 #include "core/Error.h"
 #include "core/Level.h"
+#include "core/QueueingTime.h"
 #include "routing/Candidate.h"
 #include "routing/Ejection.h"
 #include "routing/RouterSettings.h"
@@ -32,7 +33,8 @@
   std::optional<Choice> Choose(core::TimePoint aNow,
                                std::uint64_t aRequestHash,
                                std::string_view aZone,
-                               std::span<const core::Incarnation> aExcluded);
+                               std::span<const core::Incarnation> aExcluded,
+                               double aPrice = 0);
   void OnStart(core::TimePoint aNow,
                core::Incarnation aIncarnation,
                std::optional<core::Duration> aTypicalTime);
@@ -90,9 +92,14 @@
   /// Load of the servers in one availability zone.
   struct ZoneLoad
   {
+    double mSlots = 0;
+    /// Capacity of the servers of which the load is known, or of all if none
+    /// is.
     double mCapacity = 0;
     double mUsed = 0;
-    /// Used share of the capacity.
+    /// Used share of the capacity. The reported demand, not the occupancy: a
+    /// server may be crowded by calls that wait for a service below, and
+    /// leaving the zone does not help them.
     double mLoad = 0;
     /// Share of the requests that leaves the zone.
     double mSpill = 0;
@@ -123,10 +130,6 @@
   double ReportedShare(core::TimePoint aNow,
                        std::size_t aIndex,
                        std::uint32_t aPermille) const;
-  /// The reported demand. Used to compare zones: a server may be crowded by
-  /// calls that wait for a service below, and leaving the zone does not help
-  /// them.
-  double ReportedLoad(core::TimePoint aNow, std::size_t aIndex) const;
   /// Load for the comparison of two candidates.
   double LoadOf(core::TimePoint aNow, std::size_t aIndex) const;
   std::optional<std::size_t> ChooseProbe(
@@ -140,6 +143,8 @@
   double SpillShare(std::uint32_t aZone) const;
   /// Difference by which the zone is less loaded than aFrom, at least 0.
   double LoadDifference(std::uint32_t aZone, std::uint32_t aFrom) const;
+  /// Expected waiting time of a typical call in the zone, in seconds.
+  double ExpectedWait(const ZoneLoad& aZone) const;
   Choice MakeChoice(std::size_t aIndex, bool aProbe) const;
   /// Updates the ejection state and the ramp of an entry.
   void RefreshEntry(std::size_t aIndex);
@@ -158,6 +163,7 @@
   std::uint32_t mRequestsSinceProbe = 0;
   /// By index in mZones.
   std::vector<ZoneLoad> mZoneLoads;
+  double mTypicalSeconds = 0;
   core::TimePoint mZoneLoadsAt = core::TimePoint::min();
 };
 
--- a/tests/overload/ZonePlacementTest.cpp
+++ b/tests/overload/ZonePlacementTest.cpp
@@ -52,7 +52,7 @@
   }
   const std::string& Place(std::size_t aZone, std::string_view aRoute)
   {
-    return mEntries[aZone].Place(mNow, aRoute, mRandom(), kZones[aZone]);
+    return mEntries[aZone].Place(mNow, { aRoute, mRandom() }, kZones[aZone]);
   }
   /// Offers aDemand for the deep service to each zone for aTime. Loads are
   /// reported 500 ms later.
@@ -175,3 +175,99 @@
     CHECK(load < 1.0);
   }
 }
+
+namespace {
+
+/// A placement for a route with a single service, whose own zone is more loaded
+/// than the other.
+class TwoZones
+{
+public:
+  explicit TwoZones(double aOwnLoad = 1.0)
+  {
+    mCosts.Learn("lookup", { { { "stock", 0.02 } }, true, false });
+    mLoads.SetZones("stock", { { "a", 30 }, { "b", 30 } });
+    Run(aOwnLoad, 60, 4'000);
+  }
+  /// Share of the requests that leaves after aSteps of 50 ms.
+  double Run(double aOwnLoad, int aSteps, std::uint64_t aBytes)
+  {
+    int left = 0;
+    constexpr int kRequests = 100;
+    for (int i = 0; i < aSteps; ++i) {
+      mNow += milliseconds(50);
+      mPlacement.OnAttempt(mNow, "lookup", "a", aBytes, false);
+      mLoads.OnReport(mNow, { "stock", "a", aOwnLoad, kOpenRank, {} });
+      mLoads.OnReport(mNow, { "stock", "b", 0.6, kOpenRank, {} });
+      left = 0;
+      for (int n = 0; n < kRequests; ++n) {
+        left += Place(0) == "b" ? 1 : 0;
+      }
+    }
+    return static_cast<double>(left) / kRequests;
+  }
+  const std::string& Place(std::uint64_t aBodyBytes)
+  {
+    return mPlacement.Place(
+      mNow, { "lookup", mRandom(), false, aBodyBytes }, mOwn);
+  }
+  void Fail(int aAttempts)
+  {
+    for (int i = 0; i < aAttempts; ++i) {
+      mPlacement.OnAttempt(mNow, "lookup", "b", 0, true);
+    }
+  }
+  const ZonePlacement& Placement() const { return mPlacement; }
+
+private:
+  const std::string mOwn = "a";
+  RouteCosts mCosts;
+  ServiceLoads mLoads;
+  ZonePlacement mPlacement{ mCosts, mLoads };
+  std::mt19937_64 mRandom{ 5 };
+  core::TimePoint mNow = kStart;
+};
+
+} // namespace
+
+// Loads stay as they are here, so a flow that pays grows until all leave.
+// Guards against large bodies between zones for a short waiting time.
+TEST_CASE("requests with large bodies leave their zone last")
+{
+  TwoZones zones;
+  CHECK(zones.Run(1.0, 60, 4'000) > 0.3);
+  int large = 0;
+  for (int i = 0; i < 100; ++i) {
+    large += zones.Place(50'000'000) == "b" ? 1 : 0;
+  }
+  CHECK(large == 0);
+  // The responses become large.
+  CHECK(zones.Run(0.97, 100, 10'000'000) < 0.02);
+}
+
+// Reports of a zone may be fresh while the link to it fails. Guards against
+// requests that are sent there until the reports expire, and against a single
+// failure that has the same effect.
+TEST_CASE("requests are not placed in a zone where attempts fail")
+{
+  TwoZones zones;
+  const double before = zones.Run(1.0, 1, 4'000);
+  zones.Fail(1);
+  CHECK(zones.Run(1.0, 1, 4'000) > before / 2);
+  zones.Fail(30);
+  CHECK(zones.Run(1.0, 1, 4'000) < 0.05);
+  CHECK(zones.Run(1.0, 10, 4'000) < 0.05);
+  CHECK(zones.Run(1.0, 100, 4'000) > 0.3);
+}
+
+TEST_CASE("the flows tell what leaves and why")
+{
+  TwoZones zones;
+  const auto flows = zones.Placement().Flows(0.01);
+  REQUIRE(flows.size() == 1);
+  CHECK(flows[0].first == "lookup");
+  CHECK(flows[0].second.mZone == "b");
+  CHECK(flows[0].second.mService == "stock");
+  CHECK(flows[0].second.mOwnTime > flows[0].second.mOtherTime);
+  CHECK(TwoZones(0.7).Placement().Flows(0.01).empty());
+}
--- a/tests/routing/RouterTest.cpp
+++ b/tests/routing/RouterTest.cpp
@@ -499,3 +499,41 @@
   CHECK(to_full == 0);
   CHECK(to_room > 100);
 }
+
+// Guards against requests that leave a zone for one that is as loaded, because
+// nothing was known of it, and against large bodies that leave it to save less
+// time than they cost.
+TEST_CASE(
+  "requests leave for a zone that turns out less loaded, for their price")
+{
+  // Requests from a zone with a load of 1.01 that are sent to the other one,
+  // whose load shows in their responses.
+  const auto leaving = [](std::uint32_t aFarPermille, double aPrice) {
+    auto router = std::move(*Router::Create({}));
+    core::TimePoint now{ 1h };
+    router->Update(now,
+                   "deep",
+                   { Server(1, "a", CandidateState::Serving, 100),
+                     Server(2, "b", CandidateState::Serving, 100) });
+    int left = 0;
+    for (std::uint64_t i = 0; i < 800; ++i) {
+      now += std::chrono::milliseconds(5);
+      const auto choice =
+        router->Choose(now, "deep", HashOf(i), "a", {}, aPrice);
+      REQUIRE(choice.has_value());
+      left += choice->mZone == "b" ? 1 : 0;
+      core::CallFeedback feedback;
+      feedback.mLoadPermille = choice->mZone == "b" ? aFarPermille : 1010;
+      router->OnStart(now, choice->mIncarnation);
+      router->OnEnd(now,
+                    choice->mIncarnation,
+                    AttemptOutcome::Ok,
+                    std::chrono::milliseconds(20),
+                    &feedback);
+    }
+    return left;
+  };
+  CHECK(leaving(400, 0.004) > 200);
+  CHECK(leaving(1010, 0.004) < 40);
+  CHECK(leaving(400, 2) == 0);
+}
