--- a/src/nutmegrock/gateway/Entry.cpp
+++ b/src/nutmegrock/gateway/Entry.cpp
@@ -59,6 +59,9 @@
   , mSplitPicker(mSettings.mSelf.mBits)
   , mZoneTraffic(mComponents.mRegistry)
   , mPlacement(mComponents.mCosts, mComponents.mLoads)
+  , mZoneFlowLog(mComponents.mRegistry, [this](std::string_view aLine) {
+    mComponents.mLog.LogState(aLine);
+  })
 {
 }
 
@@ -86,6 +89,7 @@
   for (const auto& call : expired) {
     call->Expire();
   }
+  mZoneFlowLog.Tick(now, mPlacement);
 }
 
 void
--- a/src/nutmegrock/gateway/Entry.h
+++ b/src/nutmegrock/gateway/Entry.h
@@ -2,6 +2,7 @@
 
 #include "core/Incarnation.h"
 #include "gateway/Serving.h"
+#include "gateway/ZoneFlowLog.h"
 #include "gateway/ZoneTraffic.h"
 #include "overload/EntryAdmission.h"
 #include "overload/FairOrder.h"
@@ -107,6 +108,7 @@
   overload::PriorityOrder mOrder;
   /// Version of the routes that mOrder is for.
   std::uint64_t mOrderVersion = 0;
+  ZoneFlowLog mZoneFlowLog;
   bool mRefusing = false;
   std::unordered_set<std::shared_ptr<EntryCall>> mCalls;
   /// Response counters by route and status, cached.
--- a/src/nutmegrock/gateway/GatewayControl.cpp
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -172,8 +172,7 @@
   std::string text = fmt::format(
     "service {} zone {} incarnation {}\nroutes version {}\n"
     "store answering {}\nmembers {}\nserver {} running {} waiting "
-    "{} limit {} load {:.3f} work_time {}%
-    buffers {} of {} bytes ",
+    "{} limit {} load {:.3f} work_time {}%\nbuffers {} of {} bytes\n",
     mSettings.mService,
     mSettings.mAvailabilityZone,
     mSelf.ToString(),
