--- a/tests/adapter/TenantDocumentTest.cpp
+++ b/tests/adapter/TenantDocumentTest.cpp
@@ -3,6 +3,7 @@
 #include "platform/RouteDocument.h"
 
 #include <doctest/doctest.h>
+#include <spdlog/fmt/fmt.h>
 #include <string>
 
 using namespace nutmegrock;
@@ -79,7 +80,7 @@
          R"({"name":"bad","apiKeyDigests":["s3cret"]})",
        }) {
     CAPTURE(wrong);
-    const std::string list = "[" + good + "," + wrong + "]";
+    const std::string list = fmt::format("[{},{}]", good, wrong);
     // The same after the keys were replaced.
     for (const std::string& text :
          { DocumentWith(list), ReplaceKeys(DocumentWith(list)) }) {
--- a/tests/gateway/TenantPathTest.cpp
+++ b/tests/gateway/TenantPathTest.cpp
@@ -104,9 +104,9 @@
     RawSocket server = node.Server().Accept();
     const std::string head = server.ReadUntil("\r\n\r\n");
     CHECK(!Contains(head, "forged"));
-    CHECK(Contains(head, "Nutmegrock-Tenant: ") == (call.mTenant != ""));
+    CHECK(Contains(head, "Nutmegrock-Tenant: ") == !call.mTenant.empty());
     CHECK(Contains(head, "Nutmegrock-Tenant: acme; Inc.\r\n") ==
-          (call.mTenant != ""));
+          !call.mTenant.empty());
   }
 }
 
