--- a/src/nutmegrock/proxy/ServerConnection.h
+++ b/src/nutmegrock/proxy/ServerConnection.h
@@ -58,6 +58,8 @@
   void ParseInput();
   /// Returns true if the next request may begin now.
   bool CanBegin() const;
+  /// Counts a request that begins. Returns true if it was sent ahead.
+  bool CountAhead();
   void HoldUntil(core::TimePoint aTime);
   /// Reports the requests in flight behind the first to the listener.
   void CountPipelined();
