--- a/tests/clients/ClientsTest.cpp
+++ b/tests/clients/ClientsTest.cpp
@@ -391,6 +391,11 @@
   Play(OfMetrics(kManyOfNode), HalfHead());
 }
 
+TEST_CASE("more half heads than connections, with the usual descriptors")
+{
+  Play({ &Site::Caller, 1'500, kUsualDescriptors }, HalfHead());
+}
+
 TEST_CASE("heads that are sent very slowly")
 {
   Behaviour behaviour = Slow(HalfHead());
