--- a/tests/adapter/RouteDocumentTest.cpp
+++ b/tests/adapter/RouteDocumentTest.cpp
@@ -164,11 +164,11 @@
     { "odd", routes::RouteKind::NonIdempotent },
     { "", routes::RouteKind::NonIdempotent },
   };
-  for (const auto& [text, kind] : kinds) {
-    CAPTURE(text);
-    const auto source = DecodeRouteDocument(Replaced("unsafe", text));
+  for (const auto& entry : kinds) {
+    CAPTURE(entry.first);
+    const auto source = DecodeRouteDocument(Replaced("unsafe", entry.first));
     REQUIRE(source.has_value());
-    CHECK(source->mRoutes[0].mKind == kind);
+    CHECK(source->mRoutes[0].mKind == entry.second);
   }
 }
 
--- a/tests/proxy/MessageParserTest.cpp
+++ b/tests/proxy/MessageParserTest.cpp
@@ -169,11 +169,11 @@
     { "Authorization: Bearerk1\r\n", "" },
     { "Authorization: Bearer k1\r\nAuthorization: Bearer k1\r\n", "" },
   };
-  for (const auto& [lines, key] : cases) {
-    CAPTURE(lines);
+  for (const auto& entry : cases) {
+    CAPTURE(entry.first);
     RequestHead head;
-    head.mKeyLines = lines;
-    CHECK(TenantKeyOf(head, HeaderNames()) == key);
+    head.mKeyLines = entry.first;
+    CHECK(TenantKeyOf(head, HeaderNames()) == entry.second);
   }
 }
 
