Count no partial response as complete in the load tool

PooledClient reads on after a failed write, which has taken the reset from the socket, so a response without a length counted as complete, and the connection was reused.

Change: such a response is incomplete, and the connection is closed.

Measured, before: "a response that is reset during its upload is not counted" in test_experiment, 1 of 2 checks failed; after: passes.

--- a/experiment/PooledClient.cpp
+++ b/experiment/PooledClient.cpp
@@ -121,6 +121,7 @@
           self->Finish(aError);
           return;
         }
+        self->mWriteFailed = aError.failed();
         self->Read();
       });
   }
@@ -132,6 +133,11 @@
       mConnection->mBuffer,
       mParser,
       [self = shared_from_this()](beast::error_code aError, std::size_t) {
+        // The failed write has taken a reset from the socket, so that the read
+        // reports the end of the stream instead.
+        if (!aError && self->mWriteFailed && self->mParser.need_eof()) {
+          aError = http::error::partial_message;
+        }
         self->Finish(aError);
       });
   }
@@ -143,7 +149,8 @@
     result.mConnected = mConnected;
     if (!aError) {
       result.mResponse = mParser.release();
-      if (result.mResponse.keep_alive() && mRequest.keep_alive()) {
+      if (result.mResponse.keep_alive() && mRequest.keep_alive() &&
+          !mWriteFailed) {
         mConnection->mStream.expires_never();
         mClient->Return(mAddress, mConnection);
       } else {
@@ -165,6 +172,7 @@
   http::response_parser<http::string_body> mParser;
   bool mConnected = false;
   bool mCancelled = false;
+  bool mWriteFailed = false;
 };
 
 PooledClient::PooledClient(asio::io_context& aContext)
