--- a/src/nutmegrock/overload/ZonePlacement.cpp
+++ b/src/nutmegrock/overload/ZonePlacement.cpp
@@ -184,11 +184,9 @@
   return flows;
 }
 
-// Zones in which any service of the route has servers, and the own one.
+// Zones in which any service of the route has servers, the own one first.
 std::vector<ZonePlacement::ZoneState>
-ZonePlacement::ZoneStatesOf(core::TimePoint aNow,
-                            const RouteCost& aCost,
-                            std::string_view aOwnZone) const
+ZonePlacement::ZonesOf(const RouteCost& aCost, std::string_view aOwnZone) const
 {
   std::vector<ZoneState> states;
   states.push_back({ aOwnZone });
@@ -203,6 +201,15 @@
       }
     }
   }
+  return states;
+}
+
+std::vector<ZonePlacement::ZoneState>
+ZonePlacement::ZoneStatesOf(core::TimePoint aNow,
+                            const RouteCost& aCost,
+                            std::string_view aOwnZone) const
+{
+  std::vector<ZoneState> states = ZonesOf(aCost, aOwnZone);
   // The services with their waiting times in each zone.
   struct Part
   {
@@ -334,6 +341,21 @@
   return (low + high) / 2;
 }
 
+// The demand of a zone without servers is not known; all requests leave for
+// where there is room.
+double
+ZonePlacement::TargetWithoutServers(const Receiver& aReceiver,
+                                    double aMoved,
+                                    double aLeaving,
+                                    double aRoom)
+{
+  const double share = aReceiver.mFlow.mShare;
+  if (aMoved > 0) {
+    return share + (1 - aLeaving) * aMoved / aRoom;
+  }
+  return share * (1 + aMoved / aReceiver.mState.mCapacity);
+}
+
 void
 ZonePlacement::Update(core::TimePoint aNow,
                       const RouteCost& aCost,
@@ -383,17 +405,9 @@
     ZoneFlow& flow = receiver.mFlow;
     const double moved = receiver.RoomAt(time, mSettings.mNoise);
     flow.mVisible += visible * (flow.mShare - flow.mVisible);
-    double target = 0;
-    if (own.mCapacity > 0) {
-      target = flow.mVisible + moved / std::max(demand, 1e-9);
-    } else {
-      // Without servers the own zone's demand is not known; all requests leave
-      // for where there is room.
-      target = moved > 0 ? flow.mShare + (1 - leaving) * moved / room
-               : moved < 0
-                 ? flow.mShare * (1 + moved / receiver.mState.mCapacity)
-                 : flow.mShare;
-    }
+    const double target =
+      own.mCapacity > 0 ? flow.mVisible + moved / std::max(demand, 1e-9)
+                        : TargetWithoutServers(receiver, moved, leaving, room);
     flow.mShare += step * (std::clamp(target, 0.0, 1.0) - flow.mShare);
     if (flow.mShare < kMinShare && target <= flow.mShare) {
       continue;
--- a/src/nutmegrock/overload/ZonePlacement.h
+++ b/src/nutmegrock/overload/ZonePlacement.h
@@ -162,6 +162,8 @@
               std::string_view aOwnZone,
               bool aNested,
               Route& aRoute) const;
+  std::vector<ZoneState> ZonesOf(const RouteCost& aCost,
+                                 std::string_view aOwnZone) const;
   std::vector<ZoneState> ZoneStatesOf(core::TimePoint aNow,
                                       const RouteCost& aCost,
                                       std::string_view aOwnZone) const;
@@ -172,6 +174,13 @@
   /// The expected time at which the own zone and the receivers are even.
   double EvenTime(const ZoneState& aOwn,
                   const std::vector<Receiver>& aReceivers) const;
+  /// Share of the requests of a zone without servers that the receiver should
+  /// get. aMoved: work that it takes in addition; aRoom: that of all receivers;
+  /// aLeaving: share that leaves the zone.
+  static double TargetWithoutServers(const Receiver& aReceiver,
+                                     double aMoved,
+                                     double aLeaving,
+                                     double aRoom);
   bool HasFailed(core::TimePoint aNow, std::string_view aZone) const;
 
   const RouteCosts& mCosts;
