--- a/src/nutmegrock/overload/ZonePlacement.cpp
+++ b/src/nutmegrock/overload/ZonePlacement.cpp
@@ -373,9 +373,7 @@
   bool any = false;
   for (const Receiver& receiver : receivers) {
     leaving += receiver.mFlow.mShare;
-    any = any || receiver.mFlow.mShare > 0 ||
-          receiver.mFlow.mOwnTime - receiver.mFlow.mOtherTime >
-            receiver.mFlow.mPrice;
+    any = any || receiver.IsOfUse();
   }
   if (!any) {
     aRoute.mFlows.clear();
--- a/src/nutmegrock/overload/ZonePlacement.h
+++ b/src/nutmegrock/overload/ZonePlacement.h
@@ -142,6 +142,12 @@
     double mPresent = 0;
     bool mMayGrow = true;
 
+    /// Requests run there, or would end there sooner by more than the price.
+    bool IsOfUse() const
+    {
+      return mFlow.mShare > 0 ||
+             mFlow.mOwnTime - mFlow.mOtherTime > mFlow.mPrice;
+    }
     /// Additional work that it takes until its expected time is that; negative
     /// if it has to give some back.
     double RoomAt(double aTime, double aNoise) const;
--- a/src/nutmegrock/routing/ServiceRouter.cpp
+++ b/src/nutmegrock/routing/ServiceRouter.cpp
@@ -276,6 +276,14 @@
     .At(aZone.mLoad);
 }
 
+void
+ServiceRouter::AssumeLoad(double aKnown, ZoneLoad& aZone)
+{
+  aZone.mCapacity = aZone.mSlots;
+  aZone.mUsed =
+    aZone.mSlots * std::max(kUnknownLoad, aKnown - kUnknownDifference);
+}
+
 void
 ServiceRouter::UpdateZoneLoads(core::TimePoint aNow)
 {
@@ -292,9 +300,7 @@
   mTypicalSeconds = std::chrono::duration<double>(mEjection.Median()).count();
   mZoneLoads.resize(mZones.size());
   for (ZoneLoad& zone : mZoneLoads) {
-    zone.mCapacity = 0;
-    zone.mUsed = 0;
-    zone.mSlots = 0;
+    zone = ZoneLoad{ .mSpill = zone.mSpill };
   }
   double all_capacity = 0;
   double all_used = 0;
@@ -320,13 +326,10 @@
     zone.mCapacity += entry.mWeight;
     zone.mUsed += entry.mWeight * load;
   }
-  const double unknown = std::max(
-    kUnknownLoad,
-    all_used / std::max(kMinCapacity, all_capacity) - kUnknownDifference);
+  const double known = all_used / std::max(kMinCapacity, all_capacity);
   for (ZoneLoad& zone : mZoneLoads) {
     if (zone.mCapacity <= 0) {
-      zone.mCapacity = zone.mSlots;
-      zone.mUsed = unknown * zone.mSlots;
+      AssumeLoad(known, zone);
       all_capacity += zone.mCapacity;
       all_used += zone.mUsed;
     }
--- a/src/nutmegrock/routing/ServiceRouter.h
+++ b/src/nutmegrock/routing/ServiceRouter.h
@@ -143,6 +143,9 @@
   double SpillShare(std::uint32_t aZone) const;
   /// Difference by which the zone is less loaded than aFrom, at least 0.
   double LoadDifference(std::uint32_t aZone, std::uint32_t aFrom) const;
+  /// Sets the load of a zone of which no server has reported one. aKnown is the
+  /// mean load of the others.
+  static void AssumeLoad(double aKnown, ZoneLoad& aZone);
   /// Expected waiting time of a typical call in the zone, in seconds.
   double ExpectedWait(const ZoneLoad& aZone) const;
   Choice MakeChoice(std::size_t aIndex, bool aProbe) const;
