--- a/tests/gateway/PathTest.cpp
+++ b/tests/gateway/PathTest.cpp
@@ -12,7 +12,6 @@
 using namespace nutmegrock::gateway;
 using nutmegrock::tests::kWhole;
 using nutmegrock::tests::Node;
-using nutmegrock::tests::RawServer;
 using nutmegrock::tests::RawSocket;
 using std::chrono::milliseconds;
 
