--- a/tests/proxy/MessageParserTest.cpp
+++ b/tests/proxy/MessageParserTest.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/beast/http/error.hpp>
 #include <doctest/doctest.h>
+#include <initializer_list>
 #include <string>
+#include <string_view>
 #include <utility>
 
 using namespace nutmegrock::proxy;
@@ -228,6 +230,16 @@
   return accepted;
 }
 
+std::string
+Join(std::initializer_list<std::string_view> aTexts)
+{
+  std::string joined;
+  for (const std::string_view text : aTexts) {
+    joined += text;
+  }
+  return joined;
+}
+
 } // namespace
 
 // Guards against responses that are forwarded with a status that clients cannot
@@ -255,11 +267,9 @@
   const std::string lines[] = {
     "X-A : 1\r\n",
     "X A: 1\r\n",
-    "X\x01"
-    "A: 1\r\n",
-    "X\x7f"
-    "A: 1\r\n",
-    std::string("X\0A: 1\r\n", 9),
+    "X\001A: 1\r\n",
+    "X\177A: 1\r\n",
+    std::string("X\0A: 1\r\n", 8),
     "X\tA: 1\r\n",
     ": 1\r\n",
     " X-A: 1\r\n",
@@ -268,10 +278,8 @@
     "X-A: 1\r\n\t2\r\n",
     "X-A:\r\n 2\r\n",
     "X-A: 1\r\n \r\n",
-    "X-A: a\x01"
-    "b\r\n",
-    "X-A: a\x7f"
-    "b\r\n",
+    "X-A: a\001b\r\n",
+    "X-A: a\177b\r\n",
     "X-A: a\nX-B: b\r\n",
     "X-A: a\rX-B: b\r\n",
     std::string("X-A: a\0b\r\n", 10),
@@ -280,7 +288,7 @@
     CAPTURE(framing);
     for (const std::string& line : lines) {
       CAPTURE(line);
-      CHECK(IsRefused("HTTP/1.1 200 OK\r\n" + line + framing));
+      CHECK(IsRefused(Join({ "HTTP/1.1 200 OK\r\n", line, framing })));
     }
     CHECK(IsAccepted("HTTP/1.1 200 OK\r\nX-A: a\tb\xc3\xa9 \r\nX-B:\r\n" +
                      framing));
@@ -304,14 +312,16 @@
     CAPTURE(coding);
     const std::string line =
       "Transfer-Encoding: " + std::string(coding) + "\r\n";
-    CHECK(IsRefused("HTTP/1.1 200 OK\r\n" + line + chunks));
-    CHECK(IsRefused("HTTP/1.1 200 OK\r\n" + line + "\r\nabc"));
-    CHECK(
-      IsRefused("HTTP/1.1 200 OK\r\n" + line + "Content-Length: 3\r\n\r\nabc"));
-    CHECK(
-      IsRefused("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + line + "\r\nabc"));
-    CHECK(IsRefused("HTTP/1.1 200 OK\r\n" + line +
-                    "Transfer-Encoding: chunked\r\n" + chunks));
+    CHECK(IsRefused(Join({ "HTTP/1.1 200 OK\r\n", line, chunks })));
+    CHECK(IsRefused(Join({ "HTTP/1.1 200 OK\r\n", line, "\r\nabc" })));
+    CHECK(IsRefused(
+      Join({ "HTTP/1.1 200 OK\r\n", line, "Content-Length: 3\r\n\r\nabc" })));
+    CHECK(IsRefused(
+      Join({ "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n", line, "\r\nabc" })));
+    CHECK(IsRefused(Join({ "HTTP/1.1 200 OK\r\n",
+                           line,
+                           "Transfer-Encoding: chunked\r\n",
+                           chunks })));
   }
   const std::string chunked = "Transfer-Encoding: chunked\r\n";
   for (const std::string& lines :
@@ -324,8 +334,8 @@
          std::string("Content-Length: 3x\r\n"),
          std::string("Content-Length:\r\n") }) {
     CAPTURE(lines);
-    CHECK(IsRefused("HTTP/1.1 200 OK\r\n" + lines + chunks));
-    CHECK(IsRefused("HTTP/1.1 200 OK\r\n" + lines + "\r\nabc"));
+    CHECK(IsRefused(Join({ "HTTP/1.1 200 OK\r\n", lines, chunks })));
+    CHECK(IsRefused(Join({ "HTTP/1.1 200 OK\r\n", lines, "\r\nabc" })));
   }
   // Chunks are unknown in HTTP/1.0.
   CHECK(IsRefused("HTTP/1.0 200 OK\r\n" + chunked + chunks));
@@ -355,7 +365,8 @@
          std::string("Content-Length : 3\r\n") }) {
     CAPTURE(lines);
     for (const std::size_t piece : { 1U, 7U, 4096U }) {
-      CHECK(ParseIn<RequestParser>(begin + lines + chunks, piece).mFailed);
+      CHECK(
+        ParseIn<RequestParser>(Join({ begin, lines, chunks }), piece).mFailed);
     }
   }
   CHECK(ParseIn<RequestParser>("POST / HTTP/1.0\r\nTransfer-Encoding: chunked"
