--- a/tests/gateway/AllowanceExchangeTest.cpp
+++ b/tests/gateway/AllowanceExchangeTest.cpp
@@ -11,7 +11,6 @@
 
 using namespace nutmegrock;
 using namespace nutmegrock::gateway;
-using nutmegrock::tests::kWhole;
 using nutmegrock::tests::MakeRoutes;
 using nutmegrock::tests::Node;
 using nutmegrock::tests::RawSocket;
