--- a/src/nutmegrock/store/http/StoreClient.cpp
+++ b/src/nutmegrock/store/http/StoreClient.cpp
@@ -1,10 +1,10 @@
 #include "store/http/StoreClient.h"
 
 #include "core/Address.h"
+#include "transport/http/HeaderRules.h"
 
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
-#include <cctype>
 #include <cpprest/http_client.h>
 #include <future>
 #include <mutex>
@@ -40,14 +40,6 @@
   return found == aResponse.headers().end() ? "" : found->second;
 }
 
-bool
-IsTokenCharacter(char aCharacter)
-{
-  return std::isalnum(static_cast<unsigned char>(aCharacter)) != 0 ||
-         std::string_view("!#$%&'*+-.^_`|~").find(aCharacter) !=
-           std::string_view::npos;
-}
-
 /// Throws if the head is not that of a valid response, or does not tell the end
 /// of its body clearly. The HTTP library accepts any status, header names with
 /// other characters, codings that it does not know, and a length that is no
@@ -64,8 +56,7 @@
   }
   const auto& headers = aResponse.headers();
   for (const auto& [name, value] : headers) {
-    if (name.empty() ||
-        !std::all_of(name.begin(), name.end(), IsTokenCharacter)) {
+    if (!transport::http::IsToken(name)) {
       throw std::runtime_error("a header name of the response is not valid");
     }
   }
