--- a/tests/adapter/NoticesTest.cpp
+++ b/tests/adapter/NoticesTest.cpp
@@ -2,6 +2,8 @@
 
 #include <cpprest/json.h>
 #include <doctest/doctest.h>
+#include <random>
+#include <vector>
 
 using namespace nutmegrock;
 using namespace nutmegrock::platform;
@@ -186,6 +188,83 @@
         LeaveNotice{ "i-7f/a", 0 });
 }
 
+// Guards against one notice of another writer ending the process: an exception
+// from a surrogate pair that is none reached the event loop.
+TEST_CASE("a notice with an invalid surrogate pair is refused")
+{
+  for (const std::string text : { R"(\ud800\u0041)",
+                                  R"(\ud800\ud800)",
+                                  R"(\udbff\ue000)",
+                                  R"(\ud83d\u0000)",
+                                  R"(\ud800\uzzzz)",
+                                  R"(\ud800\u)" }) {
+    CAPTURE(text);
+    std::vector<std::string> bodies{ R"({")" + text + R"(":1})",
+                                     R"({"born":17,"x":")" + text + R"("})",
+                                     R"({"born":17,"x":[[")" + text +
+                                       R"("]]})" };
+    for (const std::string field :
+         { "\"s\"", "\"z\"", "\"v1\"", "\"draining\"" }) {
+      std::string body = kBody;
+      body.replace(body.find(field), field.size(), "\"" + text + "\"");
+      bodies.push_back(std::move(body));
+    }
+    for (const std::string& body : bodies) {
+      CAPTURE(body);
+      for (const std::string& target : { kTarget, kLeave }) {
+        core::Expected<gateway::ServerNotice> notice = LeaveNotice{};
+        CHECK_NOTHROW(notice = DecodeNotice({ "POST", target, body }));
+        REQUIRE(!notice.has_value());
+        CHECK(notice.error().mKind == core::ErrorKind::BadRequest);
+      }
+    }
+  }
+  std::string body = kBody;
+  body.replace(body.find("\"s\""), 3, R"("\ud83d\ude00")");
+  const auto notice = DecodeNotice({ "POST", kTarget, body });
+  REQUIRE(notice.has_value());
+  CHECK(std::get<announce::Announcement>(*notice).mService ==
+        "\xf0\x9f\x98\x80");
+}
+
+// Guards against any other notice of another writer that ends the process by an
+// exception.
+TEST_CASE("no change of the text of a notice makes its decoder throw")
+{
+  constexpr int kRuns = 20'000;
+  const std::vector<std::string> pieces{
+    R"(\u)", R"(\ud800)", R"(\udfff)", R"(\u0041)", R"(\)", "\"",
+    "{",     "}",         "[",         "]",         ":",    ",",
+    "-",     "1e999",     "null",      "0041",      "\xff", "\xed\xa0\x80",
+    "\r\n",  "%",         "&",         "%e9%zz",    "="
+  };
+  std::mt19937_64 random(1);
+  const auto below = [&random](std::size_t aCount) {
+    return std::uniform_int_distribution<std::size_t>(0, aCount - 1)(random);
+  };
+  for (int run = 0; run < kRuns; ++run) {
+    const bool is_target = below(4) == 0;
+    std::string text = is_target ? kTarget : kBody;
+    for (std::size_t changes = 1 + below(3); changes > 0; --changes) {
+      std::string inserted;
+      for (std::size_t count = 1 + below(3); count > 0; --count) {
+        inserted += pieces[below(pieces.size())];
+      }
+      text.replace(below(text.size() + 1), below(4), inserted);
+    }
+    CAPTURE(text);
+    core::Expected<gateway::ServerNotice> notice = LeaveNotice{};
+    REQUIRE_NOTHROW(notice = is_target
+                               ? DecodeNotice({ "POST", text, kBody })
+                               : DecodeNotice({ "POST", kTarget, text }));
+    if (!notice) {
+      const core::ErrorKind kind = notice.error().mKind;
+      REQUIRE((kind == core::ErrorKind::BadRequest ||
+               kind == core::ErrorKind::NotFound));
+    }
+  }
+}
+
 // Guards against header lines of another writer's choice in requests to the
 // backend server: the identity of a notice is sent in a header.
 TEST_CASE("an identity that cannot be sent in a header is refused")
--- a/tests/adapter/RouteDocumentTest.cpp
+++ b/tests/adapter/RouteDocumentTest.cpp
@@ -79,6 +79,22 @@
   }
 }
 
+// Guards against one document of the operator ending all nodes: an exception
+// from a surrogate pair that is none reached the threads that read the
+// document.
+TEST_CASE("a document with an invalid surrogate pair is refused")
+{
+  for (const char* place :
+       { "r-1", "x.example", "/health", "/p/", "maxBodyBytes" }) {
+    CAPTURE(place);
+    const std::string text = Replaced(place, R"(\ud800\u0041)");
+    core::Expected<routes::RouteSetSource> source = routes::RouteSetSource{};
+    CHECK_NOTHROW(source = DecodeRouteDocument(text));
+    REQUIRE(!source.has_value());
+    CHECK(source.error().mKind == core::ErrorKind::InvalidProfiles);
+  }
+}
+
 // Guards against one route that takes all the others out of force, against a
 // request of that route that is told that nothing is there, and against one
 // that runs on the route of a shorter prefix.
--- a/tests/adapter/RowStoreTest.cpp
+++ b/tests/adapter/RowStoreTest.cpp
@@ -169,6 +169,33 @@
         routes::StoredRoutes{ "", 13 });
 }
 
+// Guards against one response of the store, or one document in it, ending the
+// process: an exception from a surrogate pair that is none reached the thread
+// that reads the store.
+TEST_CASE("a response with an invalid surrogate pair is a failed read")
+{
+  const std::string invalid = R"({"version":"\ud800\u0041","tenants":[]})";
+  const std::string base64 = utility::conversions::to_base64(
+    std::vector<unsigned char>(invalid.begin(), invalid.end()));
+  ScriptedServer server(
+    { { MakeResponse("200 OK", RowsOf("Nw==", 10)) },
+      { MakeResponse("200 OK", RowsOf(base64, 11)) },
+      { MakeResponse("200 OK",
+                     R"({"rows":[{"key":"\ud800\u0041"}],"ver":12})") },
+      { MakeResponse("200 OK", RowsOf("OA==", 13)) } });
+  const auto store = *RowStore::Make(server.Url());
+  CHECK(store->Read() == routes::StoredRoutes{ "7", 10 });
+  core::Expected<routes::StoredRoutes> stored;
+  CHECK_NOTHROW(stored =
+                  store->WaitForChange(10, std::chrono::milliseconds(10)));
+  CHECK(stored == routes::StoredRoutes{ invalid, 11 });
+  CHECK_NOTHROW(stored =
+                  store->WaitForChange(11, std::chrono::milliseconds(10)));
+  REQUIRE(!stored.has_value());
+  CHECK(stored.error().mKind == core::ErrorKind::StoreUnavailable);
+  CHECK(store->Read() == routes::StoredRoutes{ "8", 13 });
+}
+
 // Guards against keys of tenants that reach other nodes with the document.
 TEST_CASE("the store's document is handed on without keys")
 {
