A backend notice with an invalid surrogate pair is refused by the node with profiles

What callers would see: "announce" or "report" of a backend server with such a text ends the process of `nutmegrock node`. By reading: CallingSide::Notify() runs in the event loop, where nothing catches the exception; not played with a process.

The overload of web::json::value::parse() with an error code throws std::range_error, too, so Announcement::Parse() and LoadReport::Parse() threw instead of failing with BadRequest.

--- a/src/nutmegrock/node/BackendNotices.cpp
+++ b/src/nutmegrock/node/BackendNotices.cpp
@@ -1,6 +1,6 @@
 #include "node/BackendNotices.h"
+#include "core/Json.h"
 
-#include <cpprest/json.h>
 #include <spdlog/fmt/fmt.h>
 
 namespace nutmegrock::node {
@@ -12,9 +12,8 @@
 core::Expected<web::json::value>
 ParseObject(const std::string& aJson)
 {
-  std::error_code code;
-  web::json::value value = web::json::value::parse(aJson, code);
-  if (code || !value.is_object()) {
+  auto value = core::ParseJson(aJson);
+  if (!value || !value->is_object()) {
     return core::Fail(core::ErrorKind::BadRequest,
                       "the notice is not a JSON object");
   }
