A settle response is read within the limits of its length

What a node would see: a settle response of some 30 bytes from another node whose list names 10,000,000 headers takes 781 MB in the event loop (x86_64). Where that memory is not there, std::bad_alloc ends the process.

Cause: DecodeSettle() reads without limits on strings and lists, unlike the other decoders of messages between nodes, and caught apache::thrift::TException only. It was found by looking for handlers that take fewer types than a library throws, as in ParseJson().

Change: no string and no list may be longer than the message. All exceptions are reported as ProtocolError.

--- a/src/nutmegrock/once/SettleCodec.cpp
+++ b/src/nutmegrock/once/SettleCodec.cpp
@@ -45,9 +45,11 @@
     const auto buffer = std::make_shared<TMemoryBuffer>(
       reinterpret_cast<std::uint8_t*>(copy.data()),
       static_cast<std::uint32_t>(copy.size()));
-    TCompactProtocol protocol(buffer);
+    // Each character and each item takes at least one byte of the message.
+    const auto limit = static_cast<std::int32_t>(copy.size());
+    TCompactProtocol protocol(buffer, limit, limit);
     reply.read(&protocol);
-  } catch (const apache::thrift::TException& error) {
+  } catch (const std::exception& error) {
     return core::Fail(core::ErrorKind::ProtocolError, error.what());
   }
   if (reply.state < 0 ||
