--- a/tests/adapter/NoticesTest.cpp
+++ b/tests/adapter/NoticesTest.cpp
@@ -188,8 +188,8 @@
         LeaveNotice{ "i-7f/a", 0 });
 }
 
-// Guards against one notice of another writer ending the process: an exception
-// from a surrogate pair that is none reached the event loop.
+// Guards against one notice of another writer ending the process: the library's
+// exception for an invalid surrogate pair reached the event loop.
 TEST_CASE("a notice with an invalid surrogate pair is refused")
 {
   for (const std::string text : { R"(\ud800\u0041)",
--- a/tests/adapter/RouteDocumentTest.cpp
+++ b/tests/adapter/RouteDocumentTest.cpp
@@ -79,9 +79,8 @@
   }
 }
 
-// Guards against one document of the operator ending all nodes: an exception
-// from a surrogate pair that is none reached the threads that read the
-// document.
+// Guards against one document of the operator ending all nodes: the library's
+// exception for an invalid surrogate pair reached the threads that read it.
 TEST_CASE("a document with an invalid surrogate pair is refused")
 {
   for (const char* place :
--- a/tests/adapter/RowStoreTest.cpp
+++ b/tests/adapter/RowStoreTest.cpp
@@ -170,8 +170,8 @@
 }
 
 // Guards against one response of the store, or one document in it, ending the
-// process: an exception from a surrogate pair that is none reached the thread
-// that reads the store.
+// process: the library's exception for an invalid surrogate pair reached the
+// thread that reads the store.
 TEST_CASE("a response with an invalid surrogate pair is a failed read")
 {
   const std::string invalid = R"({"version":"\ud800\u0041","tenants":[]})";
--- a/tests/node/BackendNoticesTest.cpp
+++ b/tests/node/BackendNoticesTest.cpp
@@ -12,8 +12,8 @@
   CHECK(LoadReport::Parse(R"({"in_use":0,"waiting":7})") == LoadReport{ 0, 7 });
 }
 
-// Guards against one notice ending the process: an exception from a surrogate
-// pair that is none reached the event loop.
+// Guards against one notice ending the process: the library's exception for an
+// invalid surrogate pair reached the event loop.
 TEST_CASE("a backend notice that is not a JSON object is refused")
 {
   for (const std::string text : { "",
