--- a/tests/once/SettleCodecTest.cpp
+++ b/tests/once/SettleCodecTest.cpp
@@ -38,7 +38,7 @@
 // of headers it does not hold, or ends the process when there is not enough.
 TEST_CASE("a settle response with a count beyond its length is refused")
 {
-  constexpr long kMaxGrowth = 64 * 1024;
+  constexpr long kMaxGrowth = 65536;
   const std::string bytes =
     EncodeSettle({ SettleState::Done,
                    std::make_shared<const Outcome>(
