Tests: the scripted store sleeps without its mutex

Cause: a race in the test, not in the product. ScriptedStore slept for 5 ms with its mutex locked and locked it again at once for the next call. A mutex is not fair, so the thread of the test waited for it without end.

Evidence: gdb on the hanging program shows the thread of the watch in ScriptedStore::Next(), asleep, and the test in the lock of mMutex.

The checks are unchanged. The other sleeps in tests/, standins/ and experiment/ were searched for the same; there was none.

--- a/tests/routes/RouteSyncTest.cpp
+++ b/tests/routes/RouteSyncTest.cpp
@@ -20,14 +20,15 @@
 public:
   core::Expected<StoredRoutes> Read() override
   {
-    const std::lock_guard lock(mMutex);
-    ++mReads;
+    {
+      const std::lock_guard lock(mMutex);
+      ++mReads;
+    }
     return Next();
   }
   core::Expected<StoredRoutes> WaitForChange(std::uint64_t,
                                              std::chrono::milliseconds) override
   {
-    const std::lock_guard lock(mMutex);
     return Next();
   }
 
@@ -38,13 +39,17 @@
 private:
   core::Expected<StoredRoutes> Next()
   {
-    if (mResponses.empty()) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(5));
-      return StoredRoutes{ "", 99 };
+    {
+      const std::lock_guard lock(mMutex);
+      if (!mResponses.empty()) {
+        auto response = mResponses.front();
+        mResponses.pop_front();
+        return response;
+      }
     }
-    auto response = mResponses.front();
-    mResponses.pop_front();
-    return response;
+    // With the mutex locked, the thread of the test might never get it.
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    return StoredRoutes{ "", 99 };
   }
 };
 
