Tests: the scripted store counts reads in an atomic instead of a mutex

Change: mReads is atomic, as in ForgetfulStore of the same file; the mutex and its nested blocks are gone. mResponses is filled before the watch starts. The checks are the same.

--- a/tests/routes/RouteSyncTest.cpp
+++ b/tests/routes/RouteSyncTest.cpp
@@ -20,10 +20,7 @@
 public:
   core::Expected<StoredRoutes> Read() override
   {
-    {
-      const std::lock_guard lock(mMutex);
-      ++mReads;
-    }
+    ++mReads;
     return Next();
   }
   core::Expected<StoredRoutes> WaitForChange(std::uint64_t,
@@ -32,22 +29,18 @@
     return Next();
   }
 
-  std::mutex mMutex;
+  /// Not to be changed while a watch runs.
   std::deque<core::Expected<StoredRoutes>> mResponses;
-  int mReads = 0;
+  std::atomic<int> mReads{ 0 };
 
 private:
   core::Expected<StoredRoutes> Next()
   {
-    {
-      const std::lock_guard lock(mMutex);
-      if (!mResponses.empty()) {
-        auto response = mResponses.front();
-        mResponses.pop_front();
-        return response;
-      }
+    if (!mResponses.empty()) {
+      auto response = mResponses.front();
+      mResponses.pop_front();
+      return response;
     }
-    // With the mutex locked, the thread of the test might never get it.
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
     return StoredRoutes{ "", 99 };
   }
@@ -235,10 +228,7 @@
   CHECK(WaitFor([&] { return active.Version() == 3; }));
   CHECK(store->mReads == 1);
   sync.Restart();
-  CHECK(WaitFor([&] {
-    const std::lock_guard lock(store->mMutex);
-    return store->mReads == 2;
-  }));
+  CHECK(WaitFor([&] { return store->mReads == 2; }));
 }
 
 namespace {
