Show how far a node is behind the operator's routes

Neither log nor metrics told whether a node that handles requests by an old version had not heard of the newer one (H1, H3) or had heard and not got it (H2). Version in force, highest version heard of, failed pulls and the time since the store's last response are metrics and in /status, and event=routes_in_force has the time since the node first knew of a higher version. No decision is changed.

--- a/src/nutmegrock/gateway/GatewayControl.cpp
+++ b/src/nutmegrock/gateway/GatewayControl.cpp
@@ -169,14 +169,17 @@
 GatewayRuntime::Components::StatusText() const
 {
   const core::TimePoint now = core::Clock::now();
+  const auto progress = mRouteSync->ProgressAt(now);
   std::string text = fmt::format(
-    "service {} zone {} incarnation {}\nroutes version {}\n"
+    "service {} zone {} incarnation {}\nroutes version {} heard {} age {} ms\n"
     "store answering {}\nmembers {}\nserver {} running {} waiting "
     "{} limit {} load {:.3f} work_time {}%\nbuffers {} of {} bytes\n",
     mSettings.mService,
     mSettings.mAvailabilityZone,
     mSelf.ToString(),
     mRoutes.Version(),
+    progress.mHeardVersion,
+    progress.mAge.count(),
     mRouteSync->IsStoreReachable(),
     mMembership->View()->Alive(),
     announce::NameOf(mServing->Server().Phase(now)),
@@ -223,6 +226,12 @@
   set("nutmegrock_connections_reused_total", mPool->Counts().mReused);
   set("nutmegrock_connect_failed_total", mPool->Counts().mConnectFailed);
   set("nutmegrock_stray_answers_total", mPool->Counts().mUnexpectedResponses);
+  const auto progress = mRouteSync->ProgressAt(core::Clock::now());
+  set("nutmegrock_routes_version", progress.mVersion);
+  set("nutmegrock_routes_version_heard", progress.mHeardVersion);
+  set("nutmegrock_routes_pulls_failed_total", progress.mFailedPulls);
+  set("nutmegrock_routes_age_ms",
+      static_cast<std::uint64_t>(progress.mAge.count()));
   set("nutmegrock_log_lines_dropped_total", mLog.Dropped());
   set("nutmegrock_bad_requests_total", mCallerListener->BadRequests());
   set("nutmegrock_requests_held_back_total",
--- a/src/nutmegrock/routes/RouteSync.cpp
+++ b/src/nutmegrock/routes/RouteSync.cpp
@@ -3,6 +3,7 @@
 #include "routes/WatchWait.h"
 
 #include <algorithm>
+#include <optional>
 #include <spdlog/fmt/fmt.h>
 #include <utility>
 
@@ -34,9 +35,13 @@
   RouteDecoder mDecoder;
   ActiveRoutes& mActiveRoutes;
   std::function<void(const std::string&)> mLog;
-  mutable std::mutex mMutex;
-  std::string mDocument;
+  mutable std::mutex mMutex = {};
+  std::string mDocument = {};
   std::uint64_t mDocumentVersion = 0;
+  std::uint64_t mHeardVersion = 0;
+  /// Since when a version higher than the one in force is known of.
+  std::optional<core::TimePoint> mBehindSince = std::nullopt;
+  std::uint64_t mFailedPulls = 0;
   bool mPulling = false;
   bool mEnded = false;
 
@@ -55,6 +60,7 @@
                        mActiveRoutes.Version()));
       return;
     }
+    milliseconds behind{ 0 };
     {
       const std::lock_guard lock(mMutex);
       if (mEnded || (*set)->Version() <= mDocumentVersion) {
@@ -62,12 +68,21 @@
       }
       mDocument = aDocument;
       mDocumentVersion = (*set)->Version();
+      if (mBehindSince) {
+        behind = std::chrono::duration_cast<milliseconds>(core::Clock::now() -
+                                                          *mBehindSince);
+      }
+      if (mDocumentVersion >= mHeardVersion) {
+        mBehindSince.reset();
+      }
     }
     if (mActiveRoutes.Activate(*set)) {
-      mLog(fmt::format("event=routes_in_force version={} routes={} from={}",
+      mLog(fmt::format("event=routes_in_force version={} routes={} from={} "
+                       "behind_ms={}",
                        (*set)->Version(),
                        (*set)->Routes().size(),
-                       aFrom));
+                       aFrom,
+                       behind.count()));
     }
   }
 };
@@ -80,14 +95,7 @@
   : mStore(std::move(aStore))
   , mHooks(std::move(aHooks))
   , mWaitsPerRead(aWaitsPerRead)
-  , mShared(new Shared{ std::move(aDecoder),
-                        aActiveRoutes,
-                        mHooks.mLog,
-                        {},
-                        {},
-                        0,
-                        false,
-                        false })
+  , mShared(new Shared{ std::move(aDecoder), aActiveRoutes, mHooks.mLog })
 {
 }
 
@@ -195,6 +203,9 @@
       mHooks.mOnStoreRegained();
     }
   }
+  if (stored) {
+    mAnsweredAt = core::Clock::now();
+  }
   if (!stored) {
     // The store may have lost writes before it answers again, and may have
     // passed the cursor again by then. Only a read of the whole document finds
@@ -239,7 +250,14 @@
 {
   {
     const std::lock_guard lock(mShared->mMutex);
-    if (mShared->mPulling || aVersion <= mShared->mDocumentVersion) {
+    mShared->mHeardVersion = std::max(mShared->mHeardVersion, aVersion);
+    if (aVersion <= mShared->mDocumentVersion) {
+      return;
+    }
+    if (!mShared->mBehindSince) {
+      mShared->mBehindSince = core::Clock::now();
+    }
+    if (mShared->mPulling) {
       return;
     }
     mShared->mPulling = true;
@@ -250,6 +268,7 @@
                  {
                    const std::lock_guard lock(shared->mMutex);
                    shared->mPulling = false;
+                   shared->mFailedPulls += aText ? 0 : 1;
                    if (shared->mEnded) {
                      return;
                    }
@@ -265,6 +284,17 @@
                });
 }
 
+RouteSync::Progress
+RouteSync::ProgressAt(core::TimePoint aNow) const
+{
+  const std::lock_guard lock(mShared->mMutex);
+  return { mShared->mDocumentVersion,
+           mShared->mHeardVersion,
+           mShared->mFailedPulls,
+           std::chrono::duration_cast<milliseconds>(aNow -
+                                                    mAnsweredAt.load()) };
+}
+
 core::Expected<std::string>
 RouteSync::HandlePull() const
 {
--- a/src/nutmegrock/routes/RouteSync.h
+++ b/src/nutmegrock/routes/RouteSync.h
@@ -43,6 +43,22 @@
     std::function<void()> mOnStoreRolledBack = {};
   };
 
+  /// How far this node follows the operator.
+  struct Progress
+  {
+    /// Version in force; 0 for none.
+    std::uint64_t mVersion = 0;
+    /// Highest version that any other node has named; 0 for none.
+    std::uint64_t mHeardVersion = 0;
+    /// Requests for the routes of other nodes that failed.
+    std::uint64_t mFailedPulls = 0;
+    /// Time since the store last answered this node; since the start if it has
+    /// not.
+    std::chrono::milliseconds mAge{ 0 };
+
+    bool operator==(const Progress&) const = default;
+  };
+
   /// Control request handled by HandlePull().
   static constexpr const char* kMethod = "routes.pull";
 
@@ -75,6 +91,7 @@
   void OnVersionSeen(const core::Address& aFrom, std::uint64_t aVersion);
   /// The document in force. Fails with NoProfiles.
   core::Expected<std::string> HandlePull() const;
+  Progress ProgressAt(core::TimePoint aNow) const;
   /// True if the last call to the store succeeded.
   bool IsStoreReachable() const { return mStoreReachable; }
 
@@ -112,6 +129,7 @@
   /// thread.
   bool mHistoryGone = false;
   std::mt19937_64 mRandom{ std::random_device{}() };
+  std::atomic<core::TimePoint> mAnsweredAt{ core::Clock::now() };
   std::atomic<bool> mStoreReachable{ false };
   std::atomic<std::size_t> mRank{ kInitialRank };
   std::mutex mMutex;
