Soak: nodes that fail together with a silence of the connections to the store

The disturbance silent_group silences all open connections to the store while a drawn group of nodes, half of the time those of the lowest ranks, is killed, paused or has no store, and changes the routes 1 to 6 s later. Each version adds a route of its own, and each node is asked for it 2.02 s after the acknowledgement.

--- a/tests/soak/Faults.cpp
+++ b/tests/soak/Faults.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdio>
+#include <future>
 #include <spdlog/fmt/fmt.h>
 #include <utility>
 
@@ -40,6 +42,7 @@
     { "store_slow", &Soak::StoreSlow, true },
     { "store_silent", &Soak::StoreSilent, true },
     { "store_refuses", &Soak::StoreRefuses, true },
+    { "silent_group", &Soak::SilentGroup, true },
     { "replace_server", &Soak::ReplaceServer, true },
     { "drain_server", &Soak::DrainServer, true },
     { "slow_servers", &Soak::SlowServers, false },
@@ -239,10 +242,56 @@
 Soak::WriteDocument()
 {
   mVersion += 1 + static_cast<int>(Draw(std::size_t{ 3 }));
+  MarkVersion();
   Document document{ mVersion, Now(), 0, mExtraRoutes };
   mStore->Write("op", "config", standin::DocumentText(mVersion, Routes()));
   document.mAcknowledgedAt = Now();
   mLedger.Add(document);
+  CheckVersion();
+}
+
+void
+Soak::MarkVersion()
+{
+  constexpr int kKept = 12;
+  mExtraRoutes[fmt::format("/mark-{}/", mVersion)] = { "till" };
+  std::erase_if(mExtraRoutes, [this](const auto& aRoute) {
+    int version = 0;
+    return std::sscanf(aRoute.first.c_str(), "/mark-%d/", &version) == 1 &&
+           version < mVersion - kKept;
+  });
+}
+
+void
+Soak::CheckVersion()
+{
+  // From the acknowledgement, and a little for the driver itself.
+  constexpr double kDue = 2.02;
+  constexpr double kPatience = 2.5;
+  At(Now() + kDue, [this, path = fmt::format("/mark-{}/", mVersion)] {
+    for (std::size_t i = 0; i < mNodes.size() && !mIsOver; ++i) {
+      mTasks.push_back(std::async(std::launch::async, [this, i, path] {
+        standin::RequestSettings request;
+        request.mId = fmt::format("m{}.{}{}", mSettings.mSeed, i, path);
+        request.mPath = path;
+        Probe probe{ i, path, Now(), 0, 0, {} };
+        const int fd = standin::Connection::Open(mNodes[i]->mMachine->Caller());
+        if (fd < 0) {
+          return;
+        }
+        standin::Connection connection(fd);
+        standin::Message answer;
+        if (connection.Send(standin::RequestText(request)) &&
+            connection.Read(answer, Now() + kPatience) ==
+              standin::ReadEnd::Complete) {
+          probe.mEndedAt = Now();
+          probe.mStatus = answer.Status();
+          probe.mService = standin::ServiceOf(answer, request.mId);
+          mLedger.Add(probe);
+        }
+      }));
+    }
+  });
 }
 
 void
@@ -308,6 +357,91 @@
   mLedger.OfStore().Add(Now(), Now());
 }
 
+std::string
+Soak::IncarnationOf(std::size_t aNode)
+{
+  const int fd = standin::Connection::Open(mNodes[aNode]->mMachine->Metrics());
+  if (fd < 0) {
+    return {};
+  }
+  standin::Connection connection(fd);
+  standin::Message answer;
+  connection.Send("GET /status HTTP/1.1\r\nHost: n\r\n\r\n");
+  if (connection.Read(answer, Now() + 0.2) != standin::ReadEnd::Complete) {
+    return {};
+  }
+  const std::string name = "incarnation ";
+  const std::size_t at = answer.mBody.find(name);
+  return at == std::string::npos
+           ? ""
+           : answer.mBody.substr(at + name.size(),
+                                 answer.mBody.find('\n', at) - at -
+                                   name.size());
+}
+
+std::vector<std::size_t>
+Soak::DrawGroup()
+{
+  std::vector<std::pair<std::string, std::size_t>> order;
+  for (std::size_t i = 0; i < mNodes.size(); ++i) {
+    order.emplace_back(IncarnationOf(i), i);
+  }
+  if (Draw(std::size_t{ 2 }) == 0) {
+    std::sort(order.begin(), order.end());
+  } else {
+    std::shuffle(order.begin(), order.end(), mRandom);
+  }
+  order.resize(1 + Draw(mNodes.size() - 1));
+  std::vector<std::size_t> group;
+  for (const auto& [incarnation, node] : order) {
+    if (mNodes[node]->mPhase == Phase::Running &&
+        !mNodes[node]->mDisturbedSince.has_value()) {
+      group.push_back(node);
+    }
+  }
+  return group;
+}
+
+// All connections to the store go silent while some nodes fail together, as
+// in the outage of a zone; routes change when the others are in touch again.
+void
+Soak::SilentGroup()
+{
+  constexpr double kFirstChange = 1;
+  constexpr double kLastChange = 6;
+  if (mStoreDisturbed) {
+    return;
+  }
+  const std::vector<std::size_t> group = DrawGroup();
+  const double until = Now() + Draw(4, 9);
+  const std::size_t kind = Draw(std::size_t{ 3 });
+  for (const std::size_t node : group) {
+    BeginDisturbance(node);
+    if (kind == 0) {
+      Stop(node, SIGKILL);
+      mNodes[node]->mRestartAfter = until - Now();
+    } else if (kind == 1) {
+      mNodes[node]->mMachine->Signal(SIGSTOP);
+    } else {
+      mStore->Set(node, standin::Store::State::Down);
+    }
+    if (kind != 0) {
+      At(until, [this, node, kind] {
+        if (kind == 1) {
+          mNodes[node]->mMachine->Signal(SIGCONT);
+        } else {
+          mStore->Set(node, standin::Store::State::Up);
+        }
+        EndDisturbance(node);
+      });
+    }
+  }
+  mStoreDisturbed = true;
+  At(until, [this] { mStoreDisturbed = false; });
+  StoreSilent();
+  At(Now() + Draw(kFirstChange, kLastChange), [this] { Documents(); });
+}
+
 void
 Soak::StoreRefuses()
 {
--- a/tests/soak/Machine.cpp
+++ b/tests/soak/Machine.cpp
@@ -128,7 +128,7 @@
                 Ready().ToString(),
                 Notices().ToString(),
                 Peer().ToString(),
-                Address(30).ToString(),
+                Metrics().ToString(),
                 Store().ToString());
   std::ofstream(mSettings) << text.substr(0, aBytes);
 }
--- a/tests/soak/Machine.h
+++ b/tests/soak/Machine.h
@@ -42,6 +42,7 @@
   core::Address Notices() const { return Address(6); }
   core::Address Store() const { return Address(9); }
   core::Address Peer() const { return Address(20); }
+  core::Address Metrics() const { return Address(30); }
 
 private:
   const std::string mIp;
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -74,6 +74,8 @@
     bool mHoldAddress = false;
     bool mStartChecked = false;
     int mServers = 0;
+    /// In the order of which the nodes rank themselves; empty until known.
+    std::string mIncarnation;
   };
   struct Fault
   {
@@ -109,7 +111,14 @@
   void WatchReadiness();
   void DisturbStore(standin::Store::State aState);
   void WriteDocument();
+  /// Adds a route that only this and later versions have.
+  void MarkVersion();
+  /// Asks each node for the marked route once the version has to be in force.
+  void CheckVersion();
   void ChangeRoutes();
+  /// Number of nodes that fail together, and which of them.
+  std::vector<std::size_t> DrawGroup();
+  std::string IncarnationOf(std::size_t aNode);
   std::vector<standin::RouteSettings> Routes() const;
 
   void Terminate();
@@ -130,6 +139,7 @@
   void StoreSlow() { DisturbStore(standin::Store::State::Slow); }
   void StoreSilent();
   void StoreRefuses();
+  void SilentGroup();
   void ReplaceServer();
   void DrainServer();
   void SlowServers();
@@ -148,6 +158,8 @@
   std::vector<std::future<void>> mTasks;
   std::map<std::string, std::vector<std::string>> mExtraRoutes;
   std::size_t mManyRoutes = 0;
+  /// Path that the newest version has added.
+  std::string mMark;
   int mVersion = 7;
   bool mIsStorm = false;
   bool mStoreDisturbed = false;
