Read the routes when no other node has confirmed them for a while

Cause: that a node is in time depended on other nodes. When the open connections to the store go silent, only the two nodes of the lowest rank looked at the store soon enough, and the others followed them. If these failed at about the same time, nobody looked for 2.1 to 25 s; ranks follow views that are up to 13 s late, and a node that moved up ended the wait that it had begun.

In the model of the spread the rule by rank is later than two seconds if the first 6 of 15 nodes fail.

Why it works: each node whose routes nobody has confirmed for 0.6 to 1.2 s reads the store on a new connection, which cannot have gone silent. A confirmation is passed on by gossip, and the ages at which nodes read are drawn so that few of any number read (docs/design/config-spread.md). No node is needed for another to be in time.

RowStoreTest and the tests of a store that goes back keep their bounds and lose only the call that set the rank. The backoff of a failing watch is at most 1 s instead of 1.5 s, so that a read lost just before the store recovers and the pause after it end within three seconds.

--- a/src/nutmegrock/gateway/GatewayComponents.cpp
+++ b/src/nutmegrock/gateway/GatewayComponents.cpp
@@ -334,6 +334,18 @@
                                  std::uint64_t aVersion) {
     mRouteSync->OnVersionSeen(aFrom, aVersion);
   };
+  hooks.mProfileAge = [this]() -> std::optional<membership::ProfileAge> {
+    const auto last = mRouteSync->LastConfirmation();
+    if (!last) {
+      return std::nullopt;
+    }
+    return membership::ProfileAge{ last->mStoreMs,
+                                   std::chrono::ceil<milliseconds>(
+                                     core::Clock::now() - last->mAt) };
+  };
+  hooks.mOnProfileAge = [this](const membership::ProfileAge& aAge) {
+    mRouteSync->OnConfirmed({ core::Clock::now() - aAge.mAge, aAge.mStoreMs });
+  };
   hooks.mOnViewChanged = [this](const membership::MemberViewPtr& aView) {
     boost::asio::post(mIo, [this, aView] { OnView(aView); });
   };
@@ -430,7 +442,7 @@
   mCandidateUpdater->Apply(*aView, core::Clock::now(), WallClockMs());
   mAllowance.SetNodes(aView->Alive());
   mServices = aView->mByService.size();
-  mRouteSync->SetRank(aView->RankOf(mSelf));
+  mRouteSync->SetNodes(aView->Alive());
   mTenantAllowances->OnView(*aView, mMembership->HasJoined());
   // One node of each service writes the costs. While views differ two nodes may
   // write, which the store's versions make safe.
--- a/src/nutmegrock/gateway/GatewayRoutes.cpp
+++ b/src/nutmegrock/gateway/GatewayRoutes.cpp
@@ -47,6 +47,9 @@
   hooks.mOnStoreRolledBack = [this] {
     boost::asio::post(mIo, [this] { OnStoreRolledBack(); });
   };
+  hooks.mOnConfirmed = [this] {
+    boost::asio::post(mIo, [this] { mMembership->NotifyAge(); });
+  };
   mRouteSync = std::make_unique<routes::RouteSync>(
     mPorts.mRoutes, mPorts.mDecodeRoutes, mRoutes, std::move(hooks));
 }
--- a/src/nutmegrock/gen/membership_types.cpp
+++ b/src/nutmegrock/gen/membership_types.cpp
@@ -580,6 +580,16 @@
   this->changes = val;
 __isset.changes = true;
 }
+
+void WireDatagram::__set_profile_age_ms(const int32_t val) {
+  this->profile_age_ms = val;
+__isset.profile_age_ms = true;
+}
+
+void WireDatagram::__set_store_ms(const int64_t val) {
+  this->store_ms = val;
+__isset.store_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const WireDatagram& obj)
 {
   obj.printTo(out);
@@ -716,6 +726,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->profile_age_ms);
+          this->__isset.profile_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_ms);
+          this->__isset.store_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -794,6 +820,16 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.profile_age_ms) {
+    xfer += oprot->writeFieldBegin("profile_age_ms", ::apache::thrift::protocol::T_I32, 13);
+    xfer += oprot->writeI32(this->profile_age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.store_ms) {
+    xfer += oprot->writeFieldBegin("store_ms", ::apache::thrift::protocol::T_I64, 14);
+    xfer += oprot->writeI64(this->store_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -813,6 +849,8 @@
   swap(a.negative, b.negative);
   swap(a.wants_record, b.wants_record);
   swap(a.changes, b.changes);
+  swap(a.profile_age_ms, b.profile_age_ms);
+  swap(a.store_ms, b.store_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -829,6 +867,8 @@
   negative = other14.negative;
   wants_record = other14.wants_record;
   changes = other14.changes;
+  profile_age_ms = other14.profile_age_ms;
+  store_ms = other14.store_ms;
   __isset = other14.__isset;
 }
 WireDatagram::WireDatagram(WireDatagram&& other15) noexcept {
@@ -844,6 +884,8 @@
   negative = other15.negative;
   wants_record = other15.wants_record;
   changes = std::move(other15.changes);
+  profile_age_ms = other15.profile_age_ms;
+  store_ms = other15.store_ms;
   __isset = other15.__isset;
 }
 WireDatagram& WireDatagram::operator=(const WireDatagram& other16) {
@@ -859,6 +901,8 @@
   negative = other16.negative;
   wants_record = other16.wants_record;
   changes = other16.changes;
+  profile_age_ms = other16.profile_age_ms;
+  store_ms = other16.store_ms;
   __isset = other16.__isset;
   return *this;
 }
@@ -875,6 +919,8 @@
   negative = other17.negative;
   wants_record = other17.wants_record;
   changes = std::move(other17.changes);
+  profile_age_ms = other17.profile_age_ms;
+  store_ms = other17.store_ms;
   __isset = other17.__isset;
   return *this;
 }
@@ -893,6 +939,8 @@
   out << ", " << "negative="; (__isset.negative ? (out << to_string(negative)) : (out << "<null>"));
   out << ", " << "wants_record="; (__isset.wants_record ? (out << to_string(wants_record)) : (out << "<null>"));
   out << ", " << "changes="; (__isset.changes ? (out << to_string(changes)) : (out << "<null>"));
+  out << ", " << "profile_age_ms="; (__isset.profile_age_ms ? (out << to_string(profile_age_ms)) : (out << "<null>"));
+  out << ", " << "store_ms="; (__isset.store_ms ? (out << to_string(store_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/nutmegrock/gen/membership_types.h
+++ b/src/nutmegrock/gen/membership_types.h
@@ -219,7 +219,7 @@
 std::ostream& operator<<(std::ostream& out, const WireChange& obj);
 
 typedef struct _WireDatagram__isset {
-  _WireDatagram__isset() : kind(false), incarnation(false), refutation(false), record_version(false), profile_version(false), sequence(false), target(false), target_ip(false), target_port(false), negative(false), wants_record(false), changes(false) {}
+  _WireDatagram__isset() : kind(false), incarnation(false), refutation(false), record_version(false), profile_version(false), sequence(false), target(false), target_ip(false), target_port(false), negative(false), wants_record(false), changes(false), profile_age_ms(false), store_ms(false) {}
   bool kind :1;
   bool incarnation :1;
   bool refutation :1;
@@ -232,6 +232,8 @@
   bool negative :1;
   bool wants_record :1;
   bool changes :1;
+  bool profile_age_ms :1;
+  bool store_ms :1;
 } _WireDatagram__isset;
 
 class WireDatagram : public virtual ::apache::thrift::TBase {
@@ -252,7 +254,9 @@
                  target_ip(),
                  target_port(0),
                  negative(0),
-                 wants_record(0) {
+                 wants_record(0),
+                 profile_age_ms(0),
+                 store_ms(0) {
   }
 
   virtual ~WireDatagram() noexcept;
@@ -268,6 +272,8 @@
   bool negative;
   bool wants_record;
   std::vector<WireChange>  changes;
+  int32_t profile_age_ms;
+  int64_t store_ms;
 
   _WireDatagram__isset __isset;
 
@@ -295,6 +301,10 @@
 
   void __set_changes(const std::vector<WireChange> & val);
 
+  void __set_profile_age_ms(const int32_t val);
+
+  void __set_store_ms(const int64_t val);
+
   bool operator == (const WireDatagram & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -331,6 +341,14 @@
       return false;
     else if (__isset.changes && !(changes == rhs.changes))
       return false;
+    if (__isset.profile_age_ms != rhs.__isset.profile_age_ms)
+      return false;
+    else if (__isset.profile_age_ms && !(profile_age_ms == rhs.profile_age_ms))
+      return false;
+    if (__isset.store_ms != rhs.__isset.store_ms)
+      return false;
+    else if (__isset.store_ms && !(store_ms == rhs.store_ms))
+      return false;
     return true;
   }
   bool operator != (const WireDatagram &rhs) const {
--- a/src/nutmegrock/membership/Actions.h
+++ b/src/nutmegrock/membership/Actions.h
@@ -5,6 +5,7 @@
 #include "membership/Message.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
   std::vector<Outgoing> mDatagrams;
   std::vector<ControlRequest> mRequests;
   std::vector<NewerVersion> mNewerVersions;
+  /// As told by a member that has no higher profile version than this node.
+  std::optional<ProfileAge> mProfileAge;
   /// Members removed after the retention time of dead members, whose seed rows
   /// this node removes.
   std::vector<MemberPtr> mRowsToRemove;
--- a/src/nutmegrock/membership/Codec.cpp
+++ b/src/nutmegrock/membership/Codec.cpp
@@ -4,6 +4,7 @@
 #include "membership_types.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <chrono>
 #include <limits>
 #include <memory>
 #include <spdlog/fmt/fmt.h>
@@ -22,10 +23,13 @@
 /// headers, two stop fields, three one-byte and one three-byte number, four
 /// string lengths, two incarnations.
 constexpr std::size_t kChangeOverhead = 48;
-/// Maximum bytes of a datagram without changes and target address: six 64-bit
-/// numbers, 12 field headers of at most two bytes, small numbers and list
+/// Maximum bytes of a datagram without changes and target address: seven 64-bit
+/// numbers, 14 field headers of at most two bytes, small numbers and list
 /// headers.
-constexpr std::size_t kDatagramOverhead = 96;
+constexpr std::size_t kDatagramOverhead = 116;
+
+/// Ages beyond this one tell nothing.
+constexpr std::chrono::milliseconds kMaxProfileAge = std::chrono::minutes(1);
 
 /// Maximum members in one page; far above what a sender puts into one.
 constexpr std::int32_t kMaxPageMembers = 20000;
@@ -194,6 +198,11 @@
   message.mRefutation = Unsigned(aWire.refutation);
   message.mRecordVersion = Unsigned(aWire.record_version);
   message.mProfileVersion = Unsigned(aWire.profile_version);
+  if (aWire.__isset.profile_age_ms && aWire.__isset.store_ms &&
+      aWire.profile_age_ms >= 0) {
+    message.mProfileAge = { aWire.store_ms,
+                            std::chrono::milliseconds(aWire.profile_age_ms) };
+  }
   message.mSequence = Unsigned(aWire.sequence);
   message.mTarget = { Unsigned(aWire.target) };
   message.mNegative = aWire.negative;
@@ -256,6 +265,11 @@
     wire.__set_target_ip(aMessage.mTargetAddress.mIp);
     wire.__set_target_port(aMessage.mTargetAddress.mPort);
   }
+  if (aMessage.mProfileAge && aMessage.mProfileAge->mAge <= kMaxProfileAge) {
+    wire.__set_profile_age_ms(
+      static_cast<std::int32_t>(aMessage.mProfileAge->mAge.count()));
+    wire.__set_store_ms(aMessage.mProfileAge->mStoreMs);
+  }
   if (aMessage.mNegative) {
     wire.__set_negative(true);
   }
--- a/src/nutmegrock/membership/Membership.cpp
+++ b/src/nutmegrock/membership/Membership.cpp
@@ -16,6 +16,16 @@
 /// Members notified of a new profile version, as in the design page.
 constexpr std::size_t kVersionRecipients = 4;
 
+/// Members notified of an age. If each that is notified passes it on to four,
+/// 98 of 100 members hear of it; the others hear it with an ack, or read
+/// themselves.
+constexpr std::size_t kAgeRecipients = 4;
+
+/// Delay of a tick from which datagrams may have waited, and the time in which
+/// they are read then.
+constexpr core::Duration kMaxTickDelay = std::chrono::milliseconds(400);
+constexpr core::Duration kCatchUpTime = std::chrono::milliseconds(100);
+
 /// Members notified directly by each call of Leave(). With the three calls of
 /// the service a leaving node reaches 24 members without relying on a single
 /// datagram.
@@ -42,7 +52,8 @@
 Membership::Membership(MembershipSettings aSettings,
                        Member aOwn,
                        std::function<std::uint64_t()> aProfileVersion,
-                       std::uint64_t aSeed)
+                       std::uint64_t aSeed,
+                       Outbox::AgeHook aProfileAge)
   : mSettings(aSettings)
   , mRandom(aSeed)
   , mTable(std::move(aOwn), mSettings)
@@ -50,7 +61,7 @@
   , mSuspicions(mSettings, Own()->mIncarnation)
   , mMerger(mTable, mProber, mSuspicions, mGossip, mRandom)
   , mSync(mSettings)
-  , mOutbox(mTable, mGossip, std::move(aProfileVersion))
+  , mOutbox(mTable, mGossip, std::move(aProfileVersion), std::move(aProfileAge))
 {
   mGossip.Add(Own()->mIncarnation);
 }
@@ -97,6 +108,9 @@
   }
   if (aMessage.mProfileVersion > mOutbox.ProfileVersion()) {
     actions.mNewerVersions.push_back({ aFrom, aMessage.mProfileVersion });
+  } else if (aMessage.mProfileAge && aMessage.mProfileVersion > 0 &&
+             IsPrompt(aNow)) {
+    actions.mProfileAge = aMessage.mProfileAge;
   }
   for (const Change& change : aMessage.mChanges) {
     Merge(aNow, change, true, actions);
@@ -263,6 +277,9 @@
     mLastTick = aNow;
   }
   core::Duration elapsed = aNow - std::exchange(mLastTick, aNow);
+  if (elapsed > kMaxTickDelay) {
+    mLateUntil = aNow + kCatchUpTime;
+  }
   if (elapsed > mSettings.mPeriod) {
     // This process was paused: acks of its probe and refutations of suspects
     // arrived meanwhile and were not read.
@@ -472,17 +489,38 @@
   return actions;
 }
 
+bool
+Membership::IsPrompt(core::TimePoint aNow) const
+{
+  return aNow - mLastTick <= kMaxTickDelay && aNow >= mLateUntil;
+}
+
 Actions
 Membership::NotifyVersion(std::uint64_t aVersion)
+{
+  return Notify(kVersionRecipients, aVersion);
+}
+
+Actions
+Membership::NotifyAge()
+{
+  return Notify(kAgeRecipients, 0);
+}
+
+Actions
+Membership::Notify(std::size_t aRecipients, std::uint64_t aVersion)
 {
   Actions actions;
   const auto recipients = mTable.PickPresent(
-    mRandom, kVersionRecipients, [](const MemberTable::Entry& aEntry) {
+    mRandom, aRecipients, [](const MemberTable::Entry& aEntry) {
       return aEntry.mLiveness == Liveness::Alive;
     });
   for (const MemberTable::Entry* entry : recipients) {
     Message notice = mOutbox.Make(MessageKind::VersionNotice);
-    notice.mProfileVersion = std::max(notice.mProfileVersion, aVersion);
+    if (aVersion > notice.mProfileVersion) {
+      notice.mProfileVersion = aVersion;
+      notice.mProfileAge.reset();
+    }
     actions.mDatagrams.push_back(
       { entry->mMember->mAddress, std::move(notice) });
   }
--- a/src/nutmegrock/membership/Membership.h
+++ b/src/nutmegrock/membership/Membership.h
@@ -45,11 +45,13 @@
   static constexpr std::string_view kPullMethod = "members.pull";
 
   /// aOwn is the record of this node, aProfileVersion returns the profile
-  /// version in force on this node, and aSeed seeds the random choices.
+  /// version in force on this node, and aSeed seeds the random choices;
+  /// aProfileAge is what this node tells others, nothing if empty.
   Membership(MembershipSettings aSettings,
              Member aOwn,
              std::function<std::uint64_t()> aProfileVersion,
-             std::uint64_t aSeed);
+             std::uint64_t aSeed,
+             Outbox::AgeHook aProfileAge = {});
   Membership(const Membership&) = delete;
   Membership& operator=(const Membership&) = delete;
 
@@ -86,6 +88,8 @@
   Actions Leave(core::TimePoint aNow);
   /// Notifies 4 random members of a profile version.
   Actions NotifyVersion(std::uint64_t aVersion);
+  /// Notifies 4 random members of the age of the profile version in force.
+  Actions NotifyAge();
 
   /// The current members. Built on the first call after a change.
   MemberViewPtr View();
@@ -99,6 +103,10 @@
   const MembershipCounts& Counts() const { return mMerger.Counts(); }
 
 private:
+  Actions Notify(std::size_t aRecipients, std::uint64_t aVersion);
+  /// True if this process reads datagrams as they arrive. Those that waited
+  /// while it was paused are older than their content says.
+  bool IsPrompt(core::TimePoint aNow) const;
   void HandlePing(core::TimePoint aNow,
                   const core::Address& aFrom,
                   const Message& aMessage,
@@ -139,6 +147,8 @@
   Outbox mOutbox;
   std::vector<core::Address> mSeeds;
   core::TimePoint mLastTick;
+  /// Until when datagrams that waited may be read.
+  core::TimePoint mLateUntil;
   core::TimePoint mNextSeeds;
   core::TimePoint mNextDeadProbe;
   core::TimePoint mNextExpiry;
--- a/src/nutmegrock/membership/Message.h
+++ b/src/nutmegrock/membership/Message.h
@@ -4,7 +4,9 @@
 #include "core/Incarnation.h"
 #include "membership/Change.h"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace nutmegrock::membership {
@@ -21,6 +23,17 @@
   VersionNotice
 };
 
+/// When the store is known to have held no higher profile version than the
+/// sender has in force. The clock of the store tells which of two is later,
+/// since ages grow too little by the delay of each message.
+struct ProfileAge
+{
+  std::int64_t mStoreMs = 0;
+  std::chrono::milliseconds mAge{ 0 };
+
+  bool operator==(const ProfileAge&) const = default;
+};
+
 /// Content of one datagram.
 struct Message
 {
@@ -31,6 +44,8 @@
   std::uint64_t mRefutation = 0;
   std::uint64_t mRecordVersion = 0;
   std::uint64_t mProfileVersion = 0;
+  /// Nullopt if the sender does not know it.
+  std::optional<ProfileAge> mProfileAge;
   /// Chosen by the probing node and repeated in the ack.
   std::uint64_t mSequence = 0;
   /// Ping and PingRequest: the member probed, unknown for a seed. Ack: the
--- a/src/nutmegrock/membership/Outbox.cpp
+++ b/src/nutmegrock/membership/Outbox.cpp
@@ -6,10 +6,12 @@
 
 Outbox::Outbox(const MemberTable& aTable,
                Gossip& aGossip,
-               std::function<std::uint64_t()> aProfileVersion)
+               std::function<std::uint64_t()> aProfileVersion,
+               AgeHook aProfileAge)
   : mTable(aTable)
   , mGossip(aGossip)
   , mProfileVersion(std::move(aProfileVersion))
+  , mProfileAge(std::move(aProfileAge))
 {
 }
 
@@ -22,6 +24,9 @@
   message.mSender = own.mMember->mIncarnation;
   message.mRefutation = own.mRefutation;
   message.mRecordVersion = own.mMember->mVersion;
+  // The age first: a version that is put in force in between is higher, for
+  // which it holds as well.
+  message.mProfileAge = mProfileAge ? mProfileAge() : std::nullopt;
   message.mProfileVersion = ProfileVersion();
   return message;
 }
--- a/src/nutmegrock/membership/Outbox.h
+++ b/src/nutmegrock/membership/Outbox.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 namespace nutmegrock::membership {
 
@@ -18,13 +19,18 @@
 class Outbox
 {
 public:
+  /// Returns when the store held no higher profile version than this node has
+  /// in force; nullopt if it is not known.
+  using AgeHook = std::function<std::optional<ProfileAge>()>;
+
   /// Sequence number of pings that belong to no probe.
   static constexpr std::uint64_t kNoSequence = 0;
 
   /// Keeps references to aTable and aGossip.
   Outbox(const MemberTable& aTable,
          Gossip& aGossip,
-         std::function<std::uint64_t()> aProfileVersion);
+         std::function<std::uint64_t()> aProfileVersion,
+         AgeHook aProfileAge);
 
   /// Makes a message with the header about this node.
   Message Make(MessageKind aKind) const;
@@ -53,6 +59,7 @@
   const MemberTable& mTable;
   Gossip& mGossip;
   std::function<std::uint64_t()> mProfileVersion;
+  AgeHook mProfileAge;
 };
 
 } // namespace nutmegrock::membership
--- a/src/nutmegrock/membership/udp/MembershipService.cpp
+++ b/src/nutmegrock/membership/udp/MembershipService.cpp
@@ -67,6 +67,7 @@
   core::Expected<std::string> HandleControl(std::string_view aMethod,
                                             std::string_view aArgument);
   void NotifyVersion(std::uint64_t aVersion);
+  void NotifyAge();
   void OnStoreRegained();
   void OnStoreChanged();
   bool HasJoined() const;
@@ -140,7 +141,8 @@
   mMembership = std::make_unique<Membership>(mSettings.mProtocol,
                                              mSettings.mOwn,
                                              mHooks.mProfileVersion,
-                                             mSettings.mOwn.mIncarnation.mBits);
+                                             mSettings.mOwn.mIncarnation.mBits,
+                                             mHooks.mProfileAge);
   mMembership->SetSeeds(mSettings.mSeeds);
   mView = mMembership->View();
   return true;
@@ -204,7 +206,8 @@
     CopyCounts();
   }
   if (actions.mDatagrams.empty() && actions.mRequests.empty() &&
-      actions.mNewerVersions.empty() && actions.mRowsToRemove.empty()) {
+      actions.mNewerVersions.empty() && !actions.mProfileAge &&
+      actions.mRowsToRemove.empty()) {
     return;
   }
   // The context is stopped and its thread joined before this object is
@@ -237,6 +240,9 @@
       mHooks.mOnNewerVersion(newer.mFrom, newer.mVersion);
     }
   }
+  if (aActions.mProfileAge && mHooks.mOnProfileAge) {
+    mHooks.mOnProfileAge(*aActions.mProfileAge);
+  }
   for (const MemberPtr& member : aActions.mRowsToRemove) {
     if (mRows) {
       mRows->Remove(*member);
@@ -407,6 +413,12 @@
   });
 }
 
+void
+MembershipService::Impl::NotifyAge()
+{
+  Run([](Membership& aMembership) { return aMembership.NotifyAge(); });
+}
+
 void
 MembershipService::Impl::OnStoreRegained()
 {
@@ -512,6 +524,12 @@
   mImpl->NotifyVersion(aVersion);
 }
 
+void
+MembershipService::NotifyAge()
+{
+  mImpl->NotifyAge();
+}
+
 void
 MembershipService::OnStoreRegained()
 {
--- a/src/nutmegrock/membership/udp/MembershipService.h
+++ b/src/nutmegrock/membership/udp/MembershipService.h
@@ -23,9 +23,15 @@
 {
   /// Returns the profile version in force on this node.
   std::function<std::uint64_t()> mProfileVersion;
+  /// Returns when the store held no higher profile version than this node has
+  /// in force; nullopt if it is not known.
+  Outbox::AgeHook mProfileAge;
   /// Called when a member has a higher profile version than mProfileVersion
   /// returns.
   std::function<void(core::Address, std::uint64_t)> mOnNewerVersion;
+  /// Called when a member that has no higher profile version than this node
+  /// tells how old its own is.
+  std::function<void(const ProfileAge&)> mOnProfileAge;
   /// Called when the view changed. Changes within 100 ms are reported together.
   std::function<void(std::shared_ptr<const MemberView>)> mOnViewChanged;
   /// Sends a control request over TCP: peer address, its incarnation, method,
@@ -81,6 +87,8 @@
                                             std::string_view aArgument);
   /// Notifies 4 random members of a profile version.
   void NotifyVersion(std::uint64_t aVersion);
+  /// Notifies 4 random members of the age of the profile version in force.
+  void NotifyAge();
   /// Reports that the store answers again, so that a node which waits to find
   /// the others does so soon. Does not block.
   void OnStoreRegained();
--- a/src/nutmegrock/routes/RouteStore.h
+++ b/src/nutmegrock/routes/RouteStore.h
@@ -17,12 +17,14 @@
   std::string mDocument;
   /// Position in the store's history from which WaitForChange() continues.
   std::uint64_t mCursor = 0;
+  /// Steady clock of the store at its response, in milliseconds.
+  std::int64_t mStoreMs = 0;
 
   bool operator==(const StoredRoutes&) const = default;
 };
 
 /// Port to the store where operators publish routes. Calls block and are made
-/// on a dedicated thread. Every error is StoreUnavailable, or NotFound when the
+/// on dedicated threads. Every error is StoreUnavailable, or NotFound when the
 /// history after a cursor is no longer available.
 class RouteStore
 {
@@ -33,6 +35,9 @@
   virtual ~RouteStore() = default;
 
   virtual core::Expected<StoredRoutes> Read() = 0;
+  /// Same as Read() on a new connection, which cannot have gone silent. May run
+  /// beside the other calls.
+  virtual core::Expected<StoredRoutes> ReadOnNewConnection() = 0;
   /// Waits up to aWait for a change after the cursor. Returns the newest
   /// document, or an empty one if there was no change. Fails soon after aWait
   /// when no response has arrived, since the connection may have gone silent;
--- a/src/nutmegrock/routes/RouteSync.cpp
+++ b/src/nutmegrock/routes/RouteSync.cpp
@@ -1,7 +1,5 @@
 #include "routes/RouteSync.h"
 
-#include "routes/WatchWait.h"
-
 #include <algorithm>
 #include <optional>
 #include <spdlog/fmt/fmt.h>
@@ -13,17 +11,20 @@
 
 using std::chrono::milliseconds;
 
-/// Minimum share of WatchWait() that a watch waits; at random, so that the
+/// Minimum share of the maximum wait that a watch waits; at random, so that the
 /// nodes do not call the store at the same moments.
 constexpr double kMinWaitShare = 0.8;
 /// Maximum delay between a change and the next watch, so that changes in quick
-/// succession take one call. A node that hears of changes only from the store
-/// puts the newest in force within this time and a round trip.
+/// succession take one call.
 constexpr milliseconds kMaxWatchDelay{ 800 };
+/// The same for each node, which bounds the calls after a change at many nodes
+/// to half of the 2,000 that a store takes in a second.
+constexpr milliseconds kMaxWatchDelayPerNode{ 1 };
 /// Backoff while the store fails, doubled each time. Calls cost money, and a
-/// recovered store must be noticed within two seconds.
+/// recovered store must be noticed within three seconds, a read that is lost
+/// just before it recovers included.
 constexpr milliseconds kInitialBackoff{ 250 };
-constexpr milliseconds kMaxBackoff{ 1'500 };
+constexpr milliseconds kMaxBackoff{ 1'000 };
 /// Delay between reads while the store holds no routes.
 constexpr milliseconds kEmptyStoreDelay{ 500 };
 
@@ -48,6 +49,12 @@
   /// Puts a document in force if it is valid and newer.
   void Activate(const std::string& aDocument, std::string_view aFrom)
   {
+    {
+      const std::lock_guard lock(mMutex);
+      if (aDocument == mDocument) {
+        return;
+      }
+    }
     auto source = mDecoder(aDocument);
     auto set = source ? RouteSet::Create(std::move(*source))
                       : tl::make_unexpected(std::move(source.error()));
@@ -87,15 +94,28 @@
   }
 };
 
+RouteSync::RouteSync(std::shared_ptr<RouteStore> aStore,
+                     RouteDecoder aDecoder,
+                     ActiveRoutes& aActiveRoutes,
+                     Hooks aHooks)
+  : RouteSync(std::move(aStore),
+              std::move(aDecoder),
+              aActiveRoutes,
+              std::move(aHooks),
+              Settings{})
+{
+}
+
 RouteSync::RouteSync(std::shared_ptr<RouteStore> aStore,
                      RouteDecoder aDecoder,
                      ActiveRoutes& aActiveRoutes,
                      Hooks aHooks,
-                     int aWaitsPerRead)
+                     Settings aSettings)
   : mStore(std::move(aStore))
   , mHooks(std::move(aHooks))
-  , mWaitsPerRead(aWaitsPerRead)
+  , mSettings(aSettings)
   , mShared(new Shared{ std::move(aDecoder), aActiveRoutes, mHooks.mLog })
+  , mFreshness(core::Clock::now(), mRandom())
 {
 }
 
@@ -112,6 +132,7 @@
   mWake.notify_all();
   if (mThread.joinable()) {
     mThread.join();
+    mReadThread.join();
   }
 }
 
@@ -119,6 +140,7 @@
 RouteSync::Start()
 {
   mThread = std::thread([this] { Run(); });
+  mReadThread = std::thread([this] { RunReads(); });
 }
 
 void
@@ -127,10 +149,133 @@
   {
     const std::lock_guard lock(mMutex);
     mRestart = true;
+    // The store has another address and may be another one.
+    mKnownCursor = 0;
   }
   mWake.notify_all();
 }
 
+void
+RouteSync::SetNodes(std::size_t aNodes)
+{
+  mNodes = aNodes;
+  const std::lock_guard lock(mMutex);
+  mFreshness.SetNodes(aNodes);
+}
+
+void
+RouteSync::OnConfirmed(const Confirmation& aHeard)
+{
+  bool pass_on = false;
+  {
+    const std::lock_guard lock(mMutex);
+    pass_on = mFreshness.OnHeard(aHeard);
+  }
+  if (pass_on && mHooks.mOnConfirmed) {
+    mHooks.mOnConfirmed();
+  }
+}
+
+void
+RouteSync::OnRead(const Confirmation& aRead)
+{
+  bool pass_on = false;
+  bool regained = false;
+  {
+    const std::lock_guard lock(mMutex);
+    pass_on = mFreshness.OnRead(aRead);
+    regained = std::exchange(mReadFailed, false);
+  }
+  if (regained) {
+    mHooks.mLog("event=routes_read_again");
+  }
+  if (pass_on && mHooks.mOnConfirmed) {
+    mHooks.mOnConfirmed();
+  }
+}
+
+void
+RouteSync::RunReads()
+{
+  std::unique_lock lock(mMutex);
+  while (!mStopping) {
+    // While the watch finds that the store fails, it reads again and again.
+    if (!mStoreReachable) {
+      mWake.wait(lock, [this] { return mStopping || mStoreReachable; });
+    } else if (core::Clock::now() < mFreshness.ReadAt()) {
+      mWake.wait_until(lock, mFreshness.ReadAt(), [this] { return mStopping; });
+    } else {
+      lock.unlock();
+      ReadOnce();
+      lock.lock();
+    }
+  }
+}
+
+void
+RouteSync::ReadOnce()
+{
+  const std::uint64_t known = KnownCursor();
+  const core::TimePoint sent_at = core::Clock::now();
+  const auto stored = mStore->ReadOnNewConnection();
+  if (stored) {
+    mReadNext = CheckRollback(known, stored->mCursor) || mReadNext;
+    if (!stored->mDocument.empty()) {
+      mShared->Activate(stored->mDocument, "read");
+    }
+    OnRead({ sent_at, stored->mStoreMs });
+    return;
+  }
+  const core::TimePoint now = core::Clock::now();
+  bool first = false;
+  core::Duration age{ 0 };
+  {
+    const std::lock_guard lock(mMutex);
+    mFreshness.OnReadFailed(now);
+    first = !std::exchange(mReadFailed, true);
+    age = now - mFreshness.Last().mAt;
+  }
+  if (first) {
+    mHooks.mLog(
+      fmt::format("event=routes_read_failed age_ms={} reason=\"{}\"",
+                  std::chrono::duration_cast<milliseconds>(age).count(),
+                  stored.error().mMessage));
+  }
+}
+
+std::uint64_t
+RouteSync::KnownCursor() const
+{
+  const std::lock_guard lock(mMutex);
+  return mKnownCursor;
+}
+
+bool
+RouteSync::CheckRollback(std::uint64_t aKnown, std::uint64_t aCursor)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    // The other thread has noticed a rollback since the call was sent.
+    if (aKnown > mKnownCursor) {
+      return false;
+    }
+    if (aCursor >= aKnown) {
+      mKnownCursor = std::max(mKnownCursor, aCursor);
+      return false;
+    }
+    mKnownCursor = aCursor;
+  }
+  mHooks.mLog(
+    fmt::format("event=store_rolled_back known={} now={} version_in_force={}",
+                aKnown,
+                aCursor,
+                mShared->mActiveRoutes.Version()));
+  if (mHooks.mOnStoreRolledBack) {
+    mHooks.mOnStoreRolledBack();
+  }
+  return true;
+}
+
 void
 RouteSync::Pause(milliseconds aTime)
 {
@@ -157,8 +302,6 @@
       }
       if (std::exchange(mRestart, false)) {
         mCursor = 0;
-        // The store has another address and may be another one.
-        mKnownCursor = 0;
         backoff = milliseconds(0);
       }
     }
@@ -174,13 +317,16 @@
 bool
 RouteSync::RunOnce()
 {
-  const milliseconds wait = WatchWait(mRank);
+  const milliseconds wait = mSettings.mMaxWait;
   const auto min_wait =
     std::chrono::duration_cast<milliseconds>(wait * kMinWaitShare);
   const core::TimePoint now = core::Clock::now();
-  if (now - mLastRead >= mWaitsPerRead * wait) {
+  if (mReadNext.exchange(false) ||
+      now - mLastRead >= mSettings.mWaitsPerRead * wait) {
     mCursor = 0;
   }
+  const std::uint64_t known = KnownCursor();
+  const bool watched = mCursor != 0;
   mLastRead = mCursor == 0 ? now : mLastRead;
   auto stored = mCursor == 0
                   ? mStore->Read()
@@ -195,7 +341,11 @@
     return true;
   }
   if (mStoreReachable != stored.has_value()) {
-    mStoreReachable = stored.has_value();
+    {
+      const std::lock_guard lock(mMutex);
+      mStoreReachable = stored.has_value();
+    }
+    mWake.notify_all();
     mHooks.mLog(stored ? "event=store_regained"
                        : fmt::format("event=store_lost reason=\"{}\"",
                                      stored.error().mMessage));
@@ -203,9 +353,6 @@
       mHooks.mOnStoreRegained();
     }
   }
-  if (stored) {
-    mAnsweredAt = core::Clock::now();
-  }
   if (!stored) {
     // The store may have lost writes before it answers again, and may have
     // passed the cursor again by then. Only a read of the whole document finds
@@ -213,32 +360,31 @@
     mCursor = 0;
     return false;
   }
-  OnStored(*stored, mCursor != 0);
+  OnStored(*stored, watched, known);
+  if (!watched) {
+    OnRead({ now, stored->mStoreMs });
+  }
   return true;
 }
 
 void
-RouteSync::OnStored(const StoredRoutes& aStored, bool aWatched)
+RouteSync::OnStored(const StoredRoutes& aStored,
+                    bool aWatched,
+                    std::uint64_t aKnown)
 {
   mHistoryGone = mHistoryGone && !aWatched;
-  const std::uint64_t known = std::exchange(mKnownCursor, aStored.mCursor);
   mCursor = aStored.mCursor;
-  if (aStored.mCursor < known) {
-    mHooks.mLog(
-      fmt::format("event=store_rolled_back known={} now={} version_in_force={}",
-                  known,
-                  aStored.mCursor,
-                  mShared->mActiveRoutes.Version()));
+  if (CheckRollback(aKnown, aStored.mCursor) && aWatched) {
     // Changes up to the cursor of a watch were not reported.
-    mCursor = aWatched ? 0 : mCursor;
-    if (mHooks.mOnStoreRolledBack) {
-      mHooks.mOnStoreRolledBack();
-    }
+    mCursor = 0;
   }
   if (!aStored.mDocument.empty()) {
     mShared->Activate(aStored.mDocument, "store");
     if (aWatched) {
-      Pause(Between(milliseconds(0), kMaxWatchDelay));
+      Pause(Between(milliseconds(0),
+                    std::max(kMaxWatchDelay,
+                             static_cast<milliseconds::rep>(mNodes) *
+                               kMaxWatchDelayPerNode)));
     }
   } else if (aStored.mCursor == 0) {
     Pause(kEmptyStoreDelay);
@@ -287,12 +433,28 @@
 RouteSync::Progress
 RouteSync::ProgressAt(core::TimePoint aNow) const
 {
+  Progress progress;
+  {
+    const std::lock_guard lock(mMutex);
+    progress.mAge =
+      std::chrono::duration_cast<milliseconds>(aNow - mFreshness.Last().mAt);
+  }
   const std::lock_guard lock(mShared->mMutex);
-  return { mShared->mDocumentVersion,
-           mShared->mHeardVersion,
-           mShared->mFailedPulls,
-           std::chrono::duration_cast<milliseconds>(aNow -
-                                                    mAnsweredAt.load()) };
+  progress.mVersion = mShared->mDocumentVersion;
+  progress.mHeardVersion = mShared->mHeardVersion;
+  progress.mFailedPulls = mShared->mFailedPulls;
+  return progress;
+}
+
+std::optional<Confirmation>
+RouteSync::LastConfirmation() const
+{
+  if (mShared->mActiveRoutes.Version() == 0) {
+    return std::nullopt;
+  }
+  const std::lock_guard lock(mMutex);
+  const Confirmation& last = mFreshness.Last();
+  return last.mStoreMs == 0 ? std::nullopt : std::optional(last);
 }
 
 core::Expected<std::string>
--- a/src/nutmegrock/routes/RouteSync.h
+++ b/src/nutmegrock/routes/RouteSync.h
@@ -4,6 +4,7 @@
 #include "core/Error.h"
 #include "core/Time.h"
 #include "routes/ActiveRoutes.h"
+#include "routes/Freshness.h"
 #include "routes/RouteStore.h"
 
 #include <atomic>
@@ -13,15 +14,18 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
 
 namespace nutmegrock::routes {
 
-/// Keeps the routes in force up to date: watches the store on its own thread
-/// and pulls newer routes from other nodes, so that a node that cannot reach
-/// the store follows the others.
+/// Keeps the routes in force up to date in three ways: watches the store on its
+/// own thread, reads the store on another thread when nothing else has
+/// confirmed for a while that the routes in force are the newest, and pulls
+/// newer routes from other nodes, so that a node that cannot reach the store
+/// follows the others.
 class RouteSync
 {
 public:
@@ -41,6 +45,20 @@
     /// than this node knew it: the store lost what was written last. May be
     /// empty.
     std::function<void()> mOnStoreRolledBack = {};
+    /// Called on any thread when other nodes are to be told how old the routes
+    /// in force are. May be empty.
+    std::function<void()> mOnConfirmed = {};
+  };
+
+  struct Settings
+  {
+    /// Maximum time for which a watch waits at the store. With 3,800 nodes
+    /// watches take 170 calls a second.
+    std::chrono::milliseconds mMaxWait{ 25'000 };
+    /// Instead of this many waits the whole document is read. A store that lost
+    /// writes may answer waits after a later position as if nothing had
+    /// happened; this takes 5% more calls.
+    int mWaitsPerRead = 20;
   };
 
   /// How far this node follows the operator.
@@ -52,8 +70,8 @@
     std::uint64_t mHeardVersion = 0;
     /// Requests for the routes of other nodes that failed.
     std::uint64_t mFailedPulls = 0;
-    /// Time since the store last answered this node; since the start if it has
-    /// not.
+    /// Time since the routes in force were known to be the newest of the store;
+    /// since the start if they have not been.
     std::chrono::milliseconds mAge{ 0 };
 
     bool operator==(const Progress&) const = default;
@@ -62,17 +80,17 @@
   /// Control request handled by HandlePull().
   static constexpr const char* kMethod = "routes.pull";
 
-  /// Instead of this many waits the whole document is read. A store that lost
-  /// writes may answer waits after a later position as if nothing had happened;
-  /// this takes 5% more calls.
-  static constexpr int kWaitsPerRead = 20;
-
   /// aActiveRoutes must outlive this object.
   RouteSync(std::shared_ptr<RouteStore> aStore,
             RouteDecoder aDecoder,
             ActiveRoutes& aActiveRoutes,
             Hooks aHooks,
-            int aWaitsPerRead = kWaitsPerRead);
+            Settings aSettings);
+  /// With the default settings.
+  RouteSync(std::shared_ptr<RouteStore> aStore,
+            RouteDecoder aDecoder,
+            ActiveRoutes& aActiveRoutes,
+            Hooks aHooks);
   RouteSync(const RouteSync&) = delete;
   RouteSync& operator=(const RouteSync&) = delete;
   /// Waits for a store call in progress.
@@ -83,31 +101,41 @@
   /// Reads the whole document next, at the latest when the present wait at the
   /// store ends; call it when the store has another address.
   void Restart();
-  /// Sets the rank of this node among all members, which decides how long its
-  /// next watch waits at the store; see WatchWait().
-  void SetRank(std::size_t aRank) { mRank = aRank; }
+  /// Sets the number of nodes that use the store, this one included.
+  void SetNodes(std::size_t aNodes);
+  /// Takes the confirmation of another node. Does not block.
+  void OnConfirmed(const Confirmation& aHeard);
   /// Reports that a node has this version in force. Does not block; cheap
   /// unless the version is higher than this node's.
   void OnVersionSeen(const core::Address& aFrom, std::uint64_t aVersion);
   /// The document in force. Fails with NoProfiles.
   core::Expected<std::string> HandlePull() const;
   Progress ProgressAt(core::TimePoint aNow) const;
+  /// When the routes in force were last known to be the newest of the store;
+  /// nullopt if there are none, or it is not known.
+  std::optional<Confirmation> LastConfirmation() const;
   /// True if the last call to the store succeeded.
   bool IsStoreReachable() const { return mStoreReachable; }
 
 private:
   struct Shared;
 
-  /// Rank until the members are known, so that many nodes that start together
-  /// do not all watch like the first.
-  static constexpr std::size_t kInitialRank = 2;
-
   void Run();
   /// Returns false when the store failed.
   bool RunOnce();
   /// Handles a response, whose position in the store's history is mCursor of
   /// aStored. aWatched is false for a read of the whole document.
-  void OnStored(const StoredRoutes& aStored, bool aWatched);
+  void OnStored(const StoredRoutes& aStored,
+                bool aWatched,
+                std::uint64_t aKnown);
+  std::uint64_t KnownCursor() const;
+  /// Compares the position of a response with aKnown, the one that was known
+  /// when the call was sent. Returns true if the store was rolled back.
+  bool CheckRollback(std::uint64_t aKnown, std::uint64_t aCursor);
+  /// Reads the store whenever the routes in force are unconfirmed for too long.
+  void RunReads();
+  void ReadOnce();
+  void OnRead(const Confirmation& aRead);
   void Pause(std::chrono::milliseconds aTime);
   /// A random time in this range.
   std::chrono::milliseconds Between(std::chrono::milliseconds aLeast,
@@ -115,28 +143,34 @@
 
   const std::shared_ptr<RouteStore> mStore;
   const Hooks mHooks;
-  const int mWaitsPerRead;
+  const Settings mSettings;
   /// Kept alive by pull callbacks that run after this object is destroyed.
   std::shared_ptr<Shared> mShared;
-  /// Used only by the thread. 0: read the whole document next.
+  /// Used only by the watch. 0: read the whole document next.
   std::uint64_t mCursor = 0;
-  /// Time of the last read of the whole document; used only by the thread.
+  /// Time of the last read of the whole document; used only by the watch.
   core::TimePoint mLastRead;
-  /// Last known position in the store's history, also while mCursor is 0; 0 for
-  /// none. Used only by the thread.
-  std::uint64_t mKnownCursor = 0;
   /// True from a lost history to the next successful wait; used only by the
-  /// thread.
+  /// watch.
   bool mHistoryGone = false;
   std::mt19937_64 mRandom{ std::random_device{}() };
-  std::atomic<core::TimePoint> mAnsweredAt{ core::Clock::now() };
   std::atomic<bool> mStoreReachable{ false };
-  std::atomic<std::size_t> mRank{ kInitialRank };
-  std::mutex mMutex;
+  std::atomic<std::size_t> mNodes{ 1 };
+  /// The watch reads the whole document next.
+  std::atomic<bool> mReadNext{ false };
+  /// Guards the members below.
+  mutable std::mutex mMutex;
   std::condition_variable mWake;
   bool mStopping = false;
   bool mRestart = false;
+  /// Last known position in the store's history; 0 for none. Compared with
+  /// responses only to calls that were sent later.
+  std::uint64_t mKnownCursor = 0;
+  Freshness mFreshness;
+  /// True from a failed read to the next one that succeeds.
+  bool mReadFailed = false;
   std::thread mThread;
+  std::thread mReadThread;
 };
 
 } // namespace nutmegrock::routes
--- a/src/nutmegrock/store/http/StoreClient.cpp
+++ b/src/nutmegrock/store/http/StoreClient.cpp
@@ -158,7 +158,7 @@
     // closed. The first copy may have taken effect, in which case the second
     // copy of a conditional write would return a false conflict. A new client
     // has no connection to reuse, so a write is sent once.
-    const auto client = aRequest.mMethod == "GET"
+    const auto client = aRequest.mMethod == "GET" && !aRequest.mNewConnection
                           ? mReadClient
                           : std::make_shared<http_client>(
                               mReadClient->base_uri(), ConfigOf(mSettings));
--- a/src/nutmegrock/store/http/StoreClient.h
+++ b/src/nutmegrock/store/http/StoreClient.h
@@ -48,6 +48,8 @@
     std::string mContentType = "application/octet-stream";
     /// Replaces the timeout of the settings, which it must not exceed.
     std::optional<std::chrono::milliseconds> mTimeout = std::nullopt;
+    /// Opens a connection for this request alone.
+    bool mNewConnection = false;
   };
 
   /// Fails with InvalidSettings when the URL is not "http://IP:PORT".
--- a/tests/adapter/RowStoreTest.cpp
+++ b/tests/adapter/RowStoreTest.cpp
@@ -52,7 +52,7 @@
     { { MakeResponse("200 OK", kRows) },
       { MakeResponse("200 OK", R"({"rows":[],"ver":531})") } });
   const auto store = *RowStore::Make(server.Url());
-  CHECK(store->Read() == routes::StoredRoutes{ "routes", 530 });
+  CHECK(store->Read() == routes::StoredRoutes{ "routes", 530, 51230 });
   CHECK(store->WaitForChange(530, std::chrono::milliseconds(10)) ==
         routes::StoredRoutes{ "", 531 });
 }
@@ -136,8 +136,8 @@
     DecodeNumber,
     active,
     { [](const core::Address&, const routes::RouteSync::PullCallback&) {},
-      [](const std::string&) {} });
-  sync.SetRank(0);
+      [](const std::string&) {} },
+    { std::chrono::seconds(2) });
   const core::TimePoint begin = core::Clock::now();
   sync.Start();
   while (active.Version() < 2 && core::Clock::now() - begin < kMaxSilence) {
--- a/tests/membership/CodecTest.cpp
+++ b/tests/membership/CodecTest.cpp
@@ -38,6 +38,7 @@
   message.mRefutation = kLarge;
   message.mRecordVersion = kLarge;
   message.mProfileVersion = kLarge;
+  message.mProfileAge = { std::numeric_limits<std::int64_t>::max() - 1, 60s };
   message.mSequence = kLarge;
   message.mTarget = { kLarge };
   message.mTargetAddress = Record(0, 1).mAddress;
@@ -69,6 +70,7 @@
       CHECK(got->mRefutation == sent.mRefutation);
       CHECK(got->mRecordVersion == sent.mRecordVersion);
       CHECK(got->mProfileVersion == sent.mProfileVersion);
+      CHECK(got->mProfileAge == sent.mProfileAge);
       CHECK(got->mSequence == sent.mSequence);
       CHECK(got->mTarget == sent.mTarget);
       CHECK(got->mTargetAddress == sent.mTargetAddress);
--- a/tests/membership/MembershipFaultTest.cpp
+++ b/tests/membership/MembershipFaultTest.cpp
@@ -356,4 +356,35 @@
     CHECK(reports >= 4);
     CHECK(mesh->Of(4).NotifyVersion(9).mDatagrams.size() == 4);
   }
+
+  // Guards against an age that was right when it was sent, and is believed
+  // seconds later by a process that did not read meanwhile.
+  TEST_CASE("an age that waited while the process was paused is not believed")
+  {
+    const auto mesh = FormMesh(3, 16);
+    Membership& membership = mesh->Of(0);
+    Message message;
+    message.mKind = MessageKind::VersionNotice;
+    message.mSender = mesh->IdOf(1);
+    message.mProfileVersion = 9;
+    message.mProfileAge = { 5'000, 100ms };
+    mesh->At(0).mProfileVersion = 9;
+    core::TimePoint now = mesh->Now();
+    const auto handle = [&] {
+      return membership.Handle(now, mesh->At(1).mAddress, message).mProfileAge;
+    };
+    CHECK(handle() == message.mProfileAge);
+    now += 3s;
+    CHECK(!handle());
+    membership.Tick(now);
+    CHECK(!handle());
+    for (int i = 0; i < 3; ++i) {
+      now += 100ms;
+      membership.Tick(now);
+    }
+    CHECK(handle() == message.mProfileAge);
+    // A node with an older version has to get the newer one instead.
+    mesh->At(0).mProfileVersion = 8;
+    CHECK(!handle());
+  }
 }
--- a/tests/routes/RouteSyncTest.cpp
+++ b/tests/routes/RouteSyncTest.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /// Returns scripted responses in order; Read() and WaitForChange() pause
-/// briefly when there are none left.
+/// briefly when there are none left. Reads on new connections find nothing new.
 class ScriptedStore final : public RouteStore
 {
 public:
@@ -23,6 +23,10 @@
     ++mReads;
     return Next();
   }
+  core::Expected<StoredRoutes> ReadOnNewConnection() override
+  {
+    return StoredRoutes{ "", 99 };
+  }
   core::Expected<StoredRoutes> WaitForChange(std::uint64_t,
                                              std::chrono::milliseconds) override
   {
@@ -97,6 +101,11 @@
   static constexpr std::chrono::milliseconds kInterval{ 50 };
 
   core::Expected<StoredRoutes> Read() override { return Newest(); }
+  core::Expected<StoredRoutes> ReadOnNewConnection() override
+  {
+    ++mCalls;
+    return Newest();
+  }
   core::Expected<StoredRoutes> WaitForChange(std::uint64_t aCursor,
                                              std::chrono::milliseconds) override
   {
@@ -233,6 +242,86 @@
 
 namespace {
 
+/// Waits without an answer, as on a connection that has gone silent, until the
+/// watch ends. New connections work.
+class SilentStore final : public RouteStore
+{
+public:
+  core::Expected<StoredRoutes> Read() override
+  {
+    return StoredRoutes{ "3", 10, 1'000 };
+  }
+  core::Expected<StoredRoutes> ReadOnNewConnection() override
+  {
+    ++mReads;
+    return StoredRoutes{ "4", 11, 2'000 };
+  }
+  core::Expected<StoredRoutes> WaitForChange(
+    std::uint64_t,
+    std::chrono::milliseconds aWait) override
+  {
+    std::this_thread::sleep_for(aWait);
+    return core::Fail(core::ErrorKind::StoreUnavailable, "silent");
+  }
+
+  std::atomic<int> mReads{ 0 };
+};
+
+} // namespace
+
+// Guards against a confirmed version that is not in force at a node whose
+// connection to the store went silent, rule CONFIG: only the nodes of the
+// lowest rank noticed in time, and one that heard nothing from them waited for
+// up to 25.8 s.
+TEST_CASE("a node that hears of nothing reads the store itself in time")
+{
+  const auto store = std::make_shared<SilentStore>();
+  ActiveRoutes active;
+  std::atomic<int> told{ 0 };
+  RouteSync sync(store,
+                 DecodeNumber,
+                 active,
+                 { [](const core::Address&, const RouteSync::PullCallback&) {},
+                   [](const std::string&) {},
+                   {},
+                   {},
+                   [&told] { ++told; } },
+                 { std::chrono::seconds(4) });
+  // Of all ranks under the rule before.
+  sync.SetNodes(3'800);
+  sync.Start();
+  const core::TimePoint begin = core::Clock::now();
+  while (active.Version() < 4 &&
+         core::Clock::now() - begin < std::chrono::seconds(2)) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  CHECK(active.Version() == 4);
+  // The others are told, at the start and now.
+  CHECK(WaitFor([&] { return told >= 1; }));
+}
+
+// Guards against reads of all nodes although the others confirm the routes.
+TEST_CASE("a node whose routes others confirm does not read the store")
+{
+  const auto store = std::make_shared<SilentStore>();
+  ActiveRoutes active;
+  RouteSync sync(store,
+                 DecodeNumber,
+                 active,
+                 { [](const core::Address&, const RouteSync::PullCallback&) {},
+                   [](const std::string&) {} },
+                 { std::chrono::seconds(3) });
+  sync.Start();
+  for (std::int64_t i = 0; i < 20; ++i) {
+    sync.OnConfirmed({ core::Clock::now(), 10'000 + i });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  CHECK(store->mReads == 0);
+  CHECK(sync.ProgressAt(core::Clock::now()).mAge < std::chrono::seconds(1));
+}
+
+namespace {
+
 /// Has no history: every wait fails at once.
 class ForgetfulStore final : public RouteStore
 {
@@ -242,6 +331,7 @@
     const int reads = ++mReads;
     return StoredRoutes{ std::to_string(reads), 10 };
   }
+  core::Expected<StoredRoutes> ReadOnNewConnection() override { return Read(); }
   core::Expected<StoredRoutes> WaitForChange(std::uint64_t,
                                              std::chrono::milliseconds) override
   {
@@ -264,7 +354,6 @@
                  active,
                  { [](const core::Address&, const RouteSync::PullCallback&) {},
                    [](const std::string&) {} });
-  sync.SetRank(0);
   sync.Start();
   CHECK(WaitFor([&] { return active.Version() == 2; }));
   std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
@@ -287,6 +376,7 @@
     }
     return StoredRoutes{ mDocument, mVersion };
   }
+  core::Expected<StoredRoutes> ReadOnNewConnection() override { return Read(); }
   core::Expected<StoredRoutes> WaitForChange(std::uint64_t aCursor,
                                              std::chrono::milliseconds) override
   {
@@ -338,18 +428,15 @@
 struct WatchedStore
 {
   explicit WatchedStore(bool aGone = false, bool aRepeatsCursor = false)
-    : mWaitsPerRead(aRepeatsCursor ? 1 : RouteSync::kWaitsPerRead)
   {
     mStore->mGone = aGone;
     mStore->mRepeatsCursor = aRepeatsCursor;
     mStore->Set("3", 90, 100);
-    mSync.SetRank(0);
     mSync.Start();
     REQUIRE(WaitFor([&] { return mActive.Version() == 3; }));
     mStore->WaitForCalls(2);
   }
 
-  const int mWaitsPerRead;
   const std::shared_ptr<RollingBackStore> mStore =
     std::make_shared<RollingBackStore>();
   ActiveRoutes mActive;
@@ -361,8 +448,7 @@
                     },
                      [](const std::string&) {},
                      {},
-                     [this] { ++mRolledBack; } },
-                   mWaitsPerRead };
+                     [this] { ++mRolledBack; } } };
 };
 
 } // namespace
--- a/thrift/membership.thrift
+++ b/thrift/membership.thrift
@@ -42,6 +42,10 @@
   10: optional bool negative
   11: optional bool wants_record
   12: optional list<WireChange> changes
+  // Time since the profiles of the sender were known to be the newest of the
+  // store, and the store's clock at that time, in milliseconds.
+  13: optional i32 profile_age_ms
+  14: optional i64 store_ms
 }
 
 struct TablePull {
