Soak: a disturbance of the store that is open when the run ends counts as one

The log shows that the store had answered the nodes with 503 for the 2.7 s until the end of the run (store_lost at 22:42:46, never regained); the span of a disturbance of the store was recorded only when it ended, which was after the run. Open spans now last until the end, as those of nodes did. The check itself stays as it is.

--- a/tests/soak/Faults.cpp
+++ b/tests/soak/Faults.cpp
@@ -342,11 +342,12 @@
   }
   mStoreDisturbed = true;
   mStore->Set(aState);
-  At(Now() + Draw(0.3, 4), [this, from = Now()] {
+  OpenSpan(mLedger.OfStore());
+  At(Now() + Draw(0.3, 4), [this] {
     mStore->Set(standin::Store::State::Up);
     mStoreDisturbed = false;
     // A slow answer takes a second.
-    mLedger.OfStore().Add(from, Now() + 1);
+    CloseSpan(mLedger.OfStore(), Now() + 1);
   });
 }
 
@@ -454,10 +455,11 @@
                                            standin::Store::State::Unavailable,
                                            standin::Store::State::Busy };
   mStore->Set(*node, states[Draw(std::size(states))]);
-  At(Now() + Draw(0.3, 4), [this, node, from = Now()] {
+  OpenSpan(mLedger.OfNode(*node));
+  At(Now() + Draw(0.3, 4), [this, node] {
     mStore->Set(*node, standin::Store::State::Up);
     mStoreDisturbed = false;
-    mLedger.OfNode(*node).Add(from, Now());
+    CloseSpan(mLedger.OfNode(*node), Now());
   });
 }
 
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -144,6 +144,9 @@
       mLedger.OfNode(i).Add(*mNodes[i]->mDisturbedSince, kForEver);
     }
   }
+  for (const auto& [timeline, from] : mOpenSpans) {
+    timeline->Add(from, kForEver);
+  }
   mTasks.clear();
   std::vector<Violation> violations = mLedger.Check();
   if (violations.empty()) {
@@ -332,6 +335,20 @@
   }
 }
 
+void
+Soak::OpenSpan(Timeline& aTimeline)
+{
+  mOpenSpans[&aTimeline] = Now();
+}
+
+void
+Soak::CloseSpan(Timeline& aTimeline, double aUntil)
+{
+  const auto span = mOpenSpans.find(&aTimeline);
+  aTimeline.Add(span->second, aUntil);
+  mOpenSpans.erase(span);
+}
+
 void
 Soak::Stop(std::size_t aNode, int aSignal)
 {
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -100,6 +100,10 @@
   void StartServer(std::size_t aNode);
   void BeginDisturbance(std::size_t aNode);
   void EndDisturbance(std::size_t aNode);
+  /// Disturbances of the store as it answers all nodes, or one. One that is
+  /// open when the run ends lasts until then.
+  void OpenSpan(Timeline& aTimeline);
+  void CloseSpan(Timeline& aTimeline, double aUntil);
   void Stop(std::size_t aNode, int aSignal);
   void Report(std::size_t aNode, const std::string& aText);
   /// Returns false if a signal would reach the process before its own code.
@@ -157,6 +161,7 @@
   std::multimap<double, std::function<void()>> mActions;
   std::vector<std::future<void>> mTasks;
   std::map<std::string, std::vector<std::string>> mExtraRoutes;
+  std::map<Timeline*, double> mOpenSpans;
   std::size_t mManyRoutes = 0;
   /// Path that the newest version has added.
   std::string mMark;
