--- a/tests/routes/SpreadTest.cpp
+++ b/tests/routes/SpreadTest.cpp
@@ -112,7 +112,8 @@
 {
   SpreadModel::Settings settings;
   settings.mReadInterval = [](std::size_t aRank) -> core::Duration {
-    const double wait = 0.7 * std::pow(3, std::floor(aRank / 2.0));
+    const std::size_t step = aRank / 2;
+    const double wait = 0.7 * std::pow(3, static_cast<double>(step));
     return std::chrono::duration_cast<core::Duration>(
       std::chrono::duration<double>(std::min(wait, 25.0)));
   };
--- a/tests/soak/SilentStoreTest.cpp
+++ b/tests/soak/SilentStoreTest.cpp
@@ -79,6 +79,7 @@
     }
     std::sort(order.begin(), order.end());
     std::vector<Machine*> machines;
+    machines.reserve(order.size());
     for (const auto& [incarnation, machine] : order) {
       machines.push_back(machine);
     }
