--- a/src/nutmegrock/routes/RouteSync.h
+++ b/src/nutmegrock/routes/RouteSync.h
@@ -41,9 +41,9 @@
     /// Called on the watch's thread when the store answers for the first time
     /// or again after a failure; may be empty.
     std::function<void()> mOnStoreRegained = {};
-    /// Called on the watch's thread when the store's history has become shorter
-    /// than this node knew it: the store lost what was written last. May be
-    /// empty.
+    /// Called on the thread of a store call when the store's history has become
+    /// shorter than this node knew it: the store lost what was written last.
+    /// May be empty.
     std::function<void()> mOnStoreRolledBack = {};
     /// Called on any thread when other nodes are to be told how old the routes
     /// in force are. May be empty.
