Soak: a process that was paused while it is linked gets no signal

Its log has no event=start, and SIGHUP came 2.3 s after the start: the process was paused within its first milliseconds and got the signal while it was paused, so before its own code. A signal during dynamic linking ends any process (docs/incidents/real-processes.md); the soak held linking for over 0.2 s after the start, whether the process ran or not. It now counts from the end of the pause. The check stays as it is.

--- a/tests/soak/Faults.cpp
+++ b/tests/soak/Faults.cpp
@@ -159,9 +159,9 @@
     return;
   }
   BeginDisturbance(*node);
-  mNodes[*node]->mMachine->Signal(SIGSTOP);
+  PauseProcess(*node);
   At(Now() + Draw(0.2, 3), [this, node] {
-    mNodes[*node]->mMachine->Signal(SIGCONT);
+    ResumeProcess(*node);
     EndDisturbance(*node);
   });
 }
@@ -422,14 +422,14 @@
       Stop(node, SIGKILL);
       mNodes[node]->mRestartAfter = until - Now();
     } else if (kind == 1) {
-      mNodes[node]->mMachine->Signal(SIGSTOP);
+      PauseProcess(node);
     } else {
       mStore->Set(node, standin::Store::State::Down);
     }
     if (kind != 0) {
       At(until, [this, node, kind] {
         if (kind == 1) {
-          mNodes[node]->mMachine->Signal(SIGCONT);
+          ResumeProcess(node);
         } else {
           mStore->Set(node, standin::Store::State::Up);
         }
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -26,7 +26,7 @@
 // A longer step of the driver counts as a disturbance of the whole machine.
 constexpr double kLag = 0.25;
 // Dynamic linking, in which a signal ends any process, is over when the process
-// holds signals or handles them, and at the latest after this time.
+// holds signals or handles them, and at the latest when it has run this long.
 constexpr double kLinking = 0.2;
 constexpr std::size_t kExtraPaths = 8;
 
@@ -297,6 +297,7 @@
   node.mMachine->Start();
   node.mPhase = Phase::Running;
   node.mStartedAt = Now();
+  node.mLinkedAt = node.mStartedAt + kLinking;
   mLedger.OfNode(aNode).Add(node.mStartedAt, node.mStartedAt);
   node.mStartChecked = false;
 }
@@ -365,7 +366,21 @@
 {
   const Node& node = *mNodes[aNode];
   return node.mPhase == Phase::Running &&
-         (node.mMachine->HoldsSignals() || Now() > node.mStartedAt + kLinking);
+         (node.mMachine->HoldsSignals() || Now() > node.mLinkedAt);
+}
+
+void
+Soak::PauseProcess(std::size_t aNode)
+{
+  mNodes[aNode]->mMachine->Signal(SIGSTOP);
+  mNodes[aNode]->mLinkedAt = kForEver;
+}
+
+void
+Soak::ResumeProcess(std::size_t aNode)
+{
+  mNodes[aNode]->mMachine->Signal(SIGCONT);
+  mNodes[aNode]->mLinkedAt = Now() + kLinking;
 }
 
 std::optional<std::size_t>
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -69,6 +69,8 @@
     /// Since when it is disturbed.
     std::optional<double> mDisturbedSince;
     double mStartedAt = 0;
+    /// From when on the process is past dynamic linking at the latest.
+    double mLinkedAt = 0;
     double mSignalledAt = 0;
     double mRestartAfter = 0;
     bool mHoldAddress = false;
@@ -106,6 +108,8 @@
   void CloseSpan(Timeline& aTimeline, double aUntil);
   void Stop(std::size_t aNode, int aSignal);
   void Report(std::size_t aNode, const std::string& aText);
+  void PauseProcess(std::size_t aNode);
+  void ResumeProcess(std::size_t aNode);
   /// Returns false if a signal would reach the process before its own code.
   bool HandlesSignals(std::size_t aNode) const;
   /// A node that runs undisturbed, if the drawn one does.
