Tests of the reads of routes: the bounds of calls and the watch's own read again

The old bounds (6, 7, 12 and 400 calls a second at 4, 18, 96 and 3,800 nodes) now hold for watches and reads together.

Behaviour of the program is not changed.

--- a/tests/routes/RouteSyncTest.cpp
+++ b/tests/routes/RouteSyncTest.cpp
@@ -376,7 +376,13 @@
     }
     return StoredRoutes{ mDocument, mVersion };
   }
-  core::Expected<StoredRoutes> ReadOnNewConnection() override { return Read(); }
+  core::Expected<StoredRoutes> ReadOnNewConnection() override
+  {
+    if (mOnlyWatch) {
+      return core::Fail(core::ErrorKind::StoreUnavailable, "refused");
+    }
+    return Read();
+  }
   core::Expected<StoredRoutes> WaitForChange(std::uint64_t aCursor,
                                              std::chrono::milliseconds) override
   {
@@ -413,6 +419,8 @@
   bool mGone = false;
   /// Waits after a position beyond the end report that position.
   bool mRepeatsCursor = false;
+  /// Refuses new connections.
+  bool mOnlyWatch = false;
   std::atomic<bool> mDown{ false };
   std::atomic<int> mWaits{ 0 };
 
@@ -428,15 +436,20 @@
 struct WatchedStore
 {
   explicit WatchedStore(bool aGone = false, bool aRepeatsCursor = false)
+    : mSettings{ std::chrono::milliseconds(700),
+                 aRepeatsCursor ? 1 : RouteSync::Settings{}.mWaitsPerRead }
   {
     mStore->mGone = aGone;
     mStore->mRepeatsCursor = aRepeatsCursor;
+    // So that the watch itself has to find it.
+    mStore->mOnlyWatch = aRepeatsCursor;
     mStore->Set("3", 90, 100);
     mSync.Start();
     REQUIRE(WaitFor([&] { return mActive.Version() == 3; }));
     mStore->WaitForCalls(2);
   }
 
+  const RouteSync::Settings mSettings;
   const std::shared_ptr<RollingBackStore> mStore =
     std::make_shared<RollingBackStore>();
   ActiveRoutes mActive;
@@ -448,7 +461,8 @@
                     },
                      [](const std::string&) {},
                      {},
-                     [this] { ++mRolledBack; } } };
+                     [this] { ++mRolledBack; } },
+                   mSettings };
 };
 
 } // namespace
--- a/tests/routes/SpreadTest.cpp
+++ b/tests/routes/SpreadTest.cpp
@@ -75,6 +75,31 @@
   }
 }
 
+// Load pattern: no changes, 4 to 3,800 nodes. Guards against calls to the store
+// that grow with the number of nodes. Each watch waits at least 0.8 of 25 s.
+TEST_CASE("watches and reads of any number of nodes take few calls")
+{
+  constexpr double kMinWait = 0.8 * 25;
+  struct Bound
+  {
+    std::size_t mNodes;
+    double mCalls;
+  };
+  for (const Bound bound :
+       { Bound{ 4, 6 }, { 18, 7 }, { 96, 12 }, { 3'800, 400 } }) {
+    SpreadModel::Settings settings;
+    settings.mNodes = bound.mNodes;
+    settings.mMaxDelay = bound.mNodes <= 100 ? 1'500us : 60'000us;
+    SpreadModel model(settings);
+    model.Run({}, kEnd);
+    const double calls =
+      model.MeanReads() + static_cast<double>(bound.mNodes) / kMinWait;
+    CAPTURE(bound.mNodes);
+    CAPTURE(calls);
+    CHECK(calls < bound.mCalls);
+  }
+}
+
 // Failure: no node hears anything of another. Guards against a node that
 // follows only through others.
 TEST_CASE("a version reaches nodes that hear nothing of each other")
