--- a/tests/soak/Faults.cpp
+++ b/tests/soak/Faults.cpp
@@ -358,34 +358,13 @@
   mLedger.OfStore().Add(Now(), Now());
 }
 
-std::string
-Soak::IncarnationOf(std::size_t aNode)
-{
-  const int fd = standin::Connection::Open(mNodes[aNode]->mMachine->Metrics());
-  if (fd < 0) {
-    return {};
-  }
-  standin::Connection connection(fd);
-  standin::Message answer;
-  connection.Send("GET /status HTTP/1.1\r\nHost: n\r\n\r\n");
-  if (connection.Read(answer, Now() + 0.2) != standin::ReadEnd::Complete) {
-    return {};
-  }
-  const std::string name = "incarnation ";
-  const std::size_t at = answer.mBody.find(name);
-  return at == std::string::npos
-           ? ""
-           : answer.mBody.substr(at + name.size(),
-                                 answer.mBody.find('\n', at) - at -
-                                   name.size());
-}
-
 std::vector<std::size_t>
 Soak::DrawGroup()
 {
   std::vector<std::pair<std::string, std::size_t>> order;
   for (std::size_t i = 0; i < mNodes.size(); ++i) {
-    order.emplace_back(IncarnationOf(i), i);
+    order.emplace_back(mNodes[i]->mMachine->StatusField("incarnation ", 0.2),
+                       i);
   }
   if (Draw(std::size_t{ 2 }) == 0) {
     std::sort(order.begin(), order.end());
--- a/tests/soak/Machine.cpp
+++ b/tests/soak/Machine.cpp
@@ -1,5 +1,7 @@
 #include "tests/soak/Machine.h"
 
+#include "tests/adapter/standin/Http.h"
+
 #include <algorithm>
 #include <csignal>
 #include <cstdint>
@@ -143,4 +145,26 @@
   return { text.end() - count, text.end() };
 }
 
+std::string
+Machine::StatusField(const std::string& aName, double aSeconds) const
+{
+  const int fd = standin::Connection::Open(Metrics());
+  if (fd < 0) {
+    return {};
+  }
+  standin::Connection connection(fd);
+  standin::Message answer;
+  connection.Send("GET /status HTTP/1.1\r\nHost: n\r\n\r\n");
+  if (connection.Read(answer, standin::Now() + aSeconds) !=
+      standin::ReadEnd::Complete) {
+    return {};
+  }
+  const std::size_t at = answer.mBody.find(aName);
+  if (at == std::string::npos) {
+    return {};
+  }
+  const std::size_t from = at + aName.size();
+  return answer.mBody.substr(from, answer.mBody.find('\n', from) - from);
+}
+
 } // namespace nutmegrock::tests
--- a/tests/soak/Machine.h
+++ b/tests/soak/Machine.h
@@ -33,6 +33,10 @@
   /// The last lines of the log.
   std::string LogTail() const;
 
+  /// The rest of the line after aName in the status page of the node; empty if
+  /// there is none within a time in seconds.
+  std::string StatusField(const std::string& aName, double aSeconds) const;
+
   const std::string& Service() const { return mService; }
   core::Address Address(int aOffset) const;
   core::Address Nodes() const { return Address(0); }
--- a/tests/soak/SilentStoreTest.cpp
+++ b/tests/soak/SilentStoreTest.cpp
@@ -75,7 +75,8 @@
   {
     std::vector<std::pair<std::string, Machine*>> order;
     for (const auto& machine : mMachines) {
-      order.emplace_back(StatusField(*machine, "incarnation "), machine.get());
+      order.emplace_back(machine->StatusField("incarnation ", 1),
+                         machine.get());
     }
     std::sort(order.begin(), order.end());
     std::vector<Machine*> machines;
@@ -97,29 +98,11 @@
 private:
   static constexpr int kCount = 10;
 
-  static std::string StatusField(const Machine& aMachine,
-                                 const std::string& aName)
-  {
-    const int fd = standin::Connection::Open(aMachine.Metrics());
-    if (fd < 0) {
-      return {};
-    }
-    standin::Connection connection(fd);
-    connection.Send("GET /status HTTP/1.1\r\nHost: n\r\n\r\n");
-    standin::Message answer;
-    connection.Read(answer, Now() + 1);
-    const std::size_t at = answer.mBody.find(aName);
-    if (at == std::string::npos) {
-      return {};
-    }
-    const std::size_t from = at + aName.size();
-    return answer.mBody.substr(from, answer.mBody.find('\n', from) - from);
-  }
   bool KnowEachOther() const
   {
     return std::all_of(
       mMachines.begin(), mMachines.end(), [](const auto& aMachine) {
-        return StatusField(*aMachine, "\nmembers ") == std::to_string(kCount);
+        return aMachine->StatusField("\nmembers ", 1) == std::to_string(kCount);
       });
   }
 
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -76,8 +76,6 @@
     bool mHoldAddress = false;
     bool mStartChecked = false;
     int mServers = 0;
-    /// In the order of which the nodes rank themselves; empty until known.
-    std::string mIncarnation;
   };
   struct Fault
   {
@@ -126,7 +124,6 @@
   void ChangeRoutes();
   /// Number of nodes that fail together, and which of them.
   std::vector<std::size_t> DrawGroup();
-  std::string IncarnationOf(std::size_t aNode);
   std::vector<standin::RouteSettings> Routes() const;
 
   void Terminate();
